--- /dev/null
+++ b/messenger/mapgossip.go
@@ -0,0 +1,96 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/endiveturn/endiveturn/gossiper"
+	"github.com/endiveturn/endiveturn/messenger/peerpb"
+)
+
+func hostToWire(h gossiper.Host) *peerpb.Host {
+	return &peerpb.Host{
+		Name: h.Name, DataCentre: h.DataCentre, PeerAddress: h.PeerAddress, CallerAddress: h.CallerAddress,
+		Incarnation: h.Incarnation, Version: h.Version, State: uint32(h.State), Departing: h.Departing,
+	}
+}
+
+// hostFromWire maps h. A state that this version does not know becomes Suspect,
+// which makes the receiver find out for itself.
+func hostFromWire(h *peerpb.Host) gossiper.Host {
+	host := gossiper.Host{
+		Name: h.GetName(), DataCentre: h.GetDataCentre(), PeerAddress: h.GetPeerAddress(),
+		CallerAddress: h.GetCallerAddress(), Incarnation: h.GetIncarnation(), Version: h.GetVersion(),
+		State: gossiper.Suspect, Departing: h.GetDeparting(),
+	}
+	if s := h.GetState(); s <= uint32(gossiper.Left) {
+		host.State = gossiper.State(s)
+	}
+	return host
+}
+
+func claimToWire(c gossiper.Claim) *peerpb.Claim {
+	return &peerpb.Claim{
+		Service: c.Service, Host: c.Host, Incarnation: c.Incarnation, Term: c.Term, Withdrawn: c.Withdrawn,
+	}
+}
+
+func claimFromWire(c *peerpb.Claim) gossiper.Claim {
+	return gossiper.Claim{
+		Service: c.GetService(), Host: c.GetHost(), Incarnation: c.GetIncarnation(),
+		Term: c.GetTerm(), Withdrawn: c.GetWithdrawn(),
+	}
+}
+
+func unableToWire(u gossiper.Unable) *peerpb.Unable {
+	return &peerpb.Unable{
+		Service: u.Service, Host: u.Host, Incarnation: u.Incarnation, Sequence: u.Sequence,
+		RemainingMs: uint32(max(0, min(u.Remaining.Milliseconds(), 1<<31))),
+	}
+}
+
+func unableFromWire(u *peerpb.Unable) gossiper.Unable {
+	return gossiper.Unable{
+		Service: u.GetService(), Host: u.GetHost(), Incarnation: u.GetIncarnation(), Sequence: u.GetSequence(),
+		Remaining: time.Duration(u.GetRemainingMs()) * time.Millisecond,
+	}
+}
+
+func heartbeatToWire(h gossiper.Heartbeat) *peerpb.HeartbeatMessage {
+	w := &peerpb.HeartbeatMessage{
+		Version: ProtocolVersion, From: hostToWire(h.From), Revision: h.Revision,
+		Fresh: h.Fresh, FreshAgeUs: microseconds(h.FreshAge), Heard: h.Heard, Digest: h.Digest, Full: h.Full,
+	}
+	for _, m := range h.Members {
+		w.Members = append(w.Members, hostToWire(m))
+	}
+	for _, c := range h.Claims {
+		w.Claims = append(w.Claims, claimToWire(c))
+	}
+	for _, u := range h.Unable {
+		w.Unable = append(w.Unable, unableToWire(u))
+	}
+	if c := h.Confirmations; len(c.Bitmap) > 0 {
+		w.Confirmations = &peerpb.Confirmations{Revision: c.Revision, Hosts: c.Hosts, Bitmap: c.Bitmap}
+	}
+	return w
+}
+
+func heartbeatFromWire(w *peerpb.HeartbeatMessage) gossiper.Heartbeat {
+	h := gossiper.Heartbeat{
+		From: hostFromWire(w.GetFrom()), Revision: w.GetRevision(), Fresh: w.GetFresh(),
+		FreshAge: duration(w.GetFreshAgeUs()), Heard: w.GetHeard(), Digest: w.GetDigest(), Full: w.GetFull(),
+	}
+	for _, m := range w.GetMembers() {
+		h.Members = append(h.Members, hostFromWire(m))
+	}
+	for _, c := range w.GetClaims() {
+		h.Claims = append(h.Claims, claimFromWire(c))
+	}
+	for _, u := range w.GetUnable() {
+		h.Unable = append(h.Unable, unableFromWire(u))
+	}
+	if c := w.GetConfirmations(); c != nil {
+		h.Confirmations = gossiper.Confirmations{Revision: c.GetRevision(), Hosts: c.GetHosts(), Bitmap: c.GetBitmap()}
+	}
+	return h
+}
--- /dev/null
+++ b/messenger/mapping.go
@@ -0,0 +1,120 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/messenger/peerpb"
+)
+
+func attributesToWire(a executor.Attributes) *peerpb.Attributes {
+	return &peerpb.Attributes{
+		Service: a.Service, Customer: a.Customer, Key: a.Key, Route: a.Route,
+		Revision: a.Revision, Session: []byte(a.Session), Attaching: a.Attaching,
+	}
+}
+
+func attributesFromWire(a *peerpb.Attributes) executor.Attributes {
+	return executor.Attributes{
+		Service: a.GetService(), Customer: a.GetCustomer(), Key: a.GetKey(), Route: a.GetRoute(),
+		Revision: a.GetRevision(), Session: string(a.GetSession()), Attaching: a.GetAttaching(),
+	}
+}
+
+func positionToWire(p executor.Position) *peerpb.Position {
+	if p.IsZero() {
+		return nil
+	}
+	return &peerpb.Position{Term: p.Term, Offset: p.Offset}
+}
+
+func positionFromWire(p *peerpb.Position) executor.Position {
+	return executor.Position{Term: p.GetTerm(), Offset: p.GetOffset()}
+}
+
+// batchToWire maps b into w. The deadline of w is the remaining time.
+func batchToWire(b *executor.Batch, deadline time.Duration, w *peerpb.Batch) {
+	w.Reset()
+	w.Class = uint32(b.Class)
+	w.Idempotent = b.Idempotent
+	w.Tainting = b.Tainting
+	w.Floor = positionToWire(b.Floor)
+	w.MaxAgeUs = microseconds(b.MaxAge)
+	w.DeadlineUs = microseconds(deadline)
+	w.Messages = b.Messages
+	for _, s := range b.Statements {
+		w.Statements = append(w.Statements, &peerpb.Statement{
+			Name: []byte(s.Name), Query: []byte(s.Query), ParameterOids: s.ParameterOIDs,
+		})
+	}
+}
+
+// batchFromWire maps w. A class that this version does not know becomes a
+// write, the most careful one.
+func batchFromWire(w *peerpb.Batch) executor.Batch {
+	b := executor.Batch{
+		Messages:   w.GetMessages(),
+		Class:      executor.ClassWrite,
+		Idempotent: w.GetIdempotent(),
+		Tainting:   w.GetTainting(),
+		Floor:      positionFromWire(w.GetFloor()),
+		MaxAge:     duration(w.GetMaxAgeUs()),
+		Deadline:   duration(w.GetDeadlineUs()),
+	}
+	if c := w.GetClass(); c <= uint32(executor.ClassBeginRead) {
+		b.Class = executor.Class(c)
+	}
+	for _, s := range w.GetStatements() {
+		b.Statements = append(b.Statements, executor.Statement{
+			Name: string(s.GetName()), Query: string(s.GetQuery()), ParameterOIDs: s.GetParameterOids(),
+		})
+	}
+	return b
+}
+
+func resultToWire(r executor.Result) *peerpb.Result {
+	return &peerpb.Result{
+		TxStatus: uint32(r.TxStatus), Position: positionToWire(r.Position), Replica: r.Replica,
+	}
+}
+
+func resultFromWire(r *peerpb.Result) executor.Result {
+	return executor.Result{
+		TxStatus: byte(r.GetTxStatus()), Position: positionFromWire(r.GetPosition()), Replica: r.GetReplica(),
+	}
+}
+
+func refusalToWire(r *executor.Refusal) *peerpb.Refusal {
+	return &peerpb.Refusal{Code: []byte(r.Code), Message: []byte(r.Message), Outcome: uint32(r.Outcome), Holder: r.Holder}
+}
+
+// refusalFromWire maps r. An outcome that this version does not know becomes
+// Unknown, which promises nothing.
+func refusalFromWire(r *peerpb.Refusal) *executor.Refusal {
+	refusal := &executor.Refusal{Code: string(r.GetCode()), Message: string(r.GetMessage()), Holder: r.GetHolder()}
+	if o := r.GetOutcome(); o <= uint32(executor.RolledBack) {
+		refusal.Outcome = executor.Outcome(o)
+	}
+	if len(refusal.Code) != len(executor.CodeInternal) {
+		refusal.Code = executor.CodeInternal
+	}
+	return refusal
+}
+
+// maxDuration bounds durations from the wire, so that sums cannot overflow.
+const maxDuration = 365 * 24 * time.Hour
+
+// microseconds rounds up, so that an age never gets smaller on its way.
+func microseconds(d time.Duration) uint64 {
+	if d <= 0 {
+		return 0
+	}
+	return uint64((d + time.Microsecond - 1) / time.Microsecond)
+}
+
+func duration(us uint64) time.Duration {
+	if us > uint64(maxDuration/time.Microsecond) {
+		return maxDuration
+	}
+	return time.Duration(us) * time.Microsecond
+}
