Add the stand-in for a database group

Cause: the proxy is tested and measured against databases that speak the endpoint protocol, and no third-party server may be used.

--- /dev/null
+++ b/groupemulator/lexer.go
@@ -0,0 +1,119 @@
+package groupemulator
+
+import "strings"
+
+// A tokenKind says what a token is.
+type tokenKind uint8
+
+const (
+	tokenEnd tokenKind = iota
+	// tokenWord is an identifier or keyword, in lower case.
+	tokenWord
+	tokenString
+	tokenNumber
+	// tokenParameter is the number after a dollar sign.
+	tokenParameter
+	tokenSymbol
+)
+
+type token struct {
+	kind tokenKind
+	text string
+}
+
+// tokenize splits SQL text into tokens.
+func tokenize(sql string) ([]token, *sqlError) {
+	tokens := make([]token, 0, 24)
+	for i := 0; i < len(sql); {
+		c := sql[i]
+		switch {
+		case c == ' ' || c == '\t' || c == '\n' || c == '\r':
+			i++
+		case strings.HasPrefix(sql[i:], "--"):
+			end := strings.IndexByte(sql[i:], '\n')
+			if end < 0 {
+				return tokens, nil
+			}
+			i += end + 1
+		case strings.HasPrefix(sql[i:], "/*"):
+			end := strings.Index(sql[i+2:], "*/")
+			if end < 0 {
+				return nil, failf(codeSyntax, "unterminated comment")
+			}
+			i += end + 4
+		case c == '\'' || c == '"':
+			text, n := quoted(sql[i:], c)
+			if n == 0 {
+				return nil, failf(codeSyntax, "unterminated quoted string")
+			}
+			kind := tokenString
+			if c == '"' {
+				kind = tokenWord
+			}
+			tokens = append(tokens, token{kind, text})
+			i += n
+		default:
+			t := bareToken(sql[i:])
+			tokens = append(tokens, t)
+			i += len(t.text)
+			switch t.kind {
+			case tokenWord:
+				tokens[len(tokens)-1].text = strings.ToLower(t.text)
+			case tokenParameter:
+				tokens[len(tokens)-1].text = t.text[1:]
+			}
+		}
+	}
+	return tokens, nil
+}
+
+// bareToken returns the token at the start of sql as it is written.
+func bareToken(sql string) token {
+	c := sql[0]
+	switch {
+	case isWordStart(c):
+		return token{tokenWord, leading(sql, 1, isWordPart)}
+	case isDigit(c):
+		return token{tokenNumber, leading(sql, 1, isNumberPart)}
+	case c == '$' && len(sql) > 1 && isDigit(sql[1]):
+		return token{tokenParameter, leading(sql, 1, isDigit)}
+	case strings.HasPrefix(sql, "::"):
+		return token{tokenSymbol, "::"}
+	default:
+		return token{tokenSymbol, sql[:1]}
+	}
+}
+
+// quoted returns the text of a quoted string and the bytes it takes up, or 0
+// if it does not end.
+func quoted(sql string, quote byte) (string, int) {
+	for i := 1; i < len(sql); i++ {
+		if sql[i] != quote {
+			continue
+		}
+		if i+1 < len(sql) && sql[i+1] == quote {
+			i++
+			continue
+		}
+		q := string(quote)
+		return strings.ReplaceAll(sql[1:i], q+q, q), i + 1
+	}
+	return "", 0
+}
+
+func leading(sql string, n int, part func(byte) bool) string {
+	for n < len(sql) && part(sql[n]) {
+		n++
+	}
+	return sql[:n]
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+func isNumberPart(c byte) bool { return isDigit(c) || c == '.' }
+
+func isWordStart(c byte) bool {
+	return c == '_' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= 0x80
+}
+
+func isWordPart(c byte) bool { return isWordStart(c) || isDigit(c) }
