Add holder, pooler, scheduler and tracker

Cause: the data path needs a holder that runs the batches of a service on its databases. Change: scheduler (start-time fair queue), tracker (floors of sessions and the choice of a replica), pooler (connections of one database) and holder (batch path with confirmation, retries, cancel, drain and pausing of writes). Conclusion: simple reads, writes and transactions run; property and failure tests follow.

--- /dev/null
+++ b/holder/holder_test.go
@@ -0,0 +1,41 @@
+package holder
+
+import (
+	"testing"
+
+	"github.com/endiveturn/endiveturn/executor"
+)
+
+// TestReadYourWrites guards against a read of a session that a replica serves
+// which has not applied the session's write.
+func TestReadYourWrites(t *testing.T) {
+	b := newBench(t, nil)
+	exchange := b.open(t, "s1")
+	for i := range 10 {
+		_, result := mustRun(t, exchange, "INSERT", executor.ClassWrite)
+		if got, want := result.Position.Offset, uint64(i+1); got != want {
+			t.Fatalf("position = %d, want %d", got, want)
+		}
+		messages, result := mustRun(t, exchange, "SELECT", executor.ClassRead)
+		if result.Replica {
+			t.Errorf("write %d: read went to a replica that is behind", i)
+		}
+		if got := value(messages); got == "acme 0" {
+			t.Errorf("write %d: read = %q", i, got)
+		}
+	}
+	b.applied(10, 9, 10)
+	for range 20 {
+		messages, result := mustRun(t, exchange, "SELECT", executor.ClassRead)
+		if got, want := value(messages), "acme 10"; got != want || !result.Replica {
+			t.Errorf("read = %q, replica %v, want %q from a replica", got, result.Replica, want)
+		}
+	}
+	if got := b.databases[1].count("SELECT"); got != 0 {
+		t.Errorf("reads on the replica that is behind = %d, want 0", got)
+	}
+	other := b.open(t, "s2")
+	if _, result := mustRun(t, other, "SELECT", executor.ClassRead); !result.Replica {
+		t.Error("read of another session went to the primary")
+	}
+}
--- /dev/null
+++ b/holder/pinned.go
@@ -0,0 +1,92 @@
+package holder
+
+import (
+	"bytes"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/pooler"
+	"github.com/endiveturn/endiveturn/scheduler"
+)
+
+// runInTransaction runs a batch on the connection of the open transaction. A
+// refusal that does not leave the transaction open makes Run close the
+// connection.
+func (r *request) runInTransaction(t *transaction, slot *scheduler.Slot) (executor.Result, *executor.Refusal) {
+	term := t.conn.Term()
+	run := r.execute(t.conn, slot)
+	defer run.relay.release()
+	if run.err != nil {
+		refusal := r.lostPinned(run)
+		r.exchange.discard(slot.Release)
+		return executor.Result{}, refusal
+	}
+	open := run.status != 'I'
+	if run.cancelled && (open || run.relay.lastError == executor.CodeQueryCanceled) {
+		r.exchange.discard(slot.Release)
+		return executor.Result{}, r.refuseCancelled(run)
+	}
+	if open {
+		slot.Release()
+		return r.finish(run, term, t.replica)
+	}
+	r.exchange.transaction = nil
+	// The transaction counts as open until its commit is acknowledged.
+	defer t.end()
+	if t.tainted || run.cancelled {
+		t.database.pool.Discard(t.conn, nil)
+	} else {
+		t.database.pool.Put(t.conn)
+	}
+	slot.Release()
+	return r.finish(run, term, t.replica)
+}
+
+// lostPinned returns the refusal of a batch of a transaction whose answer is
+// incomplete. The database rolls back when the connection ends, unless the batch
+// reached it and commits.
+func (r *request) lostPinned(run *execution) *executor.Refusal {
+	switch {
+	case errors.Is(run.err, pooler.ErrMalformed):
+		refusal := refuseRolledBack("transaction rolled back: " + run.err.Error())
+		refusal.Code = executor.CodeProtocolViolation
+		return refusal
+	case !run.sent:
+		return refuseRolledBack("transaction rolled back: connection to the database lost")
+	case errors.Is(run.err, pooler.ErrStaleTerm), run.refusedFirst(executor.CodeStaleTerm):
+		return refuseRolledBack("transaction rolled back by a change of primary")
+	}
+	if refusal := r.refuseAborted(run); refusal != nil {
+		return refusal
+	}
+	return executor.RefuseUnknown(r.unknownCode(), "answer of the database lost")
+}
+
+// unknownCode returns the SQLSTATE of an unknown outcome: within a transaction
+// a statement is in doubt, at its end or outside the whole transaction.
+func (r *request) unknownCode() string {
+	if r.exchange.transaction != nil && !r.mayCommit() {
+		return executor.CodeStatementUnknown
+	}
+	return executor.CodeOutcomeUnknown
+}
+
+// mayCommit reports whether the text of the batch holds a word that ends a
+// transaction; a word within a literal counts too.
+func (r *request) mayCommit() bool {
+	if endsTransaction(r.batch.Messages) {
+		return true
+	}
+	for i := range r.batch.Statements {
+		if endsTransaction([]byte(r.batch.Statements[i].Query)) {
+			return true
+		}
+	}
+	return false
+}
+
+func endsTransaction(text []byte) bool {
+	upper := bytes.ToUpper(text)
+	return bytes.Contains(upper, []byte("COMMIT")) || bytes.Contains(upper, []byte("END"))
+}
--- /dev/null
+++ b/holder/refuse.go
@@ -0,0 +1,49 @@
+package holder
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/limiter"
+	"github.com/endiveturn/endiveturn/pooler"
+	"github.com/endiveturn/endiveturn/scheduler"
+)
+
+// errDeadline is the cause of contexts of batches whose deadline has passed.
+var errDeadline = errors.New("deadline of the batch has passed")
+
+func moved() *executor.Refusal {
+	refusal := executor.RefuseNotRun(executor.CodeCannotServe, errMoved.Error())
+	refusal.Outcome = executor.Moved
+	return refusal
+}
+
+// refuseWaiting returns the refusal of a batch that stopped waiting with err
+// before anything was sent.
+func refuseWaiting(ctx context.Context, err error, code string) *executor.Refusal {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(err, limiter.ErrRateExceeded):
+		return executor.RefuseNotRun(executor.CodeRateExceeded, "rate of the customer exceeded")
+	case errors.Is(err, scheduler.ErrQueueFull), errors.Is(err, scheduler.ErrTooLate):
+		return executor.RefuseNotRun(executor.CodeTooManyQueued, err.Error())
+	case errors.Is(err, pooler.ErrMalformed):
+		return executor.RefuseNotRun(executor.CodeProtocolViolation, err.Error())
+	case errors.Is(err, errMoved), errors.Is(cause, errMoved):
+		return moved()
+	case errors.Is(cause, errDeadline):
+		return executor.RefuseNotRun(code, errDeadline.Error())
+	case cause != nil:
+		return executor.RefuseNotRun(executor.CodeQueryCanceled, "canceled while waiting")
+	default:
+		return executor.RefuseNotRun(executor.CodeCannotServe, err.Error())
+	}
+}
+
+// refuseRolledBack returns the refusal of a batch whose transaction is lost
+// before the batch was run.
+func refuseRolledBack(message string) *executor.Refusal {
+	return &executor.Refusal{Code: executor.CodeRolledBack, Message: message, Outcome: executor.RolledBack}
+}
--- /dev/null
+++ b/holder/stats.go
@@ -0,0 +1,53 @@
+package holder
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/endiveturn/endiveturn/pooler"
+	"github.com/endiveturn/endiveturn/scheduler"
+)
+
+// Stats describes a holder for status output.
+type Stats struct {
+	Term     uint64
+	Primary  string
+	Held     bool
+	Draining bool
+	// Sessions is the number of sessions with a floor of their own.
+	Sessions int
+	// Writing is the number of running write batches and open write transactions.
+	Writing int
+	// Databases are in the order of their names.
+	Databases []DatabaseStats
+}
+
+// DatabaseStats describes one database.
+type DatabaseStats struct {
+	Name string
+	// InService is set for a replica that serves reads and for the primary.
+	InService   bool
+	Load        scheduler.Load
+	Connections pooler.Stats
+}
+
+// Stats returns the present figures.
+func (h *Holder) Stats() Stats {
+	h.prepare()
+	view := h.observe()
+	stats := Stats{
+		Term: view.Term, Primary: view.Primary, Held: view.Held(h.Now()), Draining: h.isDraining(),
+		Sessions: h.tracker.Len(), Writing: h.writes.running.value(),
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, d := range h.databases {
+		entry := DatabaseStats{Name: name, InService: name == view.Primary, Load: d.queue.Load(), Connections: d.pool.Stats()}
+		for _, replica := range h.replicas {
+			entry.InService = entry.InService || replica.Name == name
+		}
+		stats.Databases = append(stats.Databases, entry)
+	}
+	slices.SortFunc(stats.Databases, func(a, b DatabaseStats) int { return strings.Compare(a.Name, b.Name) })
+	return stats
+}
