Add the promoter and finish the limiter

Cause: a change of primary has to happen without anybody else ordering it, and customers have to stay within rate and burst over all holders. The limiter keeps waiters in order and one goroutine per bucket serves them.

--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -1,6 +1,9 @@
 package limiter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A Share is the part of a customer's limit that one service has.
 type Share struct {
@@ -18,6 +21,15 @@
 	until  time.Time
 }
 
+// A waiter is a batch that waits for a token until a deadline.
+type waiter struct {
+	until time.Time
+	// done is closed when the waiter has left the queue.
+	done chan struct{}
+	// taken says that it left with a token; it is set before done is closed.
+	taken bool
+}
+
 // A bucket holds the tokens of one customer for one service. The tokens, plus
 // those on their way from it to other holders, never exceed its burst.
 type bucket struct {
@@ -31,8 +43,9 @@
 	created time.Time
 	// demand estimates the tokens taken per second.
 	demand float64
-	// waiting is the number of batches that wait for a token.
-	waiting int
+	// waiters are the batches that wait for a token, in the order of their
+	// arrival. While there are any, one goroutine serves them.
+	waiters []*waiter
 	// pulling is set while a request to other holders is under way.
 	pulling bool
 	// changed is closed and replaced when tokens arrive.
@@ -100,6 +113,49 @@
 	return true
 }
 
+// serve gives tokens to waiters in their order and drops those whose time is
+// over.
+func (b *bucket) serve(now time.Time) {
+	for len(b.waiters) > 0 {
+		first := b.waiters[0]
+		first.taken = now.Before(first.until) && b.take(now)
+		if !first.taken && now.Before(first.until) {
+			return
+		}
+		b.waiters = b.waiters[1:]
+		close(first.done)
+	}
+}
+
+// abandon drops all waiters.
+func (b *bucket) abandon() {
+	for _, w := range b.waiters {
+		close(w.done)
+	}
+	b.waiters = nil
+}
+
+// delay returns how long the first waiter has to wait for a token of the
+// bucket's own rate, at most until its time is over. The bucket has waiters.
+func (b *bucket) delay(now time.Time) time.Duration {
+	wait := b.waiters[0].until.Sub(now)
+	if b.share.Rate > 0 {
+		due := time.Duration((1 - b.level) / b.share.Rate * float64(time.Second))
+		wait = min(wait, due)
+	}
+	return max(minDelay, wait)
+}
+
+// withdraw removes a waiter that gives up and reports whether it still waited.
+func (b *bucket) withdraw(w *waiter) bool {
+	i := slices.Index(b.waiters, w)
+	if i < 0 {
+		return false
+	}
+	b.waiters = slices.Delete(b.waiters, i, i+1)
+	return true
+}
+
 // missing returns how many tokens the bucket can still take in.
 func (b *bucket) missing(now time.Time) float64 {
 	b.refill(now)
@@ -111,7 +167,7 @@
 func (b *bucket) give(wanted float64, now time.Time) float64 {
 	b.refill(now)
 	spare := b.level
-	if b.demand > b.share.Rate/2 || b.waiting > 0 {
+	if b.demand > b.share.Rate/2 || len(b.waiters) > 0 {
 		spare = b.level - b.share.Burst*busyReserve
 	}
 	amount := max(0, min(wanted, spare))
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -17,10 +17,14 @@
 	// up their capacity for this time after it sent them, and the receiver
 	// discards a reply that comes later than this after its request.
 	TransferTimeout = 50 * time.Millisecond
+	// minDelay bounds how often waiters are looked at.
+	minDelay = time.Millisecond
 	// demandWindow is the time over which the demand of a bucket is averaged.
 	demandWindow = time.Second
 	// busyReserve is the part of its burst that a busy donor keeps.
 	busyReserve = 0.5
+	// lowLevel is the part of its burst below which a bucket asks for more.
+	lowLevel = 0.25
 	// pullInterval is the least time between two pulls for one bucket that
 	// brought nothing.
 	pullInterval = 20 * time.Millisecond
@@ -120,8 +124,7 @@
 	defer l.mu.Unlock()
 	for name := range l.buckets {
 		if name.Service == service {
-			delete(l.buckets, name)
-			delete(l.pending, name)
+			l.remove(name)
 		}
 	}
 }
@@ -130,6 +133,14 @@
 func (l *Limiter) Remove(name Name) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.remove(name)
+}
+
+// remove forgets a bucket and refuses what waits for it. The caller holds mu.
+func (l *Limiter) remove(name Name) {
+	if b := l.buckets[name]; b != nil {
+		b.abandon()
+	}
 	delete(l.buckets, name)
 	delete(l.pending, name)
 }
@@ -186,71 +197,82 @@
 // Acquire takes one token, and waits for it up to patience, or up to Wait if
 // patience is 0. Errors are ErrRateExceeded, ErrNotHeld and those of ctx.
 func (l *Limiter) Acquire(ctx context.Context, name Name, patience time.Duration) error {
-	start := l.Now()
-	waiting := false
-	defer func() {
-		if waiting {
-			l.leave(name)
-		}
-	}()
-	for {
-		step, err := l.attempt(name, start, patience, waiting)
-		if err != nil || step.taken {
-			return err
-		}
-		waiting = true
-		if step.pull {
-			go l.pull(context.WithoutCancel(ctx), name, step.amount)
-		}
-		timer := time.NewTimer(step.delay)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+	w, err := l.enqueue(name, patience)
+	if err != nil || w == nil {
+		return err
+	}
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+		if l.withdraw(name, w) {
 			return errors.WithStack(ctx.Err())
-		case <-step.changed:
-			timer.Stop()
-		case <-timer.C:
 		}
 	}
+	if !w.taken {
+		return errors.Wrapf(ErrRateExceeded, "customer %s", name.Customer)
+	}
+	return nil
 }
 
-// An attemptResult says how a batch goes on after it asked for a token.
-type attemptResult struct {
-	taken   bool
-	pull    bool
-	amount  float64
-	delay   time.Duration
-	changed <-chan struct{}
-}
-
-func (l *Limiter) attempt(name Name, start time.Time, patience time.Duration, waiting bool) (attemptResult, error) {
+// enqueue takes a token if it can, and returns a waiter otherwise.
+func (l *Limiter) enqueue(name Name, patience time.Duration) (*waiter, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.find(name)
 	if b == nil {
-		return attemptResult{}, errors.Wrapf(ErrNotHeld, "customer %s service %s", name.Customer, name.Service)
+		return nil, errors.Wrapf(ErrNotHeld, "customer %s service %s", name.Customer, name.Service)
 	}
 	now := l.Now()
-	if (waiting || b.waiting == 0) && b.take(now) {
-		result := attemptResult{taken: true}
-		if b.level < b.share.Burst/4 && l.startPull(b, name, &result) {
-			go l.pull(context.Background(), name, result.amount)
+	if len(b.waiters) == 0 && b.take(now) {
+		if b.level < b.share.Burst*lowLevel {
+			l.startPull(b, name, now)
 		}
-		return result, nil
+		return nil, nil
+	}
+	if patience == 0 {
+		patience = l.wait(b, now)
 	}
-	wait := patience
-	if wait == 0 {
-		wait = l.wait(b, now)
+	if float64(len(b.waiters)) >= b.share.TotalRate*patience.Seconds()+1 {
+		return nil, errors.Wrapf(ErrRateExceeded, "customer %s", name.Customer)
 	}
-	if now.Sub(start) >= wait || (!waiting && float64(b.waiting) >= b.share.TotalRate*wait.Seconds()+1) {
-		return attemptResult{}, errors.Wrapf(ErrRateExceeded, "customer %s", name.Customer)
+	w := &waiter{until: now.Add(patience), done: make(chan struct{})}
+	b.waiters = append(b.waiters, w)
+	if len(b.waiters) == 1 {
+		go l.serve(name, b)
 	}
-	if !waiting {
-		b.waiting++
+	return w, nil
+}
+
+// serve runs while the bucket has waiters.
+func (l *Limiter) serve(name Name, b *bucket) {
+	for {
+		l.mu.Lock()
+		now := l.Now()
+		if l.find(name) != b {
+			b.abandon()
+		}
+		b.serve(now)
+		if len(b.waiters) == 0 {
+			l.mu.Unlock()
+			return
+		}
+		l.startPull(b, name, now)
+		changed := b.changed
+		timer := time.NewTimer(b.delay(now))
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
-	result := attemptResult{changed: b.changed, delay: l.delay(b, wait-now.Sub(start))}
-	result.pull = l.startPull(b, name, &result)
-	return result, nil
+}
+
+func (l *Limiter) withdraw(name Name, w *waiter) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[name]
+	return b != nil && b.withdraw(w)
 }
 
 // wait returns how long a batch waits, which is longer after a takeover.
@@ -261,55 +283,43 @@
 	return l.Wait
 }
 
-// delay returns when the next token is due from the bucket's own rate.
-func (l *Limiter) delay(b *bucket, atMost time.Duration) time.Duration {
-	due := atMost
-	if b.share.Rate > 0 {
-		due = time.Duration((1 - b.level) / b.share.Rate * float64(time.Second))
-	}
-	return max(time.Millisecond, min(due, atMost, pullInterval))
-}
-
-// startPull marks the bucket as pulling if it should. The caller holds mu.
-func (l *Limiter) startPull(b *bucket, name Name, result *attemptResult) bool {
-	if b.pulling || l.Pull == nil || l.Donors == nil || len(l.Donors(name)) == 0 {
-		return false
+// startPull asks other holders for tokens unless that is under way. The caller
+// holds mu.
+func (l *Limiter) startPull(b *bucket, name Name, now time.Time) {
+	if b.pulling || l.Pull == nil || l.Donors == nil {
+		return
 	}
-	amount := b.missing(l.Now())
-	if amount <= 0 {
-		return false
+	amount := b.missing(now)
+	if amount <= 0 || len(l.Donors(name)) == 0 {
+		return
 	}
 	b.pulling = true
-	result.amount = amount
-	return true
+	go l.pull(name, b, amount)
 }
 
 // pull asks the donors in turn until the amount has come. After a round that
 // brought nothing it pauses, so that an exhausted customer causes few messages.
-func (l *Limiter) pull(ctx context.Context, name Name, amount float64) {
+func (l *Limiter) pull(name Name, b *bucket, amount float64) {
 	got := 0.0
 	for _, donor := range l.Donors(name) {
 		if amount-got < 1 && got > 0 {
 			break
 		}
-		got += l.pullFrom(ctx, name, donor, amount-got)
+		got += l.pullFrom(name, donor, amount-got)
 	}
 	if got < 1 {
-		timer := time.NewTimer(pullInterval)
-		<-timer.C
+		time.Sleep(pullInterval)
 	}
 	l.mu.Lock()
-	if b := l.buckets[name]; b != nil {
-		b.pulling = false
-	}
+	b.pulling = false
 	l.mu.Unlock()
 	if l.Moved != nil && got > 0 {
 		l.Moved(name, got)
 	}
 }
 
-func (l *Limiter) pullFrom(ctx context.Context, name, donor Name, amount float64) float64 {
-	ctx, cancel := context.WithTimeout(ctx, TransferTimeout)
+func (l *Limiter) pullFrom(name, donor Name, amount float64) float64 {
+	ctx, cancel := context.WithTimeout(context.Background(), TransferTimeout)
 	defer cancel()
 	sent := l.Now()
 	reply, err := l.Pull(ctx, PullRequest{From: donor, Amount: amount})
@@ -328,14 +338,6 @@
 	return b.accept(reply.Amount, now)
 }
 
-func (l *Limiter) leave(name Name) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if b := l.buckets[name]; b != nil && b.waiting > 0 {
-		b.waiting--
-	}
-}
-
 func decay(seconds float64) float64 {
 	return math.Exp(-seconds / demandWindow.Seconds())
 }
--- /dev/null
+++ b/promoter/admin.go
@@ -0,0 +1,214 @@
+package promoter
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+)
+
+// AdminUser is the user under which the administration queries run.
+const AdminUser = "group_admin"
+
+// codeStaleTerm is the SQLSTATE by which a database refuses a term.
+const codeStaleTerm = "GT001"
+
+// ErrStaleTerm says that a database refused a term because it has accepted the
+// same or a higher one.
+var ErrStaleTerm = errors.New("stale term")
+
+// An Admin is a connection for the administration queries of one database. It
+// is not safe for concurrent use.
+type Admin interface {
+	// Status returns at once if the database's positions are beyond the given
+	// ones, and otherwise when they are, when its term or role changes, or
+	// after wait.
+	Status(ctx context.Context, afterReceived, afterApplied uint64, wait time.Duration) (Status, error)
+	// RaiseTerm makes the database accept the term, or returns ErrStaleTerm.
+	RaiseTerm(ctx context.Context, term uint64) (Status, error)
+	// Promote makes the database the primary of the term it has accepted.
+	Promote(ctx context.Context, term uint64) (Status, error)
+	// Follow makes the database a replica of the primary.
+	Follow(ctx context.Context, term uint64, primary, address string) (Status, error)
+	// Close closes the connection.
+	Close() error
+}
+
+// A Dialer opens administration connections over the PostgreSQL protocol.
+type Dialer struct {
+	// Password is the password of AdminUser.
+	Password string
+	// Timeout bounds the opening of a connection, above 0.
+	Timeout time.Duration
+}
+
+// Dial connects to the database and logs in.
+func (d *Dialer) Dial(ctx context.Context, member Member) (Admin, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", member.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to database %s", member.Name)
+	}
+	a := &adminConn{conn: conn, frontend: pgproto3.NewFrontend(conn, conn)}
+	release := a.bind(ctx)
+	defer release()
+	if err := a.login(d.Password); err != nil {
+		conn.Close()
+		return nil, errors.Wrapf(err, "log in to database %s", member.Name)
+	}
+	return a, nil
+}
+
+type adminConn struct {
+	conn     net.Conn
+	frontend *pgproto3.Frontend
+}
+
+// bind makes reads and writes fail when ctx ends.
+func (a *adminConn) bind(ctx context.Context) (release func()) {
+	stop := context.AfterFunc(ctx, func() { a.conn.SetDeadline(time.Unix(1, 0)) })
+	return func() { stop() }
+}
+
+func (a *adminConn) login(password string) error {
+	a.frontend.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersionNumber,
+		Parameters:      map[string]string{"user": AdminUser, "database": "postgres"},
+	})
+	if err := a.frontend.Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	for {
+		message, err := a.frontend.Receive()
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		switch m := message.(type) {
+		case *pgproto3.AuthenticationCleartextPassword:
+			a.frontend.Send(&pgproto3.PasswordMessage{Password: password})
+			if err := a.frontend.Flush(); err != nil {
+				return errors.WithStack(err)
+			}
+		case *pgproto3.ErrorResponse:
+			return errors.Errorf("database: %s (SQLSTATE %s)", m.Message, m.Code)
+		case *pgproto3.ReadyForQuery:
+			return nil
+		}
+	}
+}
+
+// Close closes the connection without waiting for the database.
+func (a *adminConn) Close() error { return a.conn.Close() }
+
+// Status implements Admin.
+func (a *adminConn) Status(ctx context.Context, afterReceived, afterApplied uint64, wait time.Duration) (Status, error) {
+	return a.query(ctx, fmt.Sprintf("SELECT * FROM group_status(%d, %d, %d)", afterReceived, afterApplied, wait.Milliseconds()))
+}
+
+// RaiseTerm implements Admin.
+func (a *adminConn) RaiseTerm(ctx context.Context, term uint64) (Status, error) {
+	return a.query(ctx, fmt.Sprintf("SELECT * FROM group_raise_term(%d)", term))
+}
+
+// Promote implements Admin.
+func (a *adminConn) Promote(ctx context.Context, term uint64) (Status, error) {
+	return a.query(ctx, fmt.Sprintf("SELECT * FROM group_promote(%d)", term))
+}
+
+// Follow implements Admin. Names and addresses come from a checked
+// configuration, which allows no quotes in them.
+func (a *adminConn) Follow(ctx context.Context, term uint64, primary, address string) (Status, error) {
+	return a.query(ctx, fmt.Sprintf("SELECT * FROM group_follow(%d, '%s', '%s')", term, primary, address))
+}
+
+func (a *adminConn) query(ctx context.Context, text string) (Status, error) {
+	if err := ctx.Err(); err != nil {
+		return Status{}, errors.WithStack(err)
+	}
+	release := a.bind(ctx)
+	defer release()
+	a.frontend.Send(&pgproto3.Query{String: text})
+	if err := a.frontend.Flush(); err != nil {
+		return Status{}, errors.WithStack(err)
+	}
+	return a.readStatus()
+}
+
+// readStatus reads one answer up to ReadyForQuery.
+func (a *adminConn) readStatus() (Status, error) {
+	var columns []string
+	var status Status
+	var failure error
+	rows := 0
+	for {
+		message, err := a.frontend.Receive()
+		if err != nil {
+			return Status{}, errors.WithStack(err)
+		}
+		switch m := message.(type) {
+		case *pgproto3.RowDescription:
+			columns = columnNames(m)
+		case *pgproto3.DataRow:
+			rows++
+			status, err = parseStatus(columns, m.Values)
+			if err != nil {
+				failure = err
+			}
+		case *pgproto3.ErrorResponse:
+			failure = errors.Errorf("database: %s (SQLSTATE %s)", m.Message, m.Code)
+			if m.Code == codeStaleTerm {
+				failure = errors.Wrap(ErrStaleTerm, m.Message)
+			}
+		case *pgproto3.ReadyForQuery:
+			if failure == nil && rows != 1 {
+				failure = errors.Errorf("status has %d rows", rows)
+			}
+			return status, failure
+		}
+	}
+}
+
+func columnNames(m *pgproto3.RowDescription) []string {
+	names := make([]string, len(m.Fields))
+	for i, field := range m.Fields {
+		names[i] = string(field.Name)
+	}
+	return names
+}
+
+func parseStatus(columns []string, values [][]byte) (Status, error) {
+	var s Status
+	if len(columns) != len(values) {
+		return s, errors.Errorf("status has %d columns and %d values", len(columns), len(values))
+	}
+	for i, column := range columns {
+		text := string(values[i])
+		var err error
+		switch column {
+		case "name":
+			s.Name = text
+		case "role":
+			s.Role = Role(text)
+		case "primary":
+			s.Primary = text
+		case "term":
+			s.Term, err = strconv.ParseUint(text, 10, 64)
+		case "received":
+			s.Received, err = strconv.ParseUint(text, 10, 64)
+		case "applied":
+			s.Applied, err = strconv.ParseUint(text, 10, 64)
+		case "log_term":
+			s.LogTerm, err = strconv.ParseUint(text, 10, 64)
+		}
+		if err != nil {
+			return s, errors.Wrapf(err, "status column %s", column)
+		}
+	}
+	return s, nil
+}
