Test terms, faults, transactions and messages of the group stand-in

Cause: the proxy's guarantees are judged against this stand-in, so its fencing, truncation, long polls, locks, limits and bookkeeping need checks of their own.

--- a/groupemulator/execute.go
+++ b/groupemulator/execute.go
@@ -11,7 +11,7 @@
 	if !s.db.gate.wait(faultPaused, s.closed) {
 		return nil, s.ended()
 	}
-	if err := s.beginStatement(sql); err != nil {
+	if err := s.beginStatement(sql, parameters); err != nil {
 		return nil, err
 	}
 	if err := s.checkFailed(st); err != nil {
@@ -48,7 +48,7 @@
 }
 
 // beginStatement counts a statement and checks that it may run.
-func (s *session) beginStatement(sql string) *sqlError {
+func (s *session) beginStatement(sql string, parameters []value) *sqlError {
 	d := s.db
 	d.mu.Lock()
 	err := d.admit(s)
@@ -62,9 +62,13 @@
 	s.counter.Add(1)
 	raise(&d.ledger.lastStatement, int64(now.Sub(d.group.started)))
 	if d.group.OnStatement != nil {
-		d.group.OnStatement(StatementRun{
+		run := StatementRun{
 			Database: d.member.Name, Customer: s.customer, Query: sql, Term: s.term, Replica: replica, At: now,
-		})
+		}
+		for _, p := range parameters {
+			run.Parameters = append(run.Parameters, p.text)
+		}
+		d.group.OnStatement(run)
 	}
 	return nil
 }
--- a/groupemulator/group_test.go
+++ b/groupemulator/group_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -72,13 +74,11 @@
 	return ""
 }
 
-func exec(t testing.TB, conn *pgx.Conn, sql string, arguments ...any) pgconn.CommandTag {
+func exec(t testing.TB, conn *pgx.Conn, sql string) {
 	t.Helper()
-	tag, err := conn.Exec(t.Context(), sql, arguments...)
-	if err != nil {
+	if _, err := conn.Exec(t.Context(), sql); err != nil {
 		t.Fatalf("%s: %v", sql, err)
 	}
-	return tag
 }
 
 // eventually waits until the condition holds.
@@ -167,13 +167,23 @@
 	for i := range conns {
 		conns[i] = connect(b, g, "a")
 	}
-	for _, sql := range []string{"SELECT 1", "SELECT amount FROM bookings WHERE id = 'b1'"} {
+	inserted := 0
+	for _, sql := range []string{"SELECT 1", "SELECT amount FROM bookings WHERE id = 'b1'", "INSERT"} {
 		b.Run(sql, func(b *testing.B) {
+			base := inserted
+			if sql == "INSERT" {
+				inserted += b.N
+			}
+			b.ResetTimer()
 			done := make(chan error, connections)
 			for i := range conns {
 				go func() {
 					for n := i; n < b.N; n += connections {
-						if _, err := conns[i].PgConn().Exec(b.Context(), sql).ReadAll(); err != nil {
+						query := sql
+						if sql == "INSERT" {
+							query = fmt.Sprintf("INSERT INTO bookings VALUES ('%d', 'c%d', 1)", base+n, i)
+						}
+						if _, err := conns[i].PgConn().Exec(b.Context(), query).ReadAll(); err != nil {
 							done <- err
 							return
 						}
@@ -189,4 +199,8 @@
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
 		})
 	}
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	b.Logf("%d bytes of heap for each of %d bookings on three databases", memory.HeapAlloc/uint64(inserted), inserted)
 }
--- a/groupemulator/ledger.go
+++ b/groupemulator/ledger.go
@@ -34,6 +34,8 @@
 	Customer string
 	// Query is the text of the Query or Parse message.
 	Query string
+	// Parameters are those of an extended query, in text form.
+	Parameters []string
 	// Term is the term of the connection.
 	Term uint64
 	// Replica is set on a database that is not the primary.
--- /dev/null
+++ b/groupemulator/term_test.go
@@ -0,0 +1,281 @@
+package groupemulator_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/endiveturn/endiveturn/groupemulator"
+)
+
+// A status is the row that administrative queries return.
+type status struct {
+	name              string
+	term              int64
+	role, primary     string
+	received, applied int64
+	logTerm           int64
+}
+
+// administer runs an administrative query on a connection of its own.
+func administer(t testing.TB, g *groupemulator.Group, database, query string, arguments ...any) (status, error) {
+	t.Helper()
+	conn, err := dial(t, g, "group_admin", database)
+	if err != nil {
+		return status{}, err
+	}
+	defer func() { _ = conn.Close(context.Background()) }()
+	return queryStatus(t.Context(), conn, query, arguments...)
+}
+
+func queryStatus(ctx context.Context, conn *pgx.Conn, query string, arguments ...any) (status, error) {
+	var s status
+	arguments = append([]any{pgx.QueryExecModeSimpleProtocol}, arguments...)
+	err := conn.QueryRow(ctx, "SELECT * FROM "+query, arguments...).Scan(
+		&s.name, &s.term, &s.role, &s.primary, &s.received, &s.applied, &s.logTerm)
+	return s, err
+}
+
+func mustAdminister(t testing.TB, g *groupemulator.Group, database, query string, arguments ...any) status {
+	t.Helper()
+	s, err := administer(t, g, database, query, arguments...)
+	if err != nil {
+		t.Fatalf("%s on %s: %v", query, database, err)
+	}
+	return s
+}
+
+// changePrimary raises the term on the databases, promotes the first of them
+// and lets the others follow it.
+func changePrimary(t testing.TB, g *groupemulator.Group, term int, databases ...string) {
+	t.Helper()
+	for _, d := range databases {
+		mustAdminister(t, g, d, "group_raise_term($1)", term)
+	}
+	mustAdminister(t, g, databases[0], "group_promote($1)", term)
+	for _, d := range databases[1:] {
+		mustAdminister(t, g, d, "group_follow($1, $2, $3)", term, databases[0], g.Address(databases[0]))
+	}
+}
+
+func received(t testing.TB, g *groupemulator.Group, database string) int64 {
+	t.Helper()
+	return mustAdminister(t, g, database, "group_status(0, 0, 0)").received
+}
+
+func insert(ctx context.Context, conn *pgx.Conn, id string) error {
+	_, err := conn.Exec(ctx, "INSERT INTO bookings (id, customer, amount) VALUES ($1, 'c1', 10)", id)
+	return err
+}
+
+// TestTermRefusals guards the fencing of connections and administrative
+// queries by the term.
+func TestTermRefusals(t *testing.T) {
+	g := startGroup(t, nil)
+	for _, test := range []struct {
+		term, want string
+	}{{"1", ""}, {"0", "GT001"}, {"2", "GT001"}, {"", ""}, {"x", "22P02"}} {
+		var parameters []string
+		if test.term != "" {
+			parameters = []string{"group_term", test.term}
+		}
+		if _, err := dial(t, g, "endpoint", "a", parameters...); code(err) != test.want {
+			t.Errorf("connection of term %q: got %v, want code %q", test.term, err, test.want)
+		}
+	}
+	for _, test := range []struct {
+		query, want string
+	}{
+		{"group_raise_term(1)", "GT001"},
+		{"group_promote(2)", "GT001"},
+		{"group_follow(2, 'b', '')", "GT001"},
+		{"group_raise_term(2)", ""},
+		{"group_promote(1)", "GT001"},
+		{"group_promote(2)", ""},
+	} {
+		if _, err := administer(t, g, "a", test.query); code(err) != test.want {
+			t.Errorf("%s: got %v, want code %q", test.query, err, test.want)
+		}
+	}
+	if _, err := dial(t, g, "endpoint", "a", "group_term", "1"); code(err) != "GT001" {
+		t.Errorf("connection of a passed term: got %v, want GT001", err)
+	}
+	if got := g.Stats("a").StaleTerms; got < 3 {
+		t.Errorf("stale terms: got %d, want at least 3", got)
+	}
+}
+
+// TestRaiseStopsOldPrimary guards invariant 2: after a raise no write of the
+// old term takes effect, neither on an open connection nor at the end of an
+// open transaction, and nothing is written before the promotion.
+func TestRaiseStopsOldPrimary(t *testing.T) {
+	g := startGroup(t, nil)
+	idle := connect(t, g, "a", "group_term", "1")
+	open := connect(t, g, "a", "group_term", "1")
+	exec(t, open, "BEGIN")
+	exec(t, open, "INSERT INTO bookings VALUES ('b1', 'c1', 10)")
+	raised := mustAdminister(t, g, "a", "group_raise_term(2)")
+	if want := (status{"a", 2, "primary", "", 1, 1, 1}); raised != want {
+		t.Errorf("status after raise: got %+v, want %+v", raised, want)
+	}
+	if err := insert(t.Context(), idle, "b2"); code(err) != "GT001" {
+		t.Errorf("write on an old connection: got %v, want GT001", err)
+	}
+	if _, err := open.Exec(t.Context(), "COMMIT"); code(err) != "GT001" {
+		t.Errorf("commit on an old connection: got %v, want GT001", err)
+	}
+	fresh := connect(t, g, "a", "group_term", "2")
+	if err := insert(t.Context(), fresh, "b3"); code(err) != "25006" {
+		t.Errorf("write before the promotion: got %v, want 25006", err)
+	}
+	promoted := mustAdminister(t, g, "a", "group_promote(2)")
+	if want := (status{"a", 2, "primary", "a", 2, 2, 2}); promoted != want {
+		t.Errorf("status after promotion: got %+v, want %+v", promoted, want)
+	}
+	// The lock of the open transaction is gone with its connection.
+	if err := insert(t.Context(), fresh, "b1"); err != nil {
+		t.Errorf("write after the promotion: %v", err)
+	}
+	if got := g.Content(); len(got) != 1 {
+		t.Errorf("content: got %v, want b1 only", got)
+	}
+}
+
+// TestFollowTruncates guards the removal of unconfirmed entries of a cut-off
+// primary, also from what its reads see, and the terms of entries.
+func TestFollowTruncates(t *testing.T) {
+	g := startGroup(t, nil)
+	old := connect(t, g, "a", "group_term", "1")
+	if err := insert(t.Context(), old, "kept"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the replicas hold the entry", func() bool { return received(t, g, "b") == 2 && received(t, g, "c") == 2 })
+	if err := g.IsolateFromPeers("a"); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"lost1", "lost2", "lost3"} {
+		if err := insert(t.Context(), old, id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	exec(t, old, "UPDATE bookings SET amount = 99 WHERE id = 'kept'")
+	if got := mustAdminister(t, g, "a", "group_status(0, 0, 0)"); got.received != 6 || got.logTerm != 1 {
+		t.Errorf("cut-off primary: got %+v, want received 6 of term 1", got)
+	}
+	changePrimary(t, g, 2, "b", "c")
+	if got := mustAdminister(t, g, "b", "group_status(0, 0, 0)"); got.received != 3 || got.logTerm != 2 {
+		t.Errorf("new primary: got %+v, want received 3 of term 2", got)
+	}
+	mustAdminister(t, g, "a", "group_raise_term(2)")
+	// While the primary cannot be reached, the status must not name it: the
+	// log is not a prefix of its log yet.
+	if got := mustAdminister(t, g, "a", "group_follow(2, 'b', '')"); got.primary != "" || got.received != 6 {
+		t.Errorf("follow without reaching the primary: got %+v, want no primary and received 6", got)
+	}
+	if err := g.Heal("a"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the former primary follows", func() bool {
+		return mustAdminister(t, g, "a", "group_status(0, 0, 0)") == status{"a", 2, "replica", "b", 3, 3, 2}
+	})
+	reader := connect(t, g, "a", "group_term", "2")
+	var count, amount int64
+	if err := reader.QueryRow(t.Context(), "SELECT count(*), sum(amount) FROM bookings").Scan(&count, &amount); err != nil {
+		t.Fatal(err)
+	}
+	if count != 1 || amount != 10 {
+		t.Errorf("former primary: got %d bookings of sum %d, want 1 of 10", count, amount)
+	}
+	if err := insert(t.Context(), reader, "b9"); code(err) != "25006" {
+		t.Errorf("write on a replica: got %v, want 25006", err)
+	}
+	// The truncated insert was executed, so a repetition is a duplicate.
+	if err := insert(t.Context(), connect(t, g, "b", "group_term", "2"), "lost1"); err != nil {
+		t.Fatal(err)
+	}
+	if got := g.Duplicates(); len(got) != 1 || len(got["lost1"]) != 2 {
+		t.Errorf("duplicates: got %v, want lost1 twice", got)
+	}
+	want := []string{"a", "b"}
+	var got []string
+	for _, p := range g.Promotions() {
+		got = append(got, p.Database)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("promotions: got %v, want %v", got, want)
+	}
+}
+
+// TestLongPoll guards that a poll waits, and returns on each kind of change.
+func TestLongPoll(t *testing.T) {
+	g := startGroup(t, nil)
+	writer := connect(t, g, "a", "group_term", "1")
+	admin, err := dial(t, g, "group_admin", "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const pause = 30 * time.Millisecond
+	for _, test := range []struct {
+		name   string
+		query  string
+		change func() error
+		want   status
+	}{
+		{"nothing", "group_status(1, 1, 30)", func() error { return nil }, status{"b", 1, "replica", "a", 1, 1, 1}},
+		{
+			"entry", "group_status(1, 1, 5000)", func() error { return insert(t.Context(), writer, "b1") },
+			status{"b", 1, "replica", "a", 2, 2, 1},
+		},
+		{"term", "group_status(2, 2, 5000)", func() error {
+			_, err := administer(t, g, "b", "group_raise_term(2)")
+			return err
+		}, status{"b", 2, "replica", "", 2, 2, 1}},
+		{"role", "group_status(2, 2, 5000)", func() error {
+			_, err := administer(t, g, "b", "group_promote(2)")
+			return err
+		}, status{"b", 2, "primary", "b", 3, 3, 2}},
+	} {
+		start := time.Now()
+		changed := make(chan error, 1)
+		time.AfterFunc(pause, func() { changed <- test.change() })
+		got, err := queryStatus(t.Context(), admin, test.query)
+		if err != nil {
+			t.Fatalf("%s: %v", test.name, err)
+		}
+		// Applying follows receiving and may come with the next status.
+		got.applied = max(got.applied, test.want.applied)
+		if got != test.want {
+			t.Errorf("%s: got %+v, want %+v", test.name, got, test.want)
+		}
+		if took := time.Since(start); took < pause-time.Millisecond || took > 4*time.Second {
+			t.Errorf("%s: poll took %v", test.name, took)
+		}
+		if err := <-changed; err != nil {
+			t.Fatalf("%s: %v", test.name, err)
+		}
+	}
+}
+
+// TestLag guards that an apply lag delays what reads see and not what the
+// replica holds.
+func TestLag(t *testing.T) {
+	const lag = 500 * time.Millisecond
+	g := startGroup(t, func(g *groupemulator.Group) { g.Members[1].ApplyLag = lag })
+	start := time.Now()
+	if err := insert(t.Context(), connect(t, g, "a"), "b1"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "b holds the entry", func() bool { return received(t, g, "b") == 2 })
+	if got := mustAdminister(t, g, "b", "group_status(0, 0, 0)").applied; got != 1 {
+		t.Errorf("applied on receipt: got %d, want 1", got)
+	}
+	eventually(t, "b shows the entry", func() bool {
+		return mustAdminister(t, g, "b", "group_status(0, 0, 0)").applied == 2
+	})
+	if took := time.Since(start); took < lag {
+		t.Errorf("applied after %v, want at least %v", took, lag)
+	}
+}
--- /dev/null
+++ b/groupemulator/transaction_test.go
@@ -0,0 +1,147 @@
+package groupemulator_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/endiveturn/endiveturn/groupemulator"
+)
+
+func count(t testing.TB, conn *pgx.Conn) int64 {
+	t.Helper()
+	var n int64
+	must(t, conn.QueryRow(t.Context(), "SELECT count(*) FROM bookings").Scan(&n))
+	return n
+}
+
+// TestTransactionIsolation guards that writes are seen inside their
+// transaction only, until it commits.
+func TestTransactionIsolation(t *testing.T) {
+	g := startGroup(t, nil)
+	inside, outside := connect(t, g, "a"), connect(t, g, "a")
+	for _, test := range []struct {
+		sql             string
+		inside, outside int64
+		status          byte
+		code            string
+	}{
+		{sql: "BEGIN", status: 'T'},
+		{sql: "INSERT INTO bookings VALUES ('b1', 'c1', 1)", inside: 1, status: 'T'},
+		{sql: "ROLLBACK", status: 'I'},
+		{sql: "BEGIN", status: 'T'},
+		{sql: "INSERT INTO bookings VALUES ('b1', 'c1', 1), ('b2', 'c1', 2)", inside: 2, status: 'T'},
+		{sql: "DELETE FROM bookings WHERE id = 'b2'", inside: 1, status: 'T'},
+		{sql: "COMMIT", inside: 1, outside: 1, status: 'I'},
+		{sql: "BEGIN READ ONLY", inside: 1, outside: 1, status: 'T'},
+		{sql: "DELETE FROM bookings", outside: 1, status: 'E', code: "25006"},
+		{sql: "SELECT 1", outside: 1, status: 'E', code: "25P02"},
+		{sql: "COMMIT", inside: 1, outside: 1, status: 'I'},
+		{sql: "INSERT INTO bookings VALUES ('b3', 'c1', 1); INSERT INTO bookings VALUES ('b1', 'c1', 1)", inside: 1, outside: 1, status: 'I', code: "23505"},
+		{sql: "BEGIN; INSERT INTO bookings VALUES ('b4', 'c1', 1); COMMIT; SELECT 1", inside: 2, outside: 2, status: 'I'},
+	} {
+		_, err := inside.PgConn().Exec(t.Context(), test.sql).ReadAll()
+		if code(err) != test.code {
+			t.Errorf("%s: got %v, want code %q", test.sql, err, test.code)
+		}
+		if got := inside.PgConn().TxStatus(); got != test.status {
+			t.Errorf("%s: got status %c, want %c", test.sql, got, test.status)
+		}
+		if test.status != 'E' {
+			if got := count(t, inside); got != test.inside {
+				t.Errorf("%s: got %d bookings inside, want %d", test.sql, got, test.inside)
+			}
+		}
+		if got := count(t, outside); got != test.outside {
+			t.Errorf("%s: got %d bookings outside, want %d", test.sql, got, test.outside)
+		}
+	}
+}
+
+// TestRowLocks guards that a writer waits for the open transaction that holds
+// its booking, whichever way that one ends.
+func TestRowLocks(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		end  func(*groupemulator.Group, *pgx.Conn) error
+		want string
+	}{
+		{"commit", func(_ *groupemulator.Group, c *pgx.Conn) error {
+			_, err := c.Exec(context.Background(), "COMMIT")
+			return err
+		}, "23505"},
+		{"rollback", func(_ *groupemulator.Group, c *pgx.Conn) error {
+			_, err := c.Exec(context.Background(), "ROLLBACK")
+			return err
+		}, ""},
+		{"connection lost", func(_ *groupemulator.Group, c *pgx.Conn) error {
+			return c.PgConn().Conn().Close()
+		}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := startGroup(t, nil)
+			owner, waiter := connect(t, g, "a"), connect(t, g, "a")
+			exec(t, owner, "BEGIN")
+			must(t, insert(t.Context(), owner, "b1"))
+			answered := make(chan error, 1)
+			go func() { answered <- insert(context.Background(), waiter, "b1") }()
+			select {
+			case err := <-answered:
+				t.Fatalf("the writer did not wait: %v", err)
+			case <-time.After(30 * time.Millisecond):
+			}
+			must(t, test.end(g, owner))
+			if err := <-answered; code(err) != test.want {
+				t.Errorf("got %v, want code %q", err, test.want)
+			}
+		})
+	}
+}
+
+// TestLockFailures guards that a deadlock and an endless wait end with an
+// error.
+func TestLockFailures(t *testing.T) {
+	g := startGroup(t, func(g *groupemulator.Group) { g.LockTimeout = 300 * time.Millisecond })
+	one, two, three := connect(t, g, "a"), connect(t, g, "a"), connect(t, g, "a")
+	for _, conn := range []*pgx.Conn{one, two} {
+		exec(t, conn, "BEGIN")
+	}
+	must(t, insert(t.Context(), one, "b1"))
+	must(t, insert(t.Context(), two, "b2"))
+	if err := insert(t.Context(), three, "b1"); code(err) != "55P03" {
+		t.Errorf("wait without end: got %v, want 55P03", err)
+	}
+	answered := make(chan error, 1)
+	go func() { answered <- insert(context.Background(), one, "b2") }()
+	time.Sleep(30 * time.Millisecond)
+	if err := insert(t.Context(), two, "b1"); code(err) != "40P01" {
+		t.Errorf("deadlock: got %v, want 40P01", err)
+	}
+	// The failed transaction gave its locks up.
+	must(t, <-answered)
+	exec(t, one, "COMMIT")
+	if got := count(t, three); got != 2 {
+		t.Errorf("got %d bookings, want 2", got)
+	}
+}
+
+// TestCancel guards that a statement that waits can be cancelled, and that a
+// late cancel does not hit the next one.
+func TestCancel(t *testing.T) {
+	g := startGroup(t, nil)
+	conn := connect(t, g, "a")
+	answered := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "SELECT pg_sleep(10)")
+		answered <- err
+	}()
+	time.Sleep(30 * time.Millisecond)
+	must(t, conn.PgConn().CancelRequest(t.Context()))
+	if err := <-answered; code(err) != "57014" {
+		t.Errorf("got %v, want 57014", err)
+	}
+	must(t, conn.PgConn().CancelRequest(t.Context()))
+	exec(t, conn, "SELECT pg_sleep(0.02)")
+}
