--- /dev/null
+++ b/acceptor/request.go
@@ -0,0 +1,117 @@
+package acceptor
+
+import (
+	"io"
+	"sync"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// maxPooledRequest is the largest buffer of a request that is kept for reuse.
+const maxPooledRequest = 64 << 10
+
+var requests = sync.Pool{New: func() any { return new(request) }}
+
+// A request is what a caller sends up to a Query, a Sync or a Flush.
+type request struct {
+	// raw holds the messages with their headers.
+	raw []byte
+	// ends holds the end of each message in raw.
+	ends []int
+	// messages is the buffer for the messages that go to the endpoint.
+	messages []byte
+}
+
+// receiveRequest reads the messages up to Query, Sync or Flush. The caller
+// gives the request back with release.
+func (c *connection) receiveRequest() (*request, error) {
+	r := requests.Get().(*request)
+	for {
+		kind, raw, err := c.reader.frame(r.raw, c.acceptor.MaxMessage)
+		r.raw = raw
+		if err != nil {
+			r.release()
+			return nil, err
+		}
+		switch kind {
+		case 'X':
+			r.release()
+			return nil, io.EOF
+		case 'p':
+			r.release()
+			return nil, malformed(nil)
+		case 'c', 'd', 'f':
+			// Copy messages outside a copy are ignored, as by PostgreSQL.
+			r.raw = r.raw[:r.end()]
+			continue
+		case 'H':
+			if len(r.ends) == 0 {
+				r.raw = r.raw[:0]
+				continue
+			}
+		}
+		r.ends = append(r.ends, len(raw))
+		if kind == 'Q' || kind == 'S' || kind == 'H' || kind == 'F' {
+			return r, nil
+		}
+	}
+}
+
+// end returns the end of the last message.
+func (r *request) end() int {
+	if len(r.ends) == 0 {
+		return 0
+	}
+	return r.ends[len(r.ends)-1]
+}
+
+// release gives the buffers back, unless they are large.
+func (r *request) release() {
+	if cap(r.raw)+cap(r.messages) > maxPooledRequest {
+		return
+	}
+	r.raw, r.ends, r.messages = r.raw[:0], r.ends[:0], r.messages[:0]
+	requests.Put(r)
+}
+
+// frame returns message i with its header.
+func (r *request) frame(i int) []byte {
+	start := 0
+	if i > 0 {
+		start = r.ends[i-1]
+	}
+	return r.raw[start:r.ends[i]]
+}
+
+// last returns the type of the last message.
+func (r *request) last() byte { return r.frame(len(r.ends) - 1)[0] }
+
+// decode decodes message i, of a type that a request may contain.
+func (r *request) decode(i int) (pgproto3.FrontendMessage, error) {
+	frame := r.frame(i)
+	var message pgproto3.FrontendMessage
+	switch frame[0] {
+	case 'B':
+		message = new(pgproto3.Bind)
+	case 'C':
+		message = new(pgproto3.Close)
+	case 'D':
+		message = new(pgproto3.Describe)
+	case 'E':
+		message = new(pgproto3.Execute)
+	case 'F':
+		message = new(pgproto3.FunctionCall)
+	case 'H':
+		message = new(pgproto3.Flush)
+	case 'P':
+		message = new(pgproto3.Parse)
+	case 'Q':
+		message = new(pgproto3.Query)
+	default:
+		message = new(pgproto3.Sync)
+	}
+	if err := message.Decode(frame[headerSize:]); err != nil {
+		return nil, malformed(err)
+	}
+	return message, nil
+}
--- /dev/null
+++ b/acceptor/serve.go
@@ -0,0 +1,222 @@
+package acceptor
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/executor"
+)
+
+// serveRequest reads and answers one request. An error ends the connection.
+func (c *connection) serveRequest(ctx context.Context) error {
+	r, err := c.receiveRequest()
+	if err != nil {
+		return err
+	}
+	defer r.release()
+	if c.skipping {
+		if r.last() != 'S' {
+			return nil
+		}
+		c.skipping = false
+		return c.send(&pgproto3.ReadyForQuery{TxStatus: c.status})
+	}
+	granted, refusal := c.present(c.acceptor.Set())
+	if refusal != nil {
+		return refusal
+	}
+	c.service = granted.service
+	p, err := c.plan(r)
+	if err != nil {
+		return err
+	}
+	return c.answer(ctx, p, granted)
+}
+
+// answer runs a plan and sends its answer.
+func (c *connection) answer(ctx context.Context, p *plan, granted access) error {
+	answer := newAnswer(c)
+	var fatal error
+	switch {
+	case p.refusal != nil:
+		c.fail(answer, p.refusal)
+	case p.endpoint:
+		fatal = c.runBatch(ctx, p, granted, answer)
+	default:
+		c.runOwn(p, answer)
+	}
+	if fatal == nil {
+		if p.request.last() != 'H' {
+			answer.send(&pgproto3.ReadyForQuery{TxStatus: c.status})
+		} else {
+			c.skipping = answer.scanner.failed
+		}
+	}
+	if err := answer.finish(); err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	return fatal
+}
+
+// fail answers with a refusal of a batch of which nothing ran. As an error does
+// at a database, it aborts an open transaction: a caller that does not look at
+// errors must not commit the rest.
+func (c *connection) fail(answer *answer, refusal *executor.Refusal) {
+	if c.status != statusIdle {
+		c.closeExchange()
+		c.status = statusFailed
+	}
+	answer.fail(refusal)
+}
+
+// runBatch hands a batch to the exchange. An error ends the connection.
+func (c *connection) runBatch(ctx context.Context, p *plan, granted access, answer *answer) error {
+	if refusal := c.acceptor.Admit(ctx, c.key != ""); refusal != nil {
+		stopping := refusal.Code == executor.CodeStopping
+		if stopping && c.status == statusIdle {
+			return refusal
+		}
+		if !stopping {
+			c.fail(answer, refusal)
+			return nil
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !c.setCancel(cancel) {
+		return errKilled
+	}
+	defer c.setCancel(nil)
+	started := c.acceptor.Now()
+	c.batches++
+	result, err := c.runExchange(ctx, p, granted, answer)
+	c.define(p, answer)
+	outcome, err := c.conclude(granted, answer, result, err)
+	if c.acceptor.BatchDone != nil {
+		c.acceptor.BatchDone(c.acceptor.Now().Sub(started), outcome)
+	}
+	return err
+}
+
+// runExchange opens an exchange if there is none and runs the batch.
+func (c *connection) runExchange(ctx context.Context, p *plan, granted access, answer *answer) (executor.Result, error) {
+	if c.exchange == nil {
+		exchange, err := c.acceptor.Opener.Open(ctx, c.attributes(granted))
+		if err != nil {
+			return executor.Result{}, err
+		}
+		c.exchange = exchange
+	}
+	return c.exchange.Run(ctx, c.batch(p, granted), answer)
+}
+
+// attributes returns on whose behalf an exchange runs.
+func (c *connection) attributes(granted access) executor.Attributes {
+	attributes := executor.Attributes{
+		Service: granted.service, Customer: granted.customer, Key: granted.key, Route: granted.route,
+		Revision: granted.revision, Session: c.ownSession,
+	}
+	if c.settings.session != "" {
+		// The prefix keeps names of callers apart from those made up here.
+		attributes.Session = "session/" + c.settings.session
+	} else {
+		attributes.Attaching = !c.attached
+	}
+	return attributes
+}
+
+// batch returns the batch of a plan.
+func (c *connection) batch(p *plan, granted access) executor.Batch {
+	deadline := granted.deadline
+	if c.settings.deadline > 0 {
+		deadline = c.settings.deadline
+	}
+	return executor.Batch{
+		Messages: p.messages, Statements: p.referred, Class: p.class, Tainting: p.tainting,
+		Idempotent: c.settings.idempotent, Floor: c.settings.floorOf(granted.service),
+		MaxAge: c.settings.maxAge, Deadline: deadline,
+	}
+}
+
+// define applies the changes of prepared statements that were confirmed.
+func (c *connection) define(p *plan, answer *answer) {
+	parsed, closed := answer.scanner.parsed, answer.scanner.closed
+	for _, d := range p.definitions {
+		if d.prepared != nil {
+			if parsed--; parsed < 0 {
+				return
+			}
+			c.statements.define(d.name, d.prepared)
+			continue
+		}
+		if closed--; closed < 0 {
+			return
+		}
+		if !d.portal {
+			c.statements.close(d.name)
+		}
+	}
+}
+
+// conclude takes over the state of the transaction after a batch and tells the
+// caller what went wrong. An error ends the connection.
+func (c *connection) conclude(granted access, answer *answer, result executor.Result, err error) (string, error) {
+	if answer.err != nil {
+		c.closeExchange()
+		return OutcomeUnknown, errors.Wrap(answer.err, "answer")
+	}
+	if err != nil {
+		return c.concludeRefused(answer, executor.AsRefusal(err))
+	}
+	if !answer.scanner.between() {
+		c.closeExchange()
+		return OutcomeUnknown, errors.WithStack(errNotMessages)
+	}
+	c.attached = true
+	c.status = result.TxStatus
+	if c.status == statusIdle {
+		c.closeExchange()
+	}
+	if !result.Position.IsZero() {
+		c.settings.raise(granted.service, result.Position)
+		answer.send(&pgproto3.ParameterStatus{Name: settingToken, Value: c.settings.token()})
+	}
+	return OutcomeDone, nil
+}
+
+// concludeRefused concludes a batch for which the exchange returned an error.
+func (c *connection) concludeRefused(answer *answer, refusal *executor.Refusal) (string, error) {
+	inTransaction := c.status != statusIdle
+	c.closeExchange()
+	if !answer.scanner.between() {
+		// The error would become part of a message that was cut off.
+		return OutcomeUnknown, errors.New("answer was cut off")
+	}
+	switch refusal.Outcome {
+	case executor.NotRun, executor.Moved:
+		c.fail(answer, refusal)
+		return OutcomeNotRun, nil
+	case executor.RolledBack:
+		c.fail(answer, refusal)
+		return OutcomeRolledBack, nil
+	}
+	c.status = statusIdle
+	if inTransaction && c.reader.buffered() > 0 {
+		// What the caller sent ahead was meant for the transaction, which is
+		// gone; it must not run outside it.
+		return OutcomeUnknown, refusal
+	}
+	answer.fail(refusal)
+	return OutcomeUnknown, nil
+}
+
+// setCancel makes cancel the way to cancel the running batch. It returns false
+// if the connection was killed.
+func (c *connection) setCancel(cancel context.CancelFunc) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelRun = cancel
+	return !c.killed || cancel == nil
+}
