--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -86,6 +86,10 @@
 	ready chan struct{}
 }
 
+// opens reports whether the batch opens a transaction. A batch of an open
+// transaction has its connection already.
+func (t *Ticket) opens() bool { return t.Pins && !t.Priority }
+
 // customer is the queue of one customer. It is kept while it has waiting or
 // running batches or its tag is ahead of the virtual time.
 type customer struct {
@@ -96,19 +100,22 @@
 	tag     float64
 	average float64
 	queue   []*Ticket
-	running int
+	// tickets counts waiting and granted tickets, those with Priority included.
+	tickets int
 }
 
 // Core decides which batch gets the next slot. It is not safe for concurrent
 // use, starts no goroutine and takes the time as an argument.
 type Core struct {
-	// MaxPinned is the number of open transactions up to which batches with Pins
-	// are started; 0 sets no bound.
+	// MaxPinned bounds open transactions and running batches with Pins together;
+	// 0 sets no bound.
 	MaxPinned int
 
-	slots     int
-	running   int
-	pinned    int
+	slots   int
+	running int
+	pinned  int
+	// pinning counts the granted tickets with Pins.
+	pinning   int
 	rampFrom  time.Time
 	virtual   float64
 	average   float64
@@ -185,6 +192,7 @@
 		owner.queue = append(owner.queue, ticket)
 	}
 	c.queued++
+	owner.tickets++
 	return ticket, nil
 }
 
@@ -202,6 +210,7 @@
 		changed = append(changed, ticket)
 		if !now.Before(ticket.Deadline) {
 			ticket.State = Expired
+			ticket.owner.tickets--
 			c.forget(ticket.owner)
 			continue
 		}
@@ -221,8 +230,10 @@
 	ticket.started = now
 	ticket.charged = max(owner.average, minCharge.Seconds()) / float64(owner.share.Weight)
 	owner.tag += ticket.charged
-	owner.running++
 	c.running++
+	if ticket.opens() {
+		c.pinning++
+	}
 }
 
 // Done ends a ticket: a granted one frees its slot, a waiting one is withdrawn.
@@ -231,9 +242,13 @@
 	switch ticket.State {
 	case Waiting:
 		c.remove(ticket)
+		owner.tickets--
 	case Granted:
 		c.running--
-		owner.running--
+		owner.tickets--
+		if ticket.opens() {
+			c.pinning--
+		}
 		c.charge(ticket, now.Sub(ticket.started).Seconds())
 	case Expired, Finished:
 	}
@@ -282,7 +297,7 @@
 // startable returns the customer's first ticket that may start. Batches that
 // would open a transaction beyond MaxPinned let others pass.
 func (c *Core) startable(owner *customer) *Ticket {
-	full := c.MaxPinned > 0 && c.pinned >= c.MaxPinned
+	full := c.MaxPinned > 0 && c.pinned+c.pinning >= c.MaxPinned
 	for _, ticket := range owner.queue {
 		if !full || !ticket.Pins {
 			return ticket
@@ -326,7 +341,7 @@
 
 // forget drops a customer that has nothing here and no lead to remember.
 func (c *Core) forget(owner *customer) {
-	if len(owner.queue) == 0 && owner.running == 0 && owner.tag <= c.virtual {
+	if owner.tickets == 0 && owner.tag <= c.virtual {
 		delete(c.customers, owner.name)
 	}
 }
