--- a/groupemulator/admin.go
+++ b/groupemulator/admin.go
@@ -16,44 +16,56 @@
 	{"log_term", oidInt8},
 }
 
-// A status is the answer to an administrative query.
-type status struct {
-	name     string
-	term     uint64
-	role     role
-	primary  string
-	received int64
-	applied  int64
-	logTerm  uint64
+// A Status is the answer to an administrative query.
+type Status struct {
+	// Name is the name of the database.
+	Name string
+	// Term is the highest term that the database has accepted.
+	Term uint64
+	// Role is the role by the last group_promote or group_follow. A primary
+	// keeps it over a raise, but writes nothing until it is promoted.
+	Role Role
+	// Primary names the database that this one follows, or itself. It is empty
+	// after a raise until the database is promoted, or follows with a log that
+	// is a prefix of the primary's.
+	Primary string
+	// Received is the number of entries that the log holds.
+	Received uint64
+	// Applied is the number of entries that reads see.
+	Applied uint64
+	// LogTerm is the term of the last entry.
+	LogTerm uint64
 }
 
 // status returns the present status. The caller holds mu.
-func (d *database) status() status {
-	s := status{
-		name: d.member.Name, term: d.term, role: d.role, primary: d.primary,
-		received: int64(len(d.log)), applied: int64(d.applied),
+func (d *database) status() Status {
+	s := Status{
+		Name: d.member.Name, Term: d.term, Role: d.role, Primary: d.primary,
+		Received: uint64(len(d.log)), Applied: uint64(d.applied),
 	}
 	if len(d.log) > 0 {
-		s.logTerm = d.log[len(d.log)-1].term
+		s.LogTerm = d.log[len(d.log)-1].term
 	}
 	return s
 }
 
-func (s status) row() []value {
+func uintValue(u uint64) value { return value{text: strconv.FormatUint(u, 10)} }
+
+func (s Status) row() []value {
 	return []value{
-		{text: s.name},
-		{text: strconv.FormatUint(s.term, 10)},
-		{text: string(s.role)},
-		{text: s.primary},
-		intValue(s.received),
-		intValue(s.applied),
-		{text: strconv.FormatUint(s.logTerm, 10)},
+		{text: s.Name},
+		uintValue(s.Term),
+		{text: string(s.Role)},
+		{text: s.Primary},
+		uintValue(s.Received),
+		uintValue(s.Applied),
+		uintValue(s.LogTerm),
 	}
 }
 
 // sameRole reports whether nothing but positions differs.
-func (s status) sameRole(other status) bool {
-	return s.term == other.term && s.role == other.role && s.primary == other.primary
+func (s Status) sameRole(other Status) bool {
+	return s.Term == other.Term && s.Role == other.Role && s.Primary == other.Primary
 }
 
 // administer runs a query of a function of the group.
@@ -78,14 +90,14 @@
 }
 
 // callGroup runs a function of the group and returns the status after it.
-func (s *session) callGroup(name string, arguments []value) (status, *sqlError) {
+func (s *session) callGroup(name string, arguments []value) (Status, *sqlError) {
 	counts := map[string]int{"group_status": 3, "group_raise_term": 1, "group_promote": 1, "group_follow": 3}
 	if n, ok := counts[name]; !ok || n != len(arguments) {
-		return status{}, failf(codeUnknownFunction, "function %s with %d arguments does not exist", name, len(arguments))
+		return Status{}, failf(codeUnknownFunction, "function %s with %d arguments does not exist", name, len(arguments))
 	}
 	first, err := arguments[0].int()
 	if err != nil {
-		return status{}, err
+		return Status{}, err
 	}
 	switch name {
 	case "group_status":
@@ -98,7 +110,7 @@
 		err = s.db.follow(uint64(max(0, first)), arguments[1].text)
 	}
 	if err != nil {
-		return status{}, err
+		return Status{}, err
 	}
 	s.db.mu.Lock()
 	defer s.db.mu.Unlock()
@@ -107,21 +119,21 @@
 
 // poll waits until a position is beyond the given ones, the term, role or
 // primary differs from the last status of the connection, or the time is over.
-func (s *session) poll(received int64, afterApplied, waitMS value) (status, *sqlError) {
+func (s *session) poll(received int64, afterApplied, waitMS value) (Status, *sqlError) {
 	applied, err := afterApplied.int()
 	if err != nil {
-		return status{}, err
+		return Status{}, err
 	}
 	milliseconds, err := waitMS.int()
 	if err != nil {
-		return status{}, err
+		return Status{}, err
 	}
 	timer := time.NewTimer(time.Duration(milliseconds) * time.Millisecond)
 	defer timer.Stop()
 	for over := milliseconds <= 0; ; {
 		now, changed := s.db.observe()
-		first := s.reported == status{}
-		if over || now.received > received || now.applied > applied || !first && !now.sameRole(s.reported) {
+		first := s.reported == Status{}
+		if over || int64(now.Received) > received || int64(now.Applied) > applied || !first && !now.sameRole(s.reported) {
 			return now, nil
 		}
 		if first {
@@ -132,16 +144,16 @@
 		case <-timer.C:
 			over = true
 		case <-s.canceled:
-			return status{}, errCanceled()
+			return Status{}, errCanceled()
 		case <-s.closed:
-			return status{}, s.ended()
+			return Status{}, s.ended()
 		}
 	}
 }
 
 // observe returns the present status and a channel that is closed at its next
 // change.
-func (d *database) observe() (status, <-chan struct{}) {
+func (d *database) observe() (Status, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.polls++
--- a/groupemulator/database.go
+++ b/groupemulator/database.go
@@ -6,12 +6,13 @@
 	"time"
 )
 
-// A role is the part that a database plays in its group.
-type role string
+// A Role is the part that a database plays in its group.
+type Role string
 
+// The roles of a database.
 const (
-	rolePrimary role = "primary"
-	roleReplica role = "replica"
+	RolePrimary Role = "primary"
+	RoleReplica Role = "replica"
 )
 
 // A database is one member of a group. Lock order: the locks of two databases
@@ -37,7 +38,7 @@
 	mu sync.Mutex
 	// term is the highest term that was accepted.
 	term uint64
-	role role
+	role Role
 	// primary names the database that this one follows, or itself. It is
 	// empty after a raise until the database is promoted or its log has been
 	// truncated to that of the primary it follows.
@@ -69,7 +70,7 @@
 func newDatabase(g *Group, m Member) *database {
 	d := &database{
 		group: g, member: m, gate: newGate(), wake: make(chan struct{}, 1),
-		role: roleReplica, table: newBookings(), locks: make(map[string]*rowLock),
+		role: RoleReplica, table: newBookings(), locks: make(map[string]*rowLock),
 		sessions: make(map[uint32]*session), changed: make(chan struct{}),
 	}
 	d.slots.free = make(chan struct{}, max(1, m.Slots))
@@ -92,7 +93,7 @@
 func (d *database) seed(first *database) {
 	d.term, d.primary = 1, first.member.Name
 	if d == first {
-		d.role, d.promoted = rolePrimary, true
+		d.role, d.promoted = RolePrimary, true
 		d.log = []*entry{{term: 1, offset: 1, at: d.group.Now()}}
 	} else {
 		d.following = first.member.Name
@@ -115,7 +116,7 @@
 	d.term, d.promoted = term, false
 	d.primary, d.following = "", ""
 	for _, s := range d.sessions {
-		if !s.admin && s.term < term {
+		if s.started && !s.admin && s.term < term {
 			d.endSession(s, staleTerm(s.term, term))
 		}
 	}
@@ -137,7 +138,7 @@
 	}
 	d.applyTo(len(d.log))
 	d.arrivals = nil
-	d.role, d.promoted, d.primary, d.following = rolePrimary, true, d.member.Name, ""
+	d.role, d.promoted, d.primary, d.following = RolePrimary, true, d.member.Name, ""
 	now := d.group.Now()
 	d.append(&entry{term: term, offset: uint64(len(d.log)) + 1, at: now})
 	d.group.record(Promotion{Term: term, Database: d.member.Name, At: now})
@@ -159,7 +160,7 @@
 		return staleTerm(term, d.term)
 	}
 	if d.following != primary {
-		d.role, d.promoted, d.primary, d.following = roleReplica, false, "", primary
+		d.role, d.promoted, d.primary, d.following = RoleReplica, false, "", primary
 		d.notify()
 	}
 	d.mu.Unlock()
@@ -169,8 +170,7 @@
 }
 
 func staleTerm(got, present uint64) *sqlError {
-	e := failf(codeStaleTerm, "term %d is not the present term %d", got, present)
-	return e
+	return failf(codeStaleTerm, "term %d is not the present term %d", got, present)
 }
 
 // append adds an entry of the primary itself, which reads see at once. The
@@ -227,7 +227,7 @@
 	if err := d.admit(s); err != nil {
 		return err
 	}
-	if d.role != rolePrimary || !d.promoted {
+	if d.role != RolePrimary || !d.promoted {
 		return failf(codeReadOnly, "cannot write on a replica or before the promotion")
 	}
 	return nil
--- a/groupemulator/execute.go
+++ b/groupemulator/execute.go
@@ -52,7 +52,7 @@
 	d := s.db
 	d.mu.Lock()
 	err := d.admit(s)
-	replica := d.role != rolePrimary
+	replica := d.role != RolePrimary
 	d.mu.Unlock()
 	if err != nil || s.admin {
 		return err
@@ -125,7 +125,7 @@
 	case "transaction_read_only", "in_hot_standby":
 		s.db.mu.Lock()
 		defer s.db.mu.Unlock()
-		if s.db.role == rolePrimary && s.db.promoted {
+		if s.db.role == RolePrimary && s.db.promoted {
 			return "off", nil
 		}
 		return "on", nil
--- a/groupemulator/group.go
+++ b/groupemulator/group.go
@@ -52,6 +52,8 @@
 	// ConnectCost is the time that opening a connection takes; 0 means 10 ms.
 	ConnectCost time.Duration
 	// StatementCost is the time for which each statement occupies its slot.
+	// Costs below 1 ms come out as about 1 ms while the process is idle, since
+	// its timers are no finer.
 	StatementCost time.Duration
 	// ReceiveDelay is the time until the database, as a replica, holds an
 	// entry that the primary has committed; 0 means 1 ms.
--- a/groupemulator/ledger.go
+++ b/groupemulator/ledger.go
@@ -202,6 +202,17 @@
 	return append([]Promotion(nil), g.promotions...)
 }
 
+// Status returns the status of a database, also while it answers nobody.
+func (g *Group) Status(name string) Status {
+	d := g.find(name)
+	if d == nil {
+		return Status{}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.status()
+}
+
 // Stats returns the counters of a database.
 func (g *Group) Stats(name string) Stats {
 	d := g.find(name)
--- a/groupemulator/session.go
+++ b/groupemulator/session.go
@@ -1,6 +1,7 @@
 package groupemulator
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -38,10 +39,13 @@
 	// position is the group_position to report before ReadyForQuery.
 	position string
 	// reported is the last status that a poll returned.
-	reported status
+	reported Status
 	// holdsSlot is set while the session occupies a slot.
 	holdsSlot bool
 
+	// lingering is set when the client was told the reason of the end.
+	lingering bool
+
 	// running is set while a batch runs and may be cancelled.
 	running  atomic.Bool
 	canceled chan struct{}
@@ -259,7 +263,19 @@
 		return
 	}
 	s.send(reason.response())
-	_ = s.backend.Flush()
+	s.lingering = s.backend.Flush() == nil
+}
+
+// linger reads what the client still sends before it learns of the end. A
+// close with unread data would reset the connection, and the client could lose
+// the reason.
+func (s *session) linger() {
+	tcp, ok := s.conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	s.conn.SetReadDeadline(time.Now().Add(closeGrace))
+	_, _ = io.Copy(io.Discard, tcp)
 }
 
 func (s *session) cleanUp() {
@@ -271,5 +287,8 @@
 	if s.count != nil {
 		s.count.open.Add(-1)
 	}
+	if s.lingering {
+		s.linger()
+	}
 	s.conn.Close()
 }
