Add the codec, check, publication and following of configurations

Cause: hosts need a checked set, one digest for equal sets, and a way to publish and follow it that survives races and lost answers.

Change: configurer gets a strict JSON codec, ReadFolder, Check and CheckChange, Diff, Delta, a Publisher that swaps the head by compare-and-swap and resolves lost answers by reading it back, and a Follower that never adopts a lower revision.

--- /dev/null
+++ b/configurer/check_test.go
@@ -0,0 +1,137 @@
+package configurer_test
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/endiveturn/endiveturn/configurer"
+)
+
+// edit applies f to the object of the name.
+func edit[V any](objects map[string]V, name string, f func(*V)) {
+	object := objects[name]
+	f(&object)
+	objects[name] = object
+}
+
+// A set with a fault that Check misses is put into force on every host.
+func TestCheck(t *testing.T) {
+	type set = configurer.Set
+	tests := []struct {
+		name   string
+		change func(set)
+		// want starts the only fault; it is empty if there is none.
+		want string
+	}{
+		{"nothing", func(set) {}, ""},
+		{"taken-out data centre", func(s set) { edit(s.DataCentres, "dc1", takeOut) }, ""},
+		{"all data centres out", func(s set) {
+			for name := range s.DataCentres {
+				edit(s.DataCentres, name, takeOut)
+			}
+		}, "service orders: every database is taken out"},
+		{"last database out", func(s set) {
+			edit(s.DataCentres, "dc1", takeOut)
+			edit(s.DataCentres, "dc2", takeOut)
+			edit(s.Databases, "db3", func(d *configurer.Database) { d.TakenOut = true })
+		}, "service orders: every database is taken out"},
+		{"even number of databases", func(s set) { delete(s.Databases, "db3") }, "service orders: has 2 databases"},
+		{"customer without limit", func(s set) { edit(s.Customers, "acme", func(c *configurer.Customer) { c.Limit = "" }) }, "customer acme: limit: missing"},
+		{"unknown limit", func(s set) { edit(s.Customers, "acme", func(c *configurer.Customer) { c.Limit = "big" }) }, `customer acme: limit: there is no limit "big"`},
+		{"weight", func(s set) { edit(s.Customers, "acme", func(c *configurer.Customer) { c.Weight = 0 }) }, "customer acme: weight"},
+		{"unknown customer of key", func(s set) { edit(s.Keys, "k1", func(k *configurer.Key) { k.Customer = "x" }) }, "key k1: customer: there is no customer"},
+		{"iterations", func(s set) {
+			edit(s.Keys, "k1", func(k *configurer.Key) { k.Verifier = strings.Replace(k.Verifier, "4096", "100", 1) })
+		}, "key k1: verifier: number of iterations"},
+		{"salt", func(s set) {
+			edit(s.Keys, "k1", func(k *configurer.Key) { k.Verifier = strings.Replace(k.Verifier, ":", ":%", 1) })
+		}, "key k1: verifier: salt"},
+		{"stored key", func(s set) { edit(s.Keys, "k1", func(k *configurer.Key) { k.Verifier += "AAAA" }) }, "key k1: verifier: stored or server key"},
+		{"rate", func(s set) { edit(s.Limits, "small", func(l *configurer.Limit) { l.Rate = math.NaN() }) }, "limit small: rate"},
+		{"infinite rate", func(s set) { edit(s.Limits, "small", func(l *configurer.Limit) { l.Rate = math.Inf(1) }) }, "limit small: rate"},
+		{"max queued", func(s set) { edit(s.Limits, "small", func(l *configurer.Limit) { l.MaxQueued = 0 }) }, "limit small: max_queued"},
+		{"endpoint user", func(s set) {
+			edit(s.Services, "orders", func(v *configurer.Service) { v.EndpointUser = "group_admin" })
+		}, "service orders: endpoint_user"},
+		{"acknowledge", func(s set) { edit(s.Services, "orders", func(v *configurer.Service) { v.Acknowledge = "all" }) }, "service orders: acknowledge"},
+		{"deadline", func(s set) {
+			edit(s.Services, "orders", func(v *configurer.Service) { v.Deadline, v.ReplicaWait = 0, 0 })
+		}, "service orders: deadline"},
+		{"replica wait", func(s set) {
+			edit(s.Services, "orders", func(v *configurer.Service) { v.ReplicaWait = 2 * v.Deadline })
+		}, "service orders: replica_wait"},
+		{"unknown data centre", func(s set) { edit(s.Databases, "db1", func(d *configurer.Database) { d.DataCentre = "dc9" }) }, "database db1: data_centre: there is no"},
+		{"host name as address", func(s set) { edit(s.Databases, "db1", func(d *configurer.Database) { d.Address = "db:5432" }) }, "database db1: address"},
+		{"same address", func(s set) { edit(s.Databases, "db2", func(d *configurer.Database) { d.Address = "10.0.0.1:5432" }) }, "database db2: address"},
+		{"connections", func(s set) { edit(s.Databases, "db1", func(d *configurer.Database) { d.Connections = 4 }) }, "database db1: connections"},
+		{"unknown service of route", func(s set) { edit(s.Routes, "shop", func(r *configurer.Route) { r.Service = "x" }) }, "route shop: service: there is no"},
+		{"removed customer on route", func(s set) {
+			edit(s.Routes, "shop", func(r *configurer.Route) { r.Customers = []string{"gone"} })
+		}, "route shop: customers: there is no customer"},
+		{"customer twice", func(s set) {
+			edit(s.Routes, "shop", func(r *configurer.Route) { r.Customers = []string{"acme", "acme"} })
+		}, "route shop: customers:"},
+		{"open as", func(s set) { edit(s.Routes, "shop", func(r *configurer.Route) { r.OpenAs = "x" }) }, "route shop: open_as: there is no"},
+		{"name", func(s set) { s.Hosts["H1"] = configurer.Host{Name: "H1"} }, `host H1: name: "H1" is not a name`},
+		{"long name", func(s set) {
+			name := strings.Repeat("a", 64)
+			s.Hosts[name] = configurer.Host{Name: name}
+		}, "host aaa"},
+		{"held under another name", func(s set) { s.Hosts["h2"] = configurer.Host{Name: "h1"} }, "host h2: name: object of name"},
+		{"region", func(s set) { edit(s.DataCentres, "dc1", func(d *configurer.DataCentre) { d.Region = "No rth" }) }, "data_centre dc1: region"},
+	}
+	for _, test := range tests {
+		s := validSet()
+		test.change(s)
+		faults := configurer.Check(s)
+		switch {
+		case test.want == "" && len(faults) > 0, test.want != "" && len(faults) != 1:
+			t.Errorf("%s: got faults %v, want %q", test.name, faults, test.want)
+		case test.want != "" && !strings.HasPrefix(faults[0].String(), test.want):
+			t.Errorf("%s: got %q, want %q", test.name, faults[0], test.want)
+		}
+	}
+}
+
+func takeOut(d *configurer.DataCentre) { d.TakenOut = true }
+
+// The burst is split over the services that a customer reaches, by any route.
+func TestCheckBurst(t *testing.T) {
+	s := validSet()
+	s.Services["bills"] = s.Services["orders"]
+	edit(s.Services, "bills", func(v *configurer.Service) { v.Name = "bills" })
+	s = s.WithDatabase(configurer.Database{Name: "db9", Service: "bills", DataCentre: "dc1", Address: "10.0.0.9:1", Slots: 1, Connections: 1})
+	s.Routes["bills"] = configurer.Route{Name: "bills", Service: "bills", OpenAs: "acme"}
+	for _, test := range []struct{ burst, faults int }{{1, 1}, {2, 0}} {
+		edit(s.Limits, "small", func(l *configurer.Limit) { l.Burst = test.burst })
+		if faults := configurer.Check(s); len(faults) != test.faults {
+			t.Errorf("burst %d: got faults %v, want %d", test.burst, faults, test.faults)
+		}
+	}
+}
+
+// A publication that replaces most databases of a service could lose writes.
+func TestCheckChange(t *testing.T) {
+	tests := []struct {
+		name    string
+		removed []string
+		faults  int
+	}{
+		{"none", nil, 0},
+		{"one of three", []string{"db1"}, 0},
+		{"two of three", []string{"db1", "db2"}, 1},
+	}
+	for _, test := range tests {
+		next := validSet()
+		for _, name := range test.removed {
+			delete(next.Databases, name)
+		}
+		if faults := configurer.CheckChange(validSet(), next); len(faults) != test.faults {
+			t.Errorf("%s: got faults %v, want %d", test.name, faults, test.faults)
+		}
+	}
+	if faults := configurer.CheckChange(validSet(), configurer.Set{}); len(faults) != 0 {
+		t.Errorf("removed service: got faults %v, want none", faults)
+	}
+}
--- /dev/null
+++ b/configurer/kind.go
@@ -0,0 +1,225 @@
+package configurer
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// A kind describes one sort of object to the codec, the diff and the delta.
+type kind struct {
+	// name is the value of the field "kind".
+	name string
+	// names returns the names of the objects in a set, sorted.
+	names func(*Set) []string
+	// get returns the fields of a copy of an object.
+	get func(*Set, string) ([]wireField, bool)
+	// add puts a new object with the defaults, changed by fill, into the set,
+	// whose table must not be shared. It returns the name of the object and
+	// whether it replaced another.
+	add func(set *Set, fill func([]wireField)) (name string, replaced bool)
+	// remove deletes an object from the set, whose table must not be shared.
+	remove func(*Set, string)
+	// unshare gives the set a copy of its table.
+	unshare func(*Set)
+}
+
+// A wireField maps a field of an object to its name in JSON. The first field
+// of every kind is the name of the object.
+type wireField struct {
+	name string
+	// target points to the field, as a type that JSON encodes in one way.
+	target any
+	// secret says that values are not to be shown.
+	secret bool
+}
+
+func kindOf[T any](name string, table func(*Set) *map[string]T, defaults T, fields func(*T) []wireField) kind {
+	return kind{
+		name:  name,
+		names: func(s *Set) []string { return slices.Sorted(maps.Keys(*table(s))) },
+		get: func(s *Set, name string) ([]wireField, bool) {
+			object, ok := (*table(s))[name]
+			return fields(&object), ok
+		},
+		add: func(s *Set, fill func([]wireField)) (string, bool) {
+			object := defaults
+			list := fields(&object)
+			fill(list)
+			name := *list[0].target.(*string)
+			objects := table(s)
+			if *objects == nil {
+				*objects = make(map[string]T)
+			}
+			_, replaced := (*objects)[name]
+			(*objects)[name] = object
+			return name, replaced
+		},
+		remove:  func(s *Set, name string) { delete(*table(s), name) },
+		unshare: func(s *Set) { *table(s) = maps.Clone(*table(s)) },
+	}
+}
+
+// Values that an object has where its file does not give them.
+const (
+	defaultWeight         = 1
+	defaultMaxQueued      = 100
+	defaultMaxConnections = 1000
+	defaultReplicaWait    = 10 * time.Millisecond
+	defaultDeadline       = 5 * time.Second
+	defaultDrainTimeout   = 10 * time.Second
+)
+
+// kinds lists the kinds in the order of the canonical form.
+var kinds = []kind{
+	kindOf("data_centre", func(s *Set) *map[string]DataCentre { return &s.DataCentres }, DataCentre{}, dataCentreFields),
+	kindOf("host", func(s *Set) *map[string]Host { return &s.Hosts }, Host{}, hostFields),
+	kindOf("service", func(s *Set) *map[string]Service { return &s.Services }, Service{
+		Acknowledge:  AcknowledgeMajority,
+		ReplicaWait:  defaultReplicaWait,
+		Deadline:     defaultDeadline,
+		DrainTimeout: defaultDrainTimeout,
+	}, serviceFields),
+	kindOf("database", func(s *Set) *map[string]Database { return &s.Databases }, Database{}, databaseFields),
+	kindOf("limit", func(s *Set) *map[string]Limit { return &s.Limits }, Limit{
+		MaxQueued:      defaultMaxQueued,
+		MaxConnections: defaultMaxConnections,
+	}, limitFields),
+	kindOf("customer", func(s *Set) *map[string]Customer { return &s.Customers }, Customer{Weight: defaultWeight}, customerFields),
+	kindOf("key", func(s *Set) *map[string]Key { return &s.Keys }, Key{}, keyFields),
+	kindOf("route", func(s *Set) *map[string]Route { return &s.Routes }, Route{}, routeFields),
+}
+
+func findKind(name string) (kind, bool) {
+	for _, k := range kinds {
+		if k.name == name {
+			return k, true
+		}
+	}
+	return kind{}, false
+}
+
+func dataCentreFields(d *DataCentre) []wireField {
+	return []wireField{
+		{name: "name", target: &d.Name},
+		{name: "region", target: &d.Region},
+		{name: "taken_out", target: &d.TakenOut},
+	}
+}
+
+func hostFields(h *Host) []wireField {
+	return []wireField{
+		{name: "name", target: &h.Name},
+		{name: "taken_out", target: &h.TakenOut},
+	}
+}
+
+func serviceFields(s *Service) []wireField {
+	return []wireField{
+		{name: "name", target: &s.Name},
+		{name: "endpoint_user", target: &s.EndpointUser},
+		{name: "endpoint_database", target: &s.EndpointDatabase},
+		{name: "acknowledge", target: &s.Acknowledge},
+		{name: "replica_wait", target: (*durationText)(&s.ReplicaWait)},
+		{name: "deadline", target: (*durationText)(&s.Deadline)},
+		{name: "drain_timeout", target: (*durationText)(&s.DrainTimeout)},
+	}
+}
+
+func databaseFields(d *Database) []wireField {
+	return []wireField{
+		{name: "name", target: &d.Name},
+		{name: "service", target: &d.Service},
+		{name: "data_centre", target: &d.DataCentre},
+		{name: "address", target: &d.Address},
+		{name: "slots", target: &d.Slots},
+		{name: "connections", target: &d.Connections},
+		{name: "taken_out", target: &d.TakenOut},
+	}
+}
+
+func limitFields(l *Limit) []wireField {
+	return []wireField{
+		{name: "name", target: &l.Name},
+		{name: "rate", target: &l.Rate},
+		{name: "burst", target: &l.Burst},
+		{name: "max_queued", target: &l.MaxQueued},
+		{name: "max_connections", target: &l.MaxConnections},
+	}
+}
+
+func customerFields(c *Customer) []wireField {
+	return []wireField{
+		{name: "name", target: &c.Name},
+		{name: "limit", target: &c.Limit},
+		{name: "weight", target: &c.Weight},
+	}
+}
+
+func keyFields(k *Key) []wireField {
+	return []wireField{
+		{name: "name", target: &k.Name},
+		{name: "customer", target: &k.Customer},
+		{name: "verifier", target: &k.Verifier, secret: true},
+		{name: "withdrawn", target: &k.Withdrawn},
+	}
+}
+
+func routeFields(r *Route) []wireField {
+	return []wireField{
+		{name: "name", target: &r.Name},
+		{name: "service", target: &r.Service},
+		{name: "customers", target: (*nameList)(&r.Customers)},
+		{name: "open_as", target: &r.OpenAs},
+	}
+}
+
+// durationText is a duration that is written as a string such as "500ms".
+type durationText time.Duration
+
+// MarshalJSON writes the duration as a string.
+func (d durationText) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a string with a unit.
+func (d *durationText) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return errors.New(`want a duration such as "500ms"`)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Errorf(`%q is not a duration such as "500ms"`, text)
+	}
+	*d = durationText(parsed)
+	return nil
+}
+
+// nameList is a list of names whose order has no meaning. It is written sorted,
+// and an empty list is read as nil, so that equal lists have one form.
+type nameList []string
+
+// MarshalJSON writes the names sorted.
+func (l nameList) MarshalJSON() ([]byte, error) {
+	sorted := append([]string{}, l...)
+	slices.Sort(sorted)
+	return json.Marshal(sorted)
+}
+
+// UnmarshalJSON reads the names and sorts them.
+func (l *nameList) UnmarshalJSON(data []byte) error {
+	var names []string
+	if err := json.Unmarshal(data, &names); err != nil {
+		return errors.New("want a list of names")
+	}
+	slices.Sort(names)
+	*l = nil
+	if len(names) > 0 {
+		*l = names
+	}
+	return nil
+}
