--- /dev/null
+++ b/gossiper/network_test.go
@@ -0,0 +1,238 @@
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A network connects hosts in memory, inside a synctest bubble.
+type network struct {
+	t     *testing.T
+	mu    sync.Mutex
+	rand  *rand.Rand
+	loss  float64
+	delay time.Duration
+	// cut reports whether messages from one host to another are lost.
+	cut   func(from, to string) bool
+	hosts map[string]*node
+	// bytes counts the estimated traffic of all hosts, each message twice.
+	bytes int
+}
+
+// A node is a host of the network.
+type node struct {
+	*Gossiper
+	stop     func()
+	mu       sync.Mutex
+	revision uint64
+	adopted  time.Time
+}
+
+var errLost = errors.New("lost")
+
+func newNetwork(t *testing.T) *network {
+	return &network{
+		t: t, rand: rand.New(rand.NewPCG(1, 2)), delay: time.Millisecond,
+		cut: func(string, string) bool { return false }, hosts: make(map[string]*node),
+	}
+}
+
+func hostName(i int) string { return fmt.Sprintf("host-%02d", i) }
+
+// start starts hosts 0 to n-1 in three data centres, with three seeds.
+func (n *network) start(count int) {
+	for i := range count {
+		n.startHost(i)
+	}
+}
+
+func (n *network) startHost(i int) *node {
+	name := hostName(i)
+	h := &node{Gossiper: &Gossiper{
+		Self: Host{
+			Name: name, DataCentre: fmt.Sprintf("dc%d", i%3), PeerAddress: name,
+			CallerAddress: "10.0.0.1:5432", Incarnation: uint64(time.Now().UnixNano()),
+		},
+		Seeds: []HostEntry{{PeerAddress: hostName(0)}, {PeerAddress: hostName(1)}, {PeerAddress: hostName(2)}},
+		Rand:  rand.New(rand.NewPCG(uint64(i), uint64(time.Now().UnixNano()))),
+	}}
+	h.Send = func(ctx context.Context, address string, hb Heartbeat) (Heartbeat, error) {
+		return n.send(ctx, name, address, hb)
+	}
+	h.Probe = func(ctx context.Context, address string, target Host) (bool, error) {
+		if err := n.pass(ctx, name, address, 60); err != nil {
+			return false, err
+		}
+		answered := n.host(address).HandleProbe(ctx, target)
+		return answered, n.pass(ctx, address, name, 20)
+	}
+	h.Fetch = func(ctx context.Context, address string, _ uint64) error {
+		if err := n.pass(ctx, name, address, 20); err != nil {
+			return err
+		}
+		peer := n.host(address)
+		peer.mu.Lock()
+		revision := peer.revision
+		peer.mu.Unlock()
+		if err := n.pass(ctx, address, name, 0); err != nil {
+			return err
+		}
+		h.adopt(revision)
+		return nil
+	}
+	n.mu.Lock()
+	n.hosts[name] = h
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := h.Run(ctx); err != nil {
+			n.t.Errorf("Run() = %v", err)
+		}
+	}()
+	h.stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	return h
+}
+
+func (h *node) adopt(revision uint64) {
+	h.mu.Lock()
+	if revision > h.revision {
+		h.revision, h.adopted = revision, time.Now()
+	}
+	h.mu.Unlock()
+	h.SetRevision(revision)
+}
+
+func (n *network) host(address string) *node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.hosts[address]
+}
+
+// pass carries a message one way.
+func (n *network) pass(ctx context.Context, from, to string, size int) error {
+	n.mu.Lock()
+	n.bytes += 2 * (size + messageOverhead)
+	lost := n.hosts[to] == nil || n.hosts[from] == nil || n.cut(from, to) || n.rand.Float64() < n.loss
+	delay := n.delay/2 + time.Duration(n.rand.Int64N(int64(n.delay)))
+	n.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return errLost
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(delay):
+		return nil
+	}
+}
+
+func (n *network) send(ctx context.Context, from, to string, h Heartbeat) (Heartbeat, error) {
+	if err := n.pass(ctx, from, to, h.Size()); err != nil {
+		return Heartbeat{}, err
+	}
+	peer := n.host(to)
+	if peer == nil {
+		<-ctx.Done()
+		return Heartbeat{}, errLost
+	}
+	reply := peer.Handle(h)
+	return reply, n.pass(ctx, to, from, reply.Size())
+}
+
+// setCut changes which messages are lost.
+func (n *network) setCut(cut func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+// kill takes a host away without a word.
+func (n *network) kill(name string) {
+	h := n.host(name)
+	n.mu.Lock()
+	delete(n.hosts, name)
+	n.mu.Unlock()
+	go h.stop()
+}
+
+func (n *network) stop() {
+	n.setCut(func(string, string) bool { return true })
+	var group sync.WaitGroup
+	n.mu.Lock()
+	for _, h := range n.hosts {
+		group.Go(h.stop)
+	}
+	n.mu.Unlock()
+	group.Wait()
+}
+
+// states counts how the other hosts see one.
+func (n *network) states(name string) map[State]int {
+	states := make(map[State]int)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for other, h := range n.hosts {
+		if other == name {
+			continue
+		}
+		if view, ok := h.View().Host(name); ok {
+			states[view.State]++
+		}
+	}
+	return states
+}
+
+// within returns how long it took until the condition held, up to a limit.
+func within(limit time.Duration, condition func() bool) (time.Duration, bool) {
+	start := time.Now()
+	for time.Since(start) <= limit {
+		synctest.Wait()
+		if condition() {
+			return time.Since(start), true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return limit, false
+}
+
+// joined reports whether all hosts know all others as alive.
+func (n *network) joined(count int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range n.hosts {
+		alive := 0
+		for _, view := range h.View().Hosts {
+			if view.State == Alive {
+				alive++
+			}
+		}
+		if alive != count {
+			return false
+		}
+	}
+	return true
+}
+
+// startJoined starts hosts and waits until all know each other.
+func (n *network) startJoined(count int) {
+	n.t.Helper()
+	n.start(count)
+	took, ok := within(20*time.Second, func() bool { return n.joined(count) })
+	if !ok {
+		n.t.Fatalf("%d hosts have not joined within %v", count, took)
+	}
+	n.t.Logf("%d hosts know each other after %v", count, took)
+	time.Sleep(3 * time.Second)
+}
--- /dev/null
+++ b/gossiper/size.go
@@ -0,0 +1,58 @@
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+)
+
+// messageOverhead is what drpc and TCP add to a heartbeat: about 40 bytes of
+// frames and the method's name, and 52 bytes of headers.
+const messageOverhead = 92
+
+// Size estimates the encoded size of the heartbeat in bytes.
+func (h Heartbeat) Size() int {
+	size := 26 + h.From.size()
+	for _, m := range h.Members {
+		size += m.size()
+	}
+	for _, c := range h.Claims {
+		size += c.size()
+	}
+	for _, u := range h.Unable {
+		size += u.size()
+	}
+	if len(h.Confirmations.Bitmap) > 0 {
+		size += 16 + len(h.Confirmations.Bitmap)
+	}
+	return size
+}
+
+func (h Host) size() int {
+	return 24 + len(h.Name) + len(h.DataCentre) + len(h.PeerAddress) + len(h.CallerAddress)
+}
+
+func (c Claim) size() int { return 20 + len(c.Service) + len(c.Host) }
+
+func (u Unable) size() int { return 22 + len(u.Service) + len(u.Host) }
+
+// sortedNames returns the names of the members that pass, in order, so that a
+// run with the same random source does the same.
+func (c *Core) sortedNames(pass func(*member) bool) []string {
+	names := make([]string, 0, len(c.members))
+	for name, m := range c.members {
+		if pass(m) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
