Put one host together and serve a request over the whole path

Cause: the parts have to be joined before anything can be measured. Change: server places services on holders by rendezvous hash, forwards batches and sends them again only when nothing of them has run, follows the published configuration and sends it to peers; measurer starts a fleet of hosts and stand-ins with a network that can be cut.

--- /dev/null
+++ b/measurer/network.go
@@ -0,0 +1,262 @@
+package measurer
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// errKilled is what connections of a killed host return.
+var errKilled = errors.New("connection of a killed host")
+
+// A Network is the loopback network between the parts of a fleet, with cuts.
+// Each connection belongs to a pair of names; while the pair is cut, bytes in
+// both directions wait, as in a network partition.
+type Network struct {
+	mu sync.Mutex
+	// names holds the part that listens at an address.
+	names map[string]string
+	cuts  map[pair]bool
+	conns map[*conn]struct{}
+	// changed is closed and replaced whenever a cut changes.
+	changed chan struct{}
+}
+
+// A pair is a pair of names in any order.
+type pair struct{ a, b string }
+
+func pairOf(a, b string) pair {
+	if a > b {
+		a, b = b, a
+	}
+	return pair{a: a, b: b}
+}
+
+// NewNetwork returns a network without cuts.
+func NewNetwork() *Network {
+	return &Network{
+		names: make(map[string]string), cuts: make(map[pair]bool),
+		conns: make(map[*conn]struct{}), changed: make(chan struct{}),
+	}
+}
+
+// Register gives the part at an address a name.
+func (n *Network) Register(address, name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.names[address] = name
+}
+
+// SetCut cuts or heals the link between two names.
+func (n *Network) SetCut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if cut {
+		n.cuts[pairOf(a, b)] = true
+	} else {
+		delete(n.cuts, pairOf(a, b))
+	}
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Kill closes every connection of a name at once.
+func (n *Network) Kill(name string) {
+	n.mu.Lock()
+	var victims []*conn
+	for c := range n.conns {
+		if c.link.a == name || c.link.b == name {
+			victims = append(victims, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range victims {
+		c.reset()
+	}
+}
+
+// Dialer returns the dial function of a part.
+func (n *Network) Dialer(from string) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		n.mu.Lock()
+		to := n.names[address]
+		n.mu.Unlock()
+		link := pairOf(from, to)
+		if err := n.await(ctx, link, nil, time.Time{}); err != nil {
+			return nil, err
+		}
+		var dialer net.Dialer
+		raw, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		return n.track(raw, link), nil
+	}
+}
+
+func (n *Network) track(raw net.Conn, link pair) net.Conn {
+	c := &conn{Conn: raw, network: n, link: link, closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[c] = struct{}{}
+	return c
+}
+
+// await returns when the link is not cut. It fails when ctx ends, the
+// connection is closed, or the deadline passes.
+func (n *Network) await(ctx context.Context, link pair, closed <-chan struct{}, deadline time.Time) error {
+	for {
+		n.mu.Lock()
+		cut, changed := n.cuts[link], n.changed
+		n.mu.Unlock()
+		if !cut {
+			return nil
+		}
+		var expired <-chan time.Time
+		if !deadline.IsZero() {
+			timer := time.NewTimer(time.Until(deadline))
+			defer timer.Stop()
+			expired = timer.C
+		}
+		select {
+		case <-ctx.Done():
+			return errors.WithStack(ctx.Err())
+		case <-closed:
+			return net.ErrClosed
+		case <-expired:
+			return os.ErrDeadlineExceeded
+		case <-changed:
+		}
+	}
+}
+
+// A conn is a connection whose bytes wait while its link is cut.
+type conn struct {
+	net.Conn
+	network *Network
+	link    pair
+	closed  chan struct{}
+	once    sync.Once
+
+	mu            sync.Mutex
+	readDeadline  time.Time
+	writeDeadline time.Time
+	killed        bool
+}
+
+// Read returns bytes that arrived, once the link is not cut.
+func (c *conn) Read(p []byte) (int, error) {
+	read, readErr := c.Conn.Read(p)
+	c.mu.Lock()
+	deadline, killed := c.readDeadline, c.killed
+	c.mu.Unlock()
+	if killed {
+		return 0, errKilled
+	}
+	if err := c.network.await(context.Background(), c.link, c.closed, deadline); err != nil {
+		return 0, err
+	}
+	return read, readErr
+}
+
+// Write sends bytes once the link is not cut.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	deadline, killed := c.writeDeadline, c.killed
+	c.mu.Unlock()
+	if killed {
+		return 0, errKilled
+	}
+	if err := c.network.await(context.Background(), c.link, c.closed, deadline); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.setDeadlines(&t, &t)
+	return c.Conn.SetDeadline(t)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.setDeadlines(&t, nil)
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.setDeadlines(nil, &t)
+	return c.Conn.SetWriteDeadline(t)
+}
+
+func (c *conn) setDeadlines(read, write *time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if read != nil {
+		c.readDeadline = *read
+	}
+	if write != nil {
+		c.writeDeadline = *write
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.network.mu.Lock()
+		delete(c.network.conns, c)
+		c.network.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// reset closes the connection as the end of a process does.
+func (c *conn) reset() {
+	c.mu.Lock()
+	c.killed = true
+	c.mu.Unlock()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+// A listener tracks the connections that a part accepts.
+type listener struct {
+	net.Listener
+	network *Network
+	name    string
+}
+
+// Listen opens a listener of a part on a free loopback port, or on the address
+// if it is not empty, and registers it.
+func (n *Network) Listen(ctx context.Context, name, address string) (net.Listener, error) {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	var config net.ListenConfig
+	raw, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	n.Register(raw.Addr().String(), name)
+	return &listener{Listener: raw, network: n, name: name}, nil
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	// The cut of a link stands at the side that dialled; this side is only
+	// tracked, so that Kill ends it.
+	return l.network.track(raw, pair{a: l.name}), nil
+}
--- a/promoter/admin.go
+++ b/promoter/admin.go
@@ -44,14 +44,15 @@
 	Password string
 	// Timeout bounds the opening of a connection, above 0.
 	Timeout time.Duration
+	// DialContext opens the network connection; nil dials TCP.
+	DialContext func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Dial connects to the database and logs in.
 func (d *Dialer) Dial(ctx context.Context, member Member) (Admin, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", member.Address)
+	conn, err := d.connect(ctx, member.Address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to database %s", member.Name)
 	}
@@ -65,6 +66,14 @@
 	return a, nil
 }
 
+func (d *Dialer) connect(ctx context.Context, address string) (net.Conn, error) {
+	if d.DialContext != nil {
+		return d.DialContext(ctx, address)
+	}
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 type adminConn struct {
 	conn     net.Conn
 	frontend *pgproto3.Frontend
--- /dev/null
+++ b/server/admission.go
@@ -0,0 +1,67 @@
+package server
+
+import (
+	"context"
+	"slices"
+
+	"github.com/endiveturn/endiveturn/configurer"
+	"github.com/endiveturn/endiveturn/executor"
+)
+
+// admit refuses callers that this host may not serve now.
+func (s *Server) admit(_ context.Context, keyed bool) *executor.Refusal {
+	switch {
+	case s.leaving.Load():
+		return executor.RefuseNotRun(executor.CodeStopping, "host is stopping")
+	case !s.ready.Load():
+		return executor.RefuseNotRun(executor.CodeCannotServe, "host does not know the configuration in force yet")
+	case s.takenOut():
+		return executor.RefuseNotRun(executor.CodeStopping, "host or its data centre is taken out of service")
+	case keyed:
+		return s.checkFresh()
+	default:
+		return nil
+	}
+}
+
+// checkFresh refuses keyed requests when a withdrawal may have been missed.
+func (s *Server) checkFresh() *executor.Refusal {
+	if fresh, reason := s.gossip.Fresh(); !fresh {
+		s.count("refused_not_fresh")
+		return executor.RefuseNotRun(executor.CodeCannotServe, "host is cut off and may not check keys: "+reason)
+	}
+	return nil
+}
+
+// takenOut reports whether operators have taken this host out of service.
+func (s *Server) takenOut() bool {
+	return isTakenOut(s.Set(), s.Settings.Host, s.Settings.DataCentre)
+}
+
+func isTakenOut(set configurer.Set, host, dataCentre string) bool {
+	return set.Hosts[host].TakenOut || set.DataCentres[dataCentre].TakenOut
+}
+
+// checkKey checks at the holder what the entry host has checked before, since
+// the holder may know a later revision.
+func (s *Server) checkKey(attributes executor.Attributes) *executor.Refusal {
+	set := s.Set()
+	route, ok := set.Routes[attributes.Route]
+	if !ok || route.Service != attributes.Service {
+		return executor.RefuseNotRun(executor.CodeUnknownRoute, "route "+attributes.Route+" does not lead to the service")
+	}
+	if attributes.Key == "" {
+		if route.OpenAs == "" || route.OpenAs != attributes.Customer {
+			return executor.RefuseNotRun(executor.CodeInvalidAuthorization, "route "+route.Name+" demands a key")
+		}
+		return nil
+	}
+	key, ok := set.Keys[attributes.Key]
+	if !ok || key.Withdrawn || key.Customer != attributes.Customer {
+		return executor.RefuseNotRun(executor.CodeInvalidAuthorization, "key "+attributes.Key+" is withdrawn")
+	}
+	if !slices.Contains(route.Customers, key.Customer) {
+		return executor.RefuseNotRun(executor.CodeInvalidAuthorization, "customer is not on route "+route.Name)
+	}
+	return s.checkFresh()
+}
