Test whole sessions, refusals, drain and memory of the caller side

Cause: the first version of the acceptor was covered by two drivers only. Log lines now precede the end of Drain, and the name of an unknown key is no longer logged.

--- /dev/null
+++ b/acceptor/batch_test.go
@@ -0,0 +1,196 @@
+package acceptor
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/endiveturn/endiveturn/executor"
+)
+
+// Guards against batches that say too little or too much of what they do.
+func TestBatch(t *testing.T) {
+	tests := []struct {
+		name     string
+		messages []string
+		want     executor.Batch
+		// contains are texts of the messages that the endpoint gets.
+		contains []string
+	}{
+		{"read", []string{"Query SELECT 1"}, executor.Batch{Class: executor.ClassRead}, []string{"Q"}},
+		{"reads in one text", []string{"Query SELECT 1; SELECT 2"}, executor.Batch{Class: executor.ClassRead}, nil},
+		{"write", []string{"Query DELETE FROM t"}, executor.Batch{}, nil},
+		{"begin", []string{"Query BEGIN"}, executor.Batch{Class: executor.ClassBegin}, nil},
+		{"begin read only", []string{"Query BEGIN READ ONLY"}, executor.Batch{Class: executor.ClassBeginRead}, nil},
+		{"temporary table", []string{"Query CREATE TEMP TABLE t AS SELECT 1"}, executor.Batch{Tainting: true}, nil},
+		{
+			"extended read",
+			[]string{"Parse - SELECT 1", "Bind - -", "Execute -", "Sync"},
+			executor.Batch{Class: executor.ClassRead},
+			[]string{"P\x00\x00\x00\x10\x00SELECT 1\x00"},
+		},
+		{
+			"begin and write",
+			[]string{"Parse - BEGIN", "Bind - -", "Execute -", "Parse - DELETE FROM t", "Bind - -", "Execute -", "Sync"},
+			executor.Batch{},
+			nil,
+		},
+		{
+			"write that is only prepared",
+			[]string{"Parse w DELETE FROM t", "Describe S w", "Sync"},
+			executor.Batch{Class: executor.ClassRead},
+			[]string{"P\x00\x00\x00\x38et_", "D\x00\x00\x00\x29Set_"},
+		},
+		{
+			"closed statement stays at the endpoint",
+			[]string{"Close S x", "Parse - SELECT 1", "Bind - -", "Execute -", "Sync"},
+			executor.Batch{Class: executor.ClassRead},
+			[]string{"C\x00\x00\x00\x0fSet_closed\x00"},
+		},
+	}
+	for _, test := range tests {
+		f := newFixture(t, nil)
+		c := dialRaw(t, f)
+		c.startup(publicStartup)
+		for _, line := range test.messages {
+			c.Send(parseMessage(t, line))
+		}
+		if got := code(c.read()); got != "" {
+			t.Errorf("%s: got %s, want no error", test.name, got)
+			continue
+		}
+		got, attributes := f.opener.last()
+		if got.Class != test.want.Class || got.Tainting != test.want.Tainting || len(got.Statements) != 0 {
+			t.Errorf("%s: class %v, tainting %v, %d statements, want %v, %v, 0", test.name,
+				got.Class, got.Tainting, len(got.Statements), test.want.Class, test.want.Tainting)
+		}
+		if got.Deadline != 5*time.Second || got.MaxAge != 0 || got.Idempotent || !got.Floor.IsZero() {
+			t.Errorf("%s: batch has settings that nobody made: %+v", test.name, got)
+		}
+		for _, want := range test.contains {
+			if !bytes.Contains(got.Messages, []byte(want)) {
+				t.Errorf("%s: messages %q do not contain %q", test.name, got.Messages, want)
+			}
+		}
+		if attributes.Customer != "guests" || attributes.Key != "" || attributes.Revision != 7 || !attributes.Attaching {
+			t.Errorf("%s: attributes = %+v, want customer guests, revision 7, attaching", test.name, attributes)
+		}
+	}
+}
+
+// Guards against statements that the endpoint does not know under the name by
+// which a later batch refers to them, and against names of one caller that
+// reach another.
+func TestPreparedStatementNames(t *testing.T) {
+	f := newFixture(t, nil)
+	names := map[string]bool{}
+	for _, own := range []string{"a", "b", "-"} {
+		c := dialRaw(t, f)
+		c.startup(publicStartup)
+		for _, line := range []string{"Parse " + own + " SELECT $1", "Sync"} {
+			c.Send(parseMessage(t, line))
+		}
+		c.read()
+		for _, line := range []string{"Bind - " + own + " x", "Execute -", "Bind - " + own + " y", "Execute -", "Sync"} {
+			c.Send(parseMessage(t, line))
+		}
+		c.read()
+		batch, _ := f.opener.last()
+		if len(batch.Statements) != 1 || batch.Statements[0].Query != "SELECT $1" {
+			t.Fatalf("statement %q: batch refers to %v, want one statement", own, batch.Statements)
+		}
+		name := batch.Statements[0].Name
+		names[name] = true
+		if got := bytes.Count(batch.Messages, []byte("\x00"+name+"\x00")); got != 2 {
+			t.Errorf("statement %q: %q occurs %d times in the messages, want 2", own, name, got)
+		}
+	}
+	if len(names) != 1 {
+		t.Errorf("the same text has the names %v, want one", names)
+	}
+	first := newPrepared(&pgproto3.Parse{Query: "SELECT $1", ParameterOIDs: []uint32{23}})
+	if names[first.endpointName] {
+		t.Error("other parameter types have the same name")
+	}
+}
+
+// Guards against callers that fill the memory with prepared statements.
+func TestPreparedStatementBounds(t *testing.T) {
+	f := newFixture(t, func(f *fixture) { f.MaxStatements, f.MaxStatementBytes = 3, 100 })
+	c := dialRaw(t, f)
+	c.startup(publicStartup)
+	prepare := func(name, sql string) string {
+		c.Send(&pgproto3.Parse{Name: name, Query: sql})
+		c.Send(&pgproto3.Sync{})
+		return code(c.read())
+	}
+	for i := range 3 {
+		if got := prepare(fmt.Sprint("s", i), "SELECT 1"); got != "" {
+			t.Errorf("statement %d: got %s, want no error", i, got)
+		}
+	}
+	if got := prepare("s3", "SELECT 1"); got != "ERROR 54000" {
+		t.Errorf("fourth statement: got %q, want ERROR 54000", got)
+	}
+	c.query("DEALLOCATE ALL")
+	if got := prepare("long", "SELECT "+strings.Repeat("1", 100)); got != "ERROR 54000" {
+		t.Errorf("long statement: got %q, want ERROR 54000", got)
+	}
+	if got := prepare("s3", "SELECT 1"); got != "" {
+		t.Errorf("statement after DEALLOCATE ALL: got %q, want no error", got)
+	}
+}
+
+// Guards against own settings that do not reach the batch.
+func TestSettingsReachTheBatch(t *testing.T) {
+	f := newFixture(t, nil)
+	c := dialRaw(t, f)
+	c.startup(map[string]string{
+		"user": "guest", "database": "public", settingSession: "lunch", settingMaxAge: "1500",
+		settingIdempotent: "on", settingDeadline: "2s", settingToken: "orders/4/10",
+	})
+	c.query("SELECT 1")
+	batch, attributes := f.opener.last()
+	if batch.MaxAge != 1500*time.Millisecond || !batch.Idempotent || batch.Deadline != 2*time.Second ||
+		batch.Floor != (executor.Position{Term: 4, Offset: 10}) {
+		t.Errorf("batch = %+v, want the settings of the startup", batch)
+	}
+	if attributes.Session != "session/lunch" || attributes.Attaching {
+		t.Errorf("attributes = %+v, want session/lunch, not attaching", attributes)
+	}
+	c.query("SET endiveturn.token = 'orders/3/5'")
+	c.query("INSERT INTO t VALUES (1)")
+	c.query("SELECT 1")
+	if batch, _ := f.opener.last(); batch.Floor != (executor.Position{Term: 4, Offset: 10}) {
+		t.Errorf("floor = %v after a lower token and a lower commit, want 4/10", batch.Floor)
+	}
+}
+
+// Guards against sessions without a name that are not kept apart, or that
+// attach more than once.
+func TestOwnSession(t *testing.T) {
+	f := newFixture(t, nil)
+	sessions := map[string]bool{}
+	for range 2 {
+		c := dialRaw(t, f)
+		c.startup(publicStartup)
+		c.query("REFUSE 53300 NOT_RUN")
+		c.query("SELECT 1")
+		if _, attributes := f.opener.last(); !attributes.Attaching {
+			t.Error("attaching is not set although nothing ran before")
+		}
+		c.query("SELECT 1")
+		_, attributes := f.opener.last()
+		if attributes.Attaching {
+			t.Error("attaching is set although a batch ran before")
+		}
+		sessions[attributes.Session] = true
+	}
+	if len(sessions) != 2 {
+		t.Errorf("two connections have the sessions %v, want two", sessions)
+	}
+}
--- /dev/null
+++ b/acceptor/benchmark_test.go
@@ -0,0 +1,107 @@
+package acceptor
+
+import (
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/endiveturn/endiveturn/configurer"
+)
+
+// BenchmarkIdleConnection measures the memory of a connection that has run a
+// batch and is idle now. The figures include the caller's socket, which is in
+// the same process. Run it with -benchtime 5000x for 5,000 connections.
+func BenchmarkIdleConnection(b *testing.B) {
+	f := newFixture(b, func(f *fixture) {
+		f.set = f.set.WithLimit(configurer.Limit{Name: "small", MaxConnections: 1 << 20})
+	})
+	startup, err := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: publicStartup}).Encode(nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	heap, stacks, resident := memory()
+	conns := make([]net.Conn, b.N)
+	var answer [4096]byte
+	for i := range conns {
+		conn, err := new(net.Dialer).DialContext(b.Context(), "tcp", f.address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer conn.Close()
+		conns[i] = conn
+		for _, message := range [][]byte{startup, []byte("Q\x00\x00\x00\x0dSELECT 1\x00")} {
+			if _, err := conn.Write(message); err != nil {
+				b.Fatal(err)
+			}
+			for n := 0; !strings.HasSuffix(string(answer[:n]), "Z\x00\x00\x00\x05I"); {
+				m, err := conn.Read(answer[n:])
+				if err != nil {
+					b.Fatal(err)
+				}
+				n += m
+			}
+		}
+	}
+	f.opener.mu.Lock()
+	f.opener.batches, f.opener.attributes = nil, nil
+	f.opener.mu.Unlock()
+	heapAfter, stacksAfter, residentAfter := memory()
+	b.ReportMetric((heapAfter-heap)/float64(b.N), "heap-B/conn")
+	b.ReportMetric((stacksAfter-stacks)/float64(b.N), "stack-B/conn")
+	b.ReportMetric((residentAfter-resident)/float64(b.N), "resident-B/conn")
+	runtime.KeepAlive(conns)
+}
+
+// memory returns the bytes of the heap, of stacks, and resident in total,
+// after two collections, since a stack shrinks by half in each.
+func memory() (heap, stacks, resident float64) {
+	for range 4 {
+		runtime.GC()
+	}
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	text, err := os.ReadFile("/proc/self/statm")
+	if err == nil {
+		pages, _ := strconv.ParseFloat(strings.Fields(string(text))[1], 64)
+		resident = pages * float64(os.Getpagesize())
+	}
+	return float64(stats.HeapAlloc), float64(stats.StackInuse), resident
+}
+
+// BenchmarkBatch measures a simple query from a caller to the opener and back.
+func BenchmarkBatch(b *testing.B) {
+	f := newFixture(b, nil)
+	c := dialRaw(b, f)
+	c.startup(publicStartup)
+	query := []byte("Q\x00\x00\x00\x0dSELECT 1\x00")
+	answer := make([]byte, 59)
+	c.Send(&pgproto3.Query{String: "SELECT 1"})
+	length := 0
+	for _, message := range []pgproto3.BackendMessage{
+		rowDescription("value"), &pgproto3.DataRow{Values: [][]byte{[]byte("1")}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'I'},
+	} {
+		encoded, err := message.Encode(nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		length += len(encoded)
+	}
+	c.read()
+	answer = append(answer[:0], make([]byte, length)...)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Write(query); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.ReadFull(c, answer); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -116,6 +116,21 @@
 	return c.killed
 }
 
+// sentAheadWait is how long sentAhead waits for what the system has received.
+const sentAheadWait = time.Millisecond
+
+// sentAhead reports whether a part of another request has arrived.
+func (c *connection) sentAhead() bool {
+	if c.reader.buffered() == 0 && !c.isKilled() {
+		c.conn.SetReadDeadline(time.Now().Add(sentAheadWait))
+		c.waiting = true
+		// Without data, the next read of the connection reports the reason.
+		_ = c.reader.wait()
+		c.waiting = false
+	}
+	return c.reader.buffered() > 0
+}
+
 // kill ends the connection at once, with the request that it may have.
 func (c *connection) kill() {
 	c.mu.Lock()
@@ -152,6 +167,7 @@
 
 // serve serves batches until the connection ends.
 func (c *connection) serve(ctx context.Context) {
+	defer c.acceptor.remove(c)
 	err := c.serveBatches(ctx)
 	c.closeExchange()
 	reason := c.end(err)
@@ -224,7 +240,6 @@
 // end tells the caller why the connection ends and closes it. It returns the
 // reason for the log.
 func (c *connection) end(err error) string {
-	defer c.acceptor.remove(c)
 	defer c.conn.Close()
 	var refusal *executor.Refusal
 	switch {
--- /dev/null
+++ b/acceptor/refusals_test.go
@@ -0,0 +1,364 @@
+package acceptor
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/endiveturn/endiveturn/configurer"
+	"github.com/endiveturn/endiveturn/executor"
+)
+
+// publicStartup are the parameters of a caller without a key.
+var publicStartup = map[string]string{"user": "guest", "database": "public"}
+
+// code returns the severity and SQLSTATE of the first error among lines.
+func code(lines []string) string {
+	for _, line := range lines {
+		if fields := strings.Fields(line); fields[0] == "ErrorResponse" {
+			return fields[1] + " " + fields[2]
+		}
+	}
+	return ""
+}
+
+// Guards against malformed messages that crash or stall the host, or that
+// disturb other callers.
+func TestMalformedMessages(t *testing.T) {
+	f := newFixture(t, func(f *fixture) { f.MaxMessage = 4096 })
+	neighbour := dialRaw(t, f)
+	neighbour.startup(publicStartup)
+	tests := []struct{ name, message, want string }{
+		{"unknown type", "7a00000004", "FATAL 08P01"},
+		{"length below 4", "5100000003", "FATAL 08P01"},
+		{"negative length", "51ffffffff", "FATAL 08P01"},
+		{"query without end", "510000000653454c", "FATAL 08P01"},
+		{"bind cut off", "4200000007000001" + "5300000004", "FATAL 08P01"},
+		{"parse with too many types", "5000000009006100ffff" + "5300000004", "FATAL 08P01"},
+		{"describe without a name", "4400000004" + "5300000004", "FATAL 08P01"},
+		{"oversized message", "5100001000", "FATAL 54000"},
+		{"oversized by its claim only", "517fffffff", "FATAL 54000"},
+		{"oversized in parts", strings.Repeat("50000003f0"+strings.Repeat("61", 0x3ec), 4) + "50000003f0", "FATAL 54000"},
+		{"function call", "460000000e00000001000000000000", "ERROR 0A000"},
+		{"password", "7000000005" + "00", "FATAL 08P01"},
+	}
+	for _, test := range tests {
+		message, err := hex.DecodeString(test.message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := dialRaw(t, f)
+		c.startup(publicStartup)
+		if _, err := c.Write(message); err != nil {
+			t.Fatal(err)
+		}
+		if got := code(c.read()); got != test.want {
+			t.Errorf("%s: got %q, want %q", test.name, got, test.want)
+		}
+		if got := code(neighbour.query("SELECT 1")); got != "" {
+			t.Errorf("%s: neighbour got %q, want no error", test.name, got)
+		}
+	}
+}
+
+// Guards against startup packets that are not refused cleanly.
+func TestMalformedStartup(t *testing.T) {
+	f := newFixture(t, nil)
+	tests := []struct{ name, message, want string }{
+		{"too short", "00000007", "FATAL 08P01"},
+		{"too long", "00100000", "FATAL 08P01"},
+		{"old protocol", "0000000800020000", "FATAL 08P01"},
+		{"parameters cut off", "0000000c0003000075736572", "FATAL 08P01"},
+		{"cancel of another process", "0000001004d2162e0000000100000002", ""},
+	}
+	for _, test := range tests {
+		message, err := hex.DecodeString(test.message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := dialRaw(t, f)
+		if _, err := c.Write(message); err != nil {
+			t.Fatal(err)
+		}
+		if got := code(c.read()); got != test.want {
+			t.Errorf("%s: got %q, want %q", test.name, got, test.want)
+		}
+	}
+}
+
+// Guards against a key that works on after it was withdrawn, and against
+// connections on which its caller is not told.
+func TestWithdrawal(t *testing.T) {
+	withdraw := func(s configurer.Set) configurer.Set {
+		key := s.Keys["acme-1"]
+		key.Withdrawn = true
+		return s.WithKey(key)
+	}
+	tests := []struct {
+		name    string
+		change  func(configurer.Set) configurer.Set
+		recheck bool
+		before  string
+	}{
+		{"at the next batch", withdraw, false, "SELECT 1"},
+		{"idle", withdraw, true, "SELECT 1"},
+		{"in a transaction", withdraw, true, "BEGIN"},
+		{"key removed", func(s configurer.Set) configurer.Set { s.Keys = nil; return s }, false, "SELECT 1"},
+		{"secret changed", func(s configurer.Set) configurer.Set {
+			return s.WithKey(configurer.Key{Name: "acme-1", Customer: "acme", Verifier: "another"})
+		}, true, "SELECT 1"},
+		{"customer taken off the route", func(s configurer.Set) configurer.Set {
+			s.Routes = map[string]configurer.Route{"jobs": {Name: "jobs", Service: "orders"}}
+			return s
+		}, true, "SELECT 1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, func(f *fixture) { f.AllowCleartext = true })
+			c := dialRaw(t, f)
+			c.startup(map[string]string{"user": "acme-1", "database": "jobs"})
+			c.Send(&pgproto3.PasswordMessage{Password: testSecret})
+			c.read()
+			c.query(test.before)
+			f.change(test.change)
+			ran := len(f.opener.batches)
+			if test.recheck {
+				f.Recheck()
+			} else {
+				c.Send(&pgproto3.Query{String: "SELECT 2"})
+			}
+			if got := code(c.read()); got != "FATAL 28000" {
+				t.Errorf("got %q, want FATAL 28000", got)
+			}
+			if got := len(f.opener.batches); got != ran {
+				t.Errorf("%d batches ran after the withdrawal, want 0", got-ran)
+			}
+		})
+	}
+}
+
+// Guards against a Recheck that ends connections whose key is still good.
+func TestRecheckKeepsOthers(t *testing.T) {
+	f := newFixture(t, nil)
+	c := dialRaw(t, f)
+	c.startup(publicStartup)
+	f.Recheck()
+	if got := code(c.query("SELECT 1")); got != "" {
+		t.Errorf("got %q, want no error", got)
+	}
+}
+
+// Guards against unknown keys that can be told from wrong secrets.
+func TestUnknownKeyLooksLikeWrongSecret(t *testing.T) {
+	f := newFixture(t, nil)
+	shape := func(user string) []string {
+		c := dialRaw(t, f)
+		c.startupOnly(map[string]string{"user": user, "database": "jobs"})
+		got := []string{c.readOne()}
+		c.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte("n,,n=,r=abc")})
+		if err := c.Flush(); err != nil {
+			t.Fatal(err)
+		}
+		message, err := c.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		challenge := string(message.(*pgproto3.AuthenticationSASLContinue).Data)
+		nonce, rest, _ := strings.Cut(strings.TrimPrefix(challenge, "r="), ",s=")
+		salt, iterations, _ := strings.Cut(rest, ",i=")
+		got = append(got, iterations, string(rune('0'+len(salt))))
+		proof := strings.Repeat("A", 43) + "="
+		c.Send(&pgproto3.SASLResponse{Data: []byte("c=biws,r=" + nonce + ",p=" + proof)})
+		return append(got, c.read()...)
+	}
+	if known, unknown := shape("acme-1"), shape("nobody"); !slices.Equal(known, unknown) {
+		t.Errorf("known key: %q, unknown key: %q, want the same", known, unknown)
+	}
+	if got, want := string(f.mock("salt", "a")), string(f.mock("salt", "a")); got != want {
+		t.Error("the salt of an unknown key changes between attempts")
+	}
+}
+
+func (c *rawClient) startupOnly(parameters map[string]string) {
+	c.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
+}
+
+// Guards against an unmodified client that cannot log in, and one that can
+// with a wrong secret.
+func TestScramWithPgx(t *testing.T) {
+	f := newFixture(t, nil)
+	tests := []struct{ key, secret, route, want string }{
+		{"acme-1", testSecret, "jobs", ""},
+		{"acme-1", "wrong", "jobs", "28P01"},
+		{"nobody", testSecret, "jobs", "28P01"},
+		{"acme-1", testSecret, "other", "28000"},
+		{"acme-1", testSecret, "nowhere", "3D000"},
+		{"guest", "any", "public", ""},
+	}
+	for _, test := range tests {
+		conn, err := pgx.Connect(t.Context(), f.url(test.key, test.secret, test.route))
+		if got := sqlState(err); got != test.want && !strings.Contains(got, test.want) {
+			t.Errorf("%s on %s: got %q, want %q", test.key, test.route, got, test.want)
+		}
+		if err == nil {
+			conn.Close(t.Context())
+		}
+	}
+}
+
+// Guards against a refusal of Admit that is not obeyed, and against one that
+// cuts a transaction off when the host stops.
+func TestAdmit(t *testing.T) {
+	var mu sync.Mutex
+	var refusal *executor.Refusal
+	refuse := func(r *executor.Refusal) {
+		mu.Lock()
+		defer mu.Unlock()
+		refusal = r
+	}
+	f := newFixture(t, func(f *fixture) {
+		f.Admit = func(context.Context, bool) *executor.Refusal {
+			mu.Lock()
+			defer mu.Unlock()
+			return refusal
+		}
+	})
+	c := dialRaw(t, f)
+	c.startup(publicStartup)
+	refuse(executor.RefuseNotRun(executor.CodeCannotServe, "not fresh"))
+	if got := code(c.query("SELECT 1")); got != "ERROR 57P03" {
+		t.Errorf("batch: got %q, want ERROR 57P03", got)
+	}
+	if got := code(dialRaw(t, f).startup(publicStartup)); got != "FATAL 57P03" {
+		t.Errorf("startup: got %q, want FATAL 57P03", got)
+	}
+	refuse(nil)
+	c.query("BEGIN")
+	refuse(executor.RefuseNotRun(executor.CodeStopping, "stopping"))
+	if got := code(c.query("COMMIT")); got != "" {
+		t.Errorf("COMMIT while stopping: got %q, want no error", got)
+	}
+	if got := code(c.query("SELECT 1")); got != "FATAL 57P01" {
+		t.Errorf("batch while stopping: got %q, want FATAL 57P01", got)
+	}
+}
+
+// Guards against a customer that takes more connections than its limit, and
+// against closed connections that go on counting.
+func TestConnectionLimit(t *testing.T) {
+	f := newFixture(t, func(f *fixture) {
+		f.set = f.set.WithLimit(configurer.Limit{Name: "small", MaxConnections: 2})
+	})
+	first, second := dialRaw(t, f), dialRaw(t, f)
+	first.startup(publicStartup)
+	second.startup(publicStartup)
+	if got := code(dialRaw(t, f).startup(publicStartup)); got != "FATAL 53300" {
+		t.Errorf("third connection: got %q, want FATAL 53300", got)
+	}
+	first.Close()
+	for f.Connections() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := code(dialRaw(t, f).startup(publicStartup)); got != "" {
+		t.Errorf("connection after one was closed: got %q, want no error", got)
+	}
+}
+
+// Guards against cancel requests that do not reach the host they belong to.
+func TestCancelRemote(t *testing.T) {
+	got := make(chan [2]uint32, 1)
+	f := newFixture(t, func(f *fixture) {
+		f.CancelRemote = func(processID, secret uint32) { got <- [2]uint32{processID, secret} }
+	})
+	processID := uint32(HostHash("another"))<<16 | 5
+	c := dialRaw(t, f)
+	c.Send(&pgproto3.CancelRequest{ProcessID: processID, SecretKey: binary.BigEndian.AppendUint32(nil, 77)})
+	c.read()
+	if want := [2]uint32{processID, 77}; <-got != want {
+		t.Errorf("CancelRemote was not called with %v", want)
+	}
+}
+
+// Guards against TLS that does not work, and against text that is smuggled in
+// before the handshake.
+func TestTLS(t *testing.T) {
+	f := newFixture(t, func(f *fixture) {
+		f.TLS = &tls.Config{Certificates: []tls.Certificate{testCertificate(t)}, MinVersion: tls.VersionTLS12}
+		f.RequireTLS = true
+	})
+	conn, err := pgx.Connect(t.Context(), strings.Replace(f.url("acme-1", testSecret, "jobs"), "disable", "require", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Exec(t.Context(), "SELECT 1"); err != nil {
+		t.Errorf("SELECT 1 = %v, want nil", err)
+	}
+	conn.Close(t.Context())
+	c := dialRaw(t, f)
+	request := binary.BigEndian.AppendUint32([]byte{0, 0, 0, 8}, codeTLS)
+	if _, err := c.Write(append(request, "Q\x00\x00\x00\x05\x00"...)); err != nil {
+		t.Fatal(err)
+	}
+	if got := code(c.read()); got != "FATAL 08P01" {
+		t.Errorf("data before the handshake: got %q, want FATAL 08P01", got)
+	}
+}
+
+// Guards against secrets in the log, and against events without a line.
+func TestLogs(t *testing.T) {
+	var log bytes.Buffer
+	var mu sync.Mutex
+	f := newFixture(t, func(f *fixture) {
+		f.AllowCleartext = true
+		f.Logger = slog.New(slog.NewTextHandler(lockedWriter{&mu, &log}, nil))
+	})
+	for _, secret := range []string{testSecret, "wrong secret"} {
+		c := dialRaw(t, f)
+		c.startup(map[string]string{"user": "acme-1", "database": "jobs"})
+		c.Send(&pgproto3.PasswordMessage{Password: secret})
+		c.read()
+		c.Close()
+	}
+	for f.connsOpen() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for _, want := range []string{"connection opened", "connection closed", "connection refused"} {
+		if got := strings.Count(log.String(), want); got != 1 {
+			t.Errorf("%d lines with %q, want 1", got, want)
+		}
+	}
+	if strings.Contains(log.String(), "horse") || strings.Contains(log.String(), "wrong secret") || strings.Contains(log.String(), "SCRAM") {
+		t.Errorf("the log contains a secret:\n%s", log.String())
+	}
+}
+
+func (f *fixture) connsOpen() int {
+	f.Acceptor.mu.Lock()
+	defer f.Acceptor.mu.Unlock()
+	return len(f.conns)
+}
+
+type lockedWriter struct {
+	mu *sync.Mutex
+	io.Writer
+}
+
+func (w lockedWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Writer.Write(p)
+}
--- a/acceptor/serve.go
+++ b/acceptor/serve.go
@@ -203,7 +203,7 @@
 		return OutcomeRolledBack, nil
 	}
 	c.status = statusIdle
-	if inTransaction && c.reader.buffered() > 0 {
+	if inTransaction && c.sentAhead() {
 		// What the caller sent ahead was meant for the transaction, which is
 		// gone; it must not run outside it.
 		return OutcomeUnknown, refusal
--- a/acceptor/startup.go
+++ b/acceptor/startup.go
@@ -36,6 +36,7 @@
 	}
 	var refusal *executor.Refusal
 	refused := errors.As(err, &refusal)
+	defer c.acceptor.remove(c)
 	remote := c.conn.RemoteAddr().String()
 	reason := c.end(err)
 	switch {
@@ -184,7 +185,11 @@
 		return access{}, refusal
 	}
 	if keyed {
-		c.key = user
+		// A name that is no key may be a secret in the wrong field, which the
+		// log must not show.
+		if _, known := set.Keys[user]; known {
+			c.key = user
+		}
 		if err := c.authenticate(set, user); err != nil {
 			return access{}, err
 		}
