--- /dev/null
+++ b/demo.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/endiveturn/endiveturn/measurer"
+)
+
+// A demoCommand shows the product on stand-ins in this process.
+type demoCommand struct {
+	Log bool `long:"log" description:"write the log lines of hosts and stand-ins"`
+
+	env *environment
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	logger := slog.New(slog.DiscardHandler)
+	if c.Log {
+		logger = c.env.logger(slog.LevelInfo)
+	}
+	demo := &measurer.Demo{Output: c.env.stdout, Logger: logger, StepTimeout: 15 * time.Second}
+	return demo.Run(c.env.ctx)
+}
--- /dev/null
+++ b/measurer/demo.go
@@ -0,0 +1,307 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/configurer"
+	"github.com/endiveturn/endiveturn/executor"
+)
+
+// demoHosts is the number of hosts of the demo, one per data centre.
+const demoHosts = 3
+
+// A Demo shows the main promises on a small fleet, and checks each of them.
+type Demo struct {
+	Output io.Writer
+	Logger *slog.Logger
+	// StepTimeout bounds each step.
+	StepTimeout time.Duration
+
+	fleet *Fleet
+}
+
+// Run runs all steps and returns the first check that failed.
+func (d *Demo) Run(ctx context.Context) error {
+	shape := Today()
+	shape.Hosts, shape.Logger = demoHosts, d.Logger
+	d.fleet = &Fleet{Shape: shape}
+	defer d.fleet.Stop()
+	for i, step := range []struct {
+		text string
+		run  func(context.Context) (string, error)
+	}{
+		{"start stand-ins and three hosts, publish a configuration", d.start},
+		{"book a payment through one host and read it through another", d.bookAndRead},
+		{"withdraw a key while its caller is connected", d.withdrawKey},
+		{"fail a primary", d.failPrimary},
+		{"take a data centre out and bring it back", d.takeDataCentreOut},
+		{"stop a host as planned", d.stopHost},
+	} {
+		start := time.Now()
+		stepCtx, cancel := context.WithTimeout(ctx, d.StepTimeout)
+		checked, err := step.run(stepCtx)
+		cancel()
+		if err != nil {
+			fmt.Fprintf(d.Output, "%d. %s: FAILED: %v\n", i+1, step.text, err)
+			return errors.WithMessage(err, step.text)
+		}
+		fmt.Fprintf(d.Output, "%d. %s (%v)\n   checked: %s\n", i+1, step.text, time.Since(start).Round(time.Millisecond), checked)
+	}
+	return nil
+}
+
+func (d *Demo) start(ctx context.Context) (string, error) {
+	if err := d.fleet.Start(ctx); err != nil {
+		return "", err
+	}
+	revision := d.fleet.Hosts[0].Server().Set().Revision
+	return fmt.Sprintf("every host serves, revision %d is in force, all %d services are held", revision, d.fleet.Shape.Services), nil
+}
+
+func (d *Demo) connect(ctx context.Context, host int, customer, route, session string) (*pgx.Conn, error) {
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable",
+		KeyName(customer), KeySecret(customer), d.fleet.Hosts[host].CallerAddress, route))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if session != "" {
+		config.RuntimeParams["endiveturn.session"] = session
+	}
+	conn, err := pgx.ConnectConfig(ctx, config)
+	return conn, errors.WithStack(err)
+}
+
+func book(ctx context.Context, conn *pgx.Conn, id string) error {
+	_, err := conn.Exec(ctx, "INSERT INTO bookings (id, customer, amount) VALUES ($1, 'customer1', 100)", id)
+	return errors.Wrapf(err, "book %s", id)
+}
+
+func paid(ctx context.Context, conn *pgx.Conn, id string) error {
+	var amount int64
+	err := conn.QueryRow(ctx, "SELECT amount FROM bookings WHERE id = $1", id).Scan(&amount)
+	if err == nil && amount != 100 {
+		err = errors.Errorf("amount is %d", amount)
+	}
+	return errors.Wrapf(err, "read %s", id)
+}
+
+func (d *Demo) bookAndRead(ctx context.Context) (string, error) {
+	for i := range demoHosts {
+		writer, err := d.connect(ctx, i, "customer1", "route1", "demo")
+		if err != nil {
+			return "", err
+		}
+		defer writer.Close(ctx)
+		id := fmt.Sprint("demo-", i)
+		if err := book(ctx, writer, id); err != nil {
+			return "", err
+		}
+		reader, err := d.connect(ctx, (i+1)%demoHosts, "customer1", "route1", "demo")
+		if err != nil {
+			return "", err
+		}
+		defer reader.Close(ctx)
+		if err := paid(ctx, reader, id); err != nil {
+			return "", err
+		}
+	}
+	return "each of three bookings was seen at once through another host", nil
+}
+
+// edit publishes a change and waits until it is in force on all running hosts.
+func (d *Demo) edit(ctx context.Context, change func(configurer.Set) (configurer.Set, error)) (time.Duration, error) {
+	revision, err := d.fleet.Publisher().Update(ctx, change)
+	if err != nil {
+		return 0, err
+	}
+	return d.fleet.AwaitRevision(ctx, revision)
+}
+
+func (d *Demo) withdrawKey(ctx context.Context) (string, error) {
+	conn, err := d.connect(ctx, 1, "customer2", "route1", "")
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	if _, err := conn.Exec(ctx, "SELECT 1"); err != nil {
+		return "", errors.Wrap(err, "request before the withdrawal")
+	}
+	took, err := d.edit(ctx, func(set configurer.Set) (configurer.Set, error) {
+		key := set.Keys[KeyName("customer2")]
+		key.Withdrawn = true
+		return set.WithKey(key), nil
+	})
+	if err != nil {
+		return "", err
+	}
+	if _, err := conn.Exec(ctx, "SELECT 1"); err == nil {
+		return "", errors.New("a connected caller was served on a withdrawn key")
+	}
+	_, err = d.connect(ctx, 0, "customer2", "route1", "")
+	if code := codeOf(err); code != executor.CodeInvalidAuthorization {
+		return "", errors.Errorf("new caller on a withdrawn key got %q (%v)", code, err)
+	}
+	return fmt.Sprintf("in force on all hosts after %v; connected and new callers are refused", took.Round(time.Millisecond)), nil
+}
+
+func codeOf(err error) string {
+	var refusal *pgconn.PgError
+	if errors.As(err, &refusal) {
+		return refusal.Code
+	}
+	return ""
+}
+
+func (d *Demo) failPrimary(ctx context.Context) (string, error) {
+	conn, err := d.connect(ctx, 0, "customer1", "route1", "demo")
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	group := d.fleet.Groups["ledger1"]
+	before := group.Primary()
+	if err := group.Kill(before); err != nil {
+		return "", err
+	}
+	start := time.Now()
+	tries := 0
+	for {
+		tries++
+		err := book(ctx, conn, fmt.Sprint("after-failover-", tries))
+		if err == nil {
+			break
+		}
+		code := codeOf(err)
+		if code != executor.CodeOutcomeUnknown && code != executor.CodeStatementUnknown {
+			return "", errors.Wrap(err, "neither booked nor outcome unknown")
+		}
+	}
+	gap := time.Since(start)
+	if err := paid(ctx, conn, "demo-0"); err != nil {
+		return "", err
+	}
+	if err := paid(ctx, conn, fmt.Sprint("after-failover-", tries)); err != nil {
+		return "", err
+	}
+	if after := group.Primary(); after == before {
+		return "", errors.Errorf("primary is still %s", before)
+	}
+	if err := group.Restart(before); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("primary moved from %s to %s; booked again after %v; earlier bookings are all there", before, group.Primary(), gap.Round(time.Millisecond)), nil
+}
+
+func (d *Demo) takeDataCentreOut(ctx context.Context) (string, error) {
+	taken := d.fleet.Hosts[2].DataCentre
+	setTaken := func(out bool) func(configurer.Set) (configurer.Set, error) {
+		return func(set configurer.Set) (configurer.Set, error) {
+			dataCentre := set.DataCentres[taken]
+			dataCentre.TakenOut = out
+			return set.WithDataCentre(dataCentre), nil
+		}
+	}
+	conn, err := d.connect(ctx, 0, "customer1", "route1", "demo")
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	if _, err := d.edit(ctx, setTaken(true)); err != nil {
+		return "", err
+	}
+	booked := 0
+	for start := time.Now(); time.Since(start) < 3*time.Second; booked++ {
+		if err := book(ctx, conn, fmt.Sprint("during-", booked)); err != nil {
+			return "", err
+		}
+	}
+	last := d.fleet.lastWorkIn(taken)
+	time.Sleep(300 * time.Millisecond)
+	if now := d.fleet.lastWorkIn(taken); now.After(last) {
+		return "", errors.Errorf("data centre %s still gets work", taken)
+	}
+	_, err = d.connect(ctx, 2, "customer1", "route1", "")
+	if code := codeOf(err); code != executor.CodeStopping {
+		return "", errors.Errorf("host of the data centre answers %q (%v)", code, err)
+	}
+	if _, err := d.edit(ctx, setTaken(false)); err != nil {
+		return "", err
+	}
+	back, err := d.connect(ctx, 2, "customer1", "route1", "demo")
+	if err != nil {
+		return "", err
+	}
+	defer back.Close(ctx)
+	if err := paid(ctx, back, "during-0"); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d bookings while %s left, none refused; no work there afterwards; it serves again", booked, taken), nil
+}
+
+func (d *Demo) stopHost(ctx context.Context) (string, error) {
+	conn, err := d.connect(ctx, 0, "customer1", "route1", "demo")
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.fleet.StopHost(ctx, d.fleet.Hosts[1])
+	}()
+	booked := 0
+	for running := true; running; booked++ {
+		select {
+		case <-stopped:
+			running = false
+		default:
+		}
+		if err := book(ctx, conn, fmt.Sprint("stopping-", booked)); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("%d bookings through another host while it stopped, none refused or cut", booked), nil
+}
+
+// lastWorkIn returns when a database in the data centre last began a statement.
+func (f *Fleet) lastWorkIn(dataCentre string) time.Time {
+	var last time.Time
+	for _, group := range f.Groups {
+		for _, m := range group.Members {
+			if at := group.Stats(m.Name).LastStatement; m.DataCentre == dataCentre && at.After(last) {
+				last = at
+			}
+		}
+	}
+	return last
+}
+
+// AwaitRevision waits until the revision is in force on all running hosts and
+// returns how long that took.
+func (f *Fleet) AwaitRevision(ctx context.Context, revision uint64) (time.Duration, error) {
+	start := time.Now()
+	for {
+		behind := ""
+		for _, h := range f.Hosts {
+			if s := h.Server(); s != nil && s.Set().Revision < revision {
+				behind = h.Name
+			}
+		}
+		if behind == "" {
+			return time.Since(start), nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, errors.Errorf("revision %d is not in force on host %s", revision, behind)
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/measurer/result.go
@@ -0,0 +1,193 @@
+package measurer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Options are what the command line gives a measure.
+type Options struct {
+	// Seed makes load and faults repeatable.
+	Seed uint64
+	// Duration replaces the measure's own duration of its main phase unless it
+	// is 0.
+	Duration time.Duration
+	// Logger gets the log lines of hosts and stand-ins.
+	Logger *slog.Logger
+}
+
+// duration returns the duration of the main phase.
+func (o Options) duration(usual time.Duration) time.Duration {
+	if o.Duration > 0 {
+		return o.Duration
+	}
+	return usual
+}
+
+// A Comparison says on which side of its target a figure has to be.
+type Comparison string
+
+// The comparisons of targets.
+const (
+	AtMost  Comparison = "<="
+	AtLeast Comparison = ">="
+)
+
+// A Figure is one number of a measure.
+type Figure struct {
+	// Name is in snake case and ends in its unit.
+	Name  string
+	Value float64
+	// Baseline is the figure of the naive baseline in the same run, if
+	// HasBaseline.
+	Baseline    float64
+	HasBaseline bool
+	// Target is what Value is compared with, if Comparison is not empty.
+	Comparison Comparison
+	Target     float64
+}
+
+// Met reports whether the figure reaches its target. A figure that is not a
+// number never does.
+func (f Figure) Met() bool {
+	switch f.Comparison {
+	case AtMost:
+		return f.Value <= f.Target
+	case AtLeast:
+		return f.Value >= f.Target
+	default:
+		return !math.IsNaN(f.Value)
+	}
+}
+
+// WithBaseline returns a copy of f that carries the baseline's figure.
+func (f Figure) WithBaseline(value float64) Figure {
+	f.Baseline, f.HasBaseline = value, true
+	return f
+}
+
+// NewFigure returns a figure with a target.
+func NewFigure(name string, value float64, comparison Comparison, target float64) Figure {
+	return Figure{Name: name, Value: value, Comparison: comparison, Target: target}
+}
+
+// Info returns a figure without a target.
+func Info(name string, value float64) Figure { return Figure{Name: name, Value: value} }
+
+// A Series is a figure over time, for a plot.
+type Series struct {
+	Name string
+	// Unit labels the vertical axis.
+	Unit   string
+	Points []Point
+}
+
+// A Point is a value at a time since the start of the measure.
+type Point struct {
+	At    time.Duration
+	Value float64
+}
+
+// A Result is what a measure found.
+type Result struct {
+	Measure string
+	Seed    uint64
+	Elapsed time.Duration
+	Figures []Figure
+	Series  []Series
+}
+
+// Met reports whether every figure reaches its target.
+func (r Result) Met() bool {
+	for _, f := range r.Figures {
+		if !f.Met() {
+			return false
+		}
+	}
+	return len(r.Figures) > 0
+}
+
+// WriteText writes the result as one line of key=value pairs.
+func (r Result) WriteText(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "measure=%s seed=%d", r.Measure, r.Seed)
+	for _, f := range r.Figures {
+		fmt.Fprintf(&b, " %s=%.6g", f.Name, f.Value)
+		if f.HasBaseline {
+			fmt.Fprintf(&b, " baseline_%s=%.6g", f.Name, f.Baseline)
+		}
+		if f.Comparison != "" {
+			fmt.Fprintf(&b, " target_%s=%q", f.Name, fmt.Sprintf("%s %.6g", f.Comparison, f.Target))
+		}
+	}
+	fmt.Fprintf(&b, " elapsed=%v met=%v\n", r.Elapsed.Round(time.Millisecond), r.Met())
+	_, err := io.WriteString(w, b.String())
+	return errors.WithStack(err)
+}
+
+type wireResult struct {
+	Measure string       `json:"measure"`
+	Seed    uint64       `json:"seed"`
+	Elapsed string       `json:"elapsed"`
+	Figures []wireFigure `json:"figures"`
+	Met     bool         `json:"met"`
+}
+
+type wireFigure struct {
+	Name     string   `json:"name"`
+	Value    float64  `json:"value"`
+	Baseline *float64 `json:"baseline,omitempty"`
+	Target   string   `json:"target,omitempty"`
+	Met      bool     `json:"met"`
+}
+
+// WriteJSON writes the result as one JSON object on a line.
+func (r Result) WriteJSON(w io.Writer) error {
+	wire := wireResult{Measure: r.Measure, Seed: r.Seed, Elapsed: r.Elapsed.String(), Met: r.Met()}
+	for _, f := range r.Figures {
+		figure := wireFigure{Name: f.Name, Value: finite(f.Value), Met: f.Met()}
+		if f.HasBaseline {
+			baseline := finite(f.Baseline)
+			figure.Baseline = &baseline
+		}
+		if f.Comparison != "" {
+			figure.Target = fmt.Sprintf("%s %.6g", f.Comparison, f.Target)
+		}
+		wire.Figures = append(wire.Figures, figure)
+	}
+	return errors.WithStack(json.NewEncoder(w).Encode(wire))
+}
+
+// finite replaces values that JSON cannot carry.
+func finite(v float64) float64 {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return math.MaxFloat64
+	}
+	return v
+}
+
+// A Measure is one thing that can be measured.
+type Measure struct {
+	Name string
+	// Describes says in one line what is measured.
+	Describes string
+	// Run measures. Errors say that the measure could not be taken at all.
+	Run func(ctx context.Context, options Options) ([]Figure, []Series, error)
+}
+
+// Take runs the measure.
+func (m Measure) Take(ctx context.Context, options Options) (Result, error) {
+	start := time.Now()
+	figures, series, err := m.Run(ctx, options)
+	return Result{
+		Measure: m.Name, Seed: options.Seed, Elapsed: time.Since(start), Figures: figures, Series: series,
+	}, errors.WithMessage(err, m.Name)
+}
--- /dev/null
+++ b/publish.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/endiveturn/endiveturn/configurer"
+)
+
+// A publishCommand publishes a folder of configuration objects.
+type publishCommand struct {
+	storeOptions
+	confirmOptions
+	DryRun bool `long:"dry-run" description:"check, show the difference, and stop"`
+	Args   struct {
+		Folder string `positional-arg-name:"DIR" description:"folder of JSON files"`
+	} `positional-args:"yes" required:"yes"`
+
+	env *environment
+}
+
+// Execute implements flags.Commander.
+func (c *publishCommand) Execute([]string) error {
+	set, err := c.env.readFolder(c.Args.Folder)
+	if err != nil {
+		return err
+	}
+	publisher, closeStore := c.open(c.env)
+	defer closeStore()
+	current, err := publisher.Current(c.env.ctx)
+	if err != nil {
+		return err
+	}
+	changes, err := publisher.DryRun(c.env.ctx, set, current.Revision)
+	if err != nil {
+		return err
+	}
+	c.env.printChanges(current, changes)
+	if c.DryRun || len(changes) == 0 {
+		return nil
+	}
+	revision, err := publisher.Publish(c.env.ctx, set, current.Revision)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.env.stdout, "published revision %d\n", revision)
+	return c.await(c.env, revision)
+}
+
+func (e *environment) printChanges(current configurer.Set, changes []configurer.Change) {
+	fmt.Fprintf(e.stdout, "revision %d is in force; %d changes\n", current.Revision, len(changes))
+	for _, change := range changes {
+		fmt.Fprintln(e.stdout, change)
+	}
+}
--- a/run.go
+++ b/run.go
@@ -1,16 +1,102 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// Exit codes of the commands.
+const (
+	exitOK = 0
+	// exitFailed says that the command did not do what it was asked to.
+	exitFailed = 1
+	// exitUsage says that the command line was wrong.
+	exitUsage = 2
+	// exitUnconfirmed says that a set is published, but some hosts have not
+	// confirmed it in time.
+	exitUnconfirmed = 3
 )
 
+// errUnconfirmed says that not all hosts have confirmed a revision.
+var errUnconfirmed = errors.New("published, but not confirmed by all hosts")
+
+// An environment is what a command gets from outside.
+type environment struct {
+	ctx    context.Context
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+	now    func() time.Time
+}
+
+// logger writes one key=value line per event to stderr.
+func (e *environment) logger(level slog.Level) *slog.Logger {
+	return slog.New(slog.NewTextHandler(e.stderr, &slog.HandlerOptions{Level: level}))
+}
+
 // run executes the command line and returns the exit code.
-func run(args []string, _ io.Reader, stdout, stderr io.Writer) int {
-	if len(args) == 0 {
-		fmt.Fprintln(stderr, "usage: endiveturn COMMAND")
-		return 2
+func run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	env := &environment{ctx: ctx, stdin: stdin, stdout: stdout, stderr: stderr, now: time.Now}
+	return env.run(args)
+}
+
+func (e *environment) run(args []string) int {
+	parser, err := e.parser()
+	if err != nil {
+		fmt.Fprintln(e.stderr, "endiveturn:", err)
+		return exitFailed
+	}
+	_, err = parser.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(e.stdout, usage.Message)
+		return exitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(e.stderr, "endiveturn:", usage.Message)
+		return exitUsage
+	case errors.Is(err, errUnconfirmed):
+		fmt.Fprintln(e.stderr, "endiveturn:", err)
+		return exitUnconfirmed
+	default:
+		fmt.Fprintln(e.stderr, "endiveturn:", err)
+		return exitFailed
+	}
+}
+
+func (e *environment) parser() (*flags.Parser, error) {
+	parser := flags.NewNamedParser("endiveturn", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "a database proxy with session consistency"
+	for _, c := range []struct {
+		name, short string
+		command     flags.Commander
+	}{
+		{"serve", "Run one host", &serveCommand{env: e}},
+		{"check", "Check a folder of configuration objects", &checkCommand{env: e}},
+		{"publish", "Check and publish a folder of configuration objects", &publishCommand{env: e}},
+		{"take-out", "Take a data centre, host or database out of service", &takeOutCommand{takenOut: true, env: e}},
+		{"bring-back", "Bring a data centre, host or database back into service", &takeOutCommand{env: e}},
+		{"status", "Show hosts, services and customers", &statusCommand{env: e}},
+		{"verifier", "Make the verifier of a key from its secret on standard input", &verifierCommand{env: e}},
+		{"demo", "Show the product on stand-ins in this process", &demoCommand{env: e}},
+		{"measure", "Put load and faults on stand-ins and measure", &measureCommand{env: e}},
+		{"standin", "Run a stand-in of the store or of a database group", &standinCommand{env: e, Store: standinStoreCommand{env: e}, Group: standinGroupCommand{env: e}}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, c.short+".", c.command); err != nil {
+			return nil, errors.Wrapf(err, "command %s", c.name)
+		}
 	}
-	fmt.Fprintln(stdout, args[0])
-	return 0
+	return parser, nil
 }
--- /dev/null
+++ b/serve.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/endiveturn/endiveturn/server"
+	"github.com/endiveturn/endiveturn/storer"
+)
+
+// A serveCommand runs one host until it is told to stop.
+type serveCommand struct {
+	DryRun bool `long:"dry-run" description:"check the settings and stop"`
+	Args   struct {
+		Settings string `positional-arg-name:"SETTINGS" description:"settings file in JSON"`
+	} `positional-args:"yes" required:"yes"`
+
+	env *environment
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	settings, err := server.ReadSettings(c.Args.Settings)
+	if err != nil {
+		return err
+	}
+	if _, err := settings.TLS(); err != nil {
+		return err
+	}
+	if c.DryRun {
+		fmt.Fprintf(c.env.stdout, "settings of host %s are valid\n", settings.Host)
+		return nil
+	}
+	logger := c.env.logger(settings.LogLevel)
+	store := &storer.Client{Addresses: settings.StoreAddresses, Timeout: settings.StoreTimeout, Logger: logger}
+	defer store.Close()
+	s := &server.Server{Settings: settings, Store: store, Logger: logger}
+	ctx := context.WithoutCancel(c.env.ctx)
+	if err := s.Prepare(ctx); err != nil {
+		return err
+	}
+	unhook := context.AfterFunc(c.env.ctx, func() {
+		stop, cancel := context.WithTimeout(ctx, settings.StopTimeout)
+		defer cancel()
+		s.Stop(stop)
+	})
+	defer unhook()
+	return s.Run(ctx)
+}
--- /dev/null
+++ b/standin.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"encoding/json"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/groupemulator"
+	"github.com/endiveturn/endiveturn/storeemulator"
+)
+
+// A standinCommand runs a stand-in until it is told to stop.
+type standinCommand struct {
+	Store standinStoreCommand `command:"store" description:"run a stand-in of the platform's store"`
+	Group standinGroupCommand `command:"group" description:"run a stand-in of a database group"`
+
+	env *environment
+}
+
+// Execute implements flags.Commander. go-flags calls it only without a
+// subcommand, which it refuses itself.
+func (c *standinCommand) Execute([]string) error { return errors.New("store or group is required") }
+
+type standinStoreCommand struct {
+	Address string `long:"address" default:"127.0.0.1:2379" description:"address to listen on"`
+
+	env *environment
+}
+
+// Execute implements flags.Commander.
+func (c *standinStoreCommand) Execute([]string) error {
+	e := &storeemulator.Emulator{Address: c.Address, Logger: c.env.logger(slog.LevelInfo)}
+	return e.Run(c.env.ctx)
+}
+
+type standinGroupCommand struct {
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"group description in JSON"`
+	} `positional-args:"yes" required:"yes"`
+
+	env *environment
+}
+
+// Execute implements flags.Commander.
+func (c *standinGroupCommand) Execute([]string) error {
+	content, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return errors.Wrap(err, "read group description")
+	}
+	group, err := parseGroup(content)
+	if err != nil {
+		return errors.WithMessage(err, c.Args.File)
+	}
+	group.Logger = c.env.logger(slog.LevelInfo)
+	return group.Run(c.env.ctx)
+}
+
+type wireGroup struct {
+	Service  string       `json:"service"`
+	User     string       `json:"user"`
+	Password string       `json:"password"`
+	Members  []wireMember `json:"members"`
+}
+
+type wireMember struct {
+	Name          string `json:"name"`
+	DataCentre    string `json:"data_centre"`
+	Address       string `json:"address"`
+	Slots         int    `json:"slots"`
+	Connections   int    `json:"connections"`
+	ApplyLag      string `json:"apply_lag"`
+	StatementCost string `json:"statement_cost"`
+}
+
+func parseGroup(content []byte) (*groupemulator.Group, error) {
+	var wire wireGroup
+	if err := json.Unmarshal(content, &wire); err != nil {
+		return nil, errors.Wrap(err, "group description")
+	}
+	if len(wire.Members) == 0 {
+		return nil, errors.New("members: a group needs at least one database")
+	}
+	group := &groupemulator.Group{Service: wire.Service, User: wire.User, Password: wire.Password}
+	for _, m := range wire.Members {
+		member := groupemulator.Member{
+			Name: m.Name, DataCentre: m.DataCentre, Address: m.Address,
+			Slots: max(1, m.Slots), Connections: max(1, m.Connections),
+		}
+		for _, d := range []struct {
+			field string
+			text  string
+			value *time.Duration
+		}{{"apply_lag", m.ApplyLag, &member.ApplyLag}, {"statement_cost", m.StatementCost, &member.StatementCost}} {
+			if d.text == "" {
+				continue
+			}
+			duration, err := time.ParseDuration(d.text)
+			if err != nil {
+				return nil, errors.Wrapf(err, "database %s: %s", m.Name, d.field)
+			}
+			*d.value = duration
+		}
+		group.Members = append(group.Members, member)
+	}
+	return group, nil
+}
--- /dev/null
+++ b/takeout.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/configurer"
+)
+
+// Kinds of objects that can be taken out of service.
+const (
+	kindDataCentre = "data-centre"
+	kindHost       = "host"
+	kindDatabase   = "database"
+)
+
+// A takeOutCommand takes an object out of service or brings it back.
+type takeOutCommand struct {
+	storeOptions
+	confirmOptions
+	DryRun bool `long:"dry-run" description:"check, show the difference, and stop"`
+	Args   struct {
+		Kind string `positional-arg-name:"KIND" choice:"data-centre" choice:"host" choice:"database" description:"data-centre, host or database"`
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes" required:"yes"`
+
+	takenOut bool
+	env      *environment
+}
+
+// Execute implements flags.Commander.
+func (c *takeOutCommand) Execute([]string) error {
+	publisher, closeStore := c.open(c.env)
+	defer closeStore()
+	if c.DryRun {
+		return c.dryRun(publisher)
+	}
+	revision, err := publisher.Update(c.env.ctx, c.edit)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.env.stdout, "published revision %d\n", revision)
+	return c.await(c.env, revision)
+}
+
+func (c *takeOutCommand) dryRun(publisher *configurer.Publisher) error {
+	current, err := publisher.Current(c.env.ctx)
+	if err != nil {
+		return err
+	}
+	next, err := c.edit(current)
+	if err != nil {
+		return err
+	}
+	changes, err := publisher.DryRun(c.env.ctx, next, current.Revision)
+	if err != nil {
+		return err
+	}
+	c.env.printChanges(current, changes)
+	return nil
+}
+
+// edit returns the set with the object taken out or brought back.
+func (c *takeOutCommand) edit(set configurer.Set) (configurer.Set, error) {
+	name := c.Args.Name
+	switch c.Args.Kind {
+	case kindDataCentre:
+		dataCentre, ok := set.DataCentres[name]
+		if !ok {
+			return set, errors.Errorf("no data centre %s", name)
+		}
+		dataCentre.TakenOut = c.takenOut
+		return set.WithDataCentre(dataCentre), nil
+	case kindDatabase:
+		database, ok := set.Databases[name]
+		if !ok {
+			return set, errors.Errorf("no database %s", name)
+		}
+		database.TakenOut = c.takenOut
+		return set.WithDatabase(database), nil
+	case kindHost:
+		return set.WithHost(configurer.Host{Name: name, TakenOut: c.takenOut}), nil
+	default:
+		return set, errors.Errorf("kind %s is none of data-centre, host, database", c.Args.Kind)
+	}
+}
