Test the holder's failures, bounds and flow

Cause: only one test covered the batch path. Conclusion: the failures that the design names are covered against a small fake database; the emulator is not used yet.

--- a/holder/fake_test.go
+++ b/holder/fake_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -18,7 +19,7 @@
 // returns customer and applied offset, INSERT commits, BEGIN, COMMIT, ROLLBACK,
 // SLEEP waits for a cancel, LOSE commits and closes without an answer, TEAR
 // closes in the middle of an answer, BIG n returns n rows of 1 KB, PAUSE takes
-// 5 ms.
+// 5 ms, LATE answers after 300 ms whatever comes.
 type fakeDatabase struct {
 	name     string
 	address  string
@@ -31,6 +32,8 @@
 	sessions map[*fakeSession]bool
 	// limit is the number of connections above which a startup is refused.
 	limit int
+	// down refuses every startup.
+	down bool
 	// refuse is the SQLSTATE with which the next statement is refused.
 	refuse string
 	// log holds customer and text of each statement that ran.
@@ -58,7 +61,8 @@
 
 func newFakeDatabase(t *testing.T, name string, replica bool) *fakeDatabase {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -167,7 +171,9 @@
 	}
 	code := ""
 	d.set(func() {
-		if start.Parameters["group_term"] != fmt.Sprint(d.term) {
+		if d.down {
+			code = "57P03"
+		} else if start.Parameters["group_term"] != fmt.Sprint(d.term) {
 			code = "GT001"
 		} else if len(d.sessions) >= d.limit {
 			code = "53300"
@@ -291,6 +297,9 @@
 			return true
 		case <-time.After(10 * time.Second):
 		}
+	case "LATE":
+		time.Sleep(300 * time.Millisecond)
+		s.row("late")
 	case "PAUSE":
 		time.Sleep(5 * time.Millisecond)
 	case "LOSE":
@@ -304,17 +313,26 @@
 	case "BIG":
 		var n int
 		_, _ = fmt.Sscan(rest, &n)
-		for range n {
-			s.row(strings.Repeat("x", 1024))
-			if s.backend.Flush() != nil {
-				return false
-			}
+		if s.backend.Flush() != nil || !s.sendRows(n) {
+			return false
 		}
 	}
 	s.complete(word)
 	return true
 }
 
+// sendRows sends rows of 1 KB without allocating memory for each.
+func (s *fakeSession) sendRows(n int) bool {
+	row := pgproto3.DataRow{Values: [][]byte{bytes.Repeat([]byte("x"), 1024)}}
+	data, err := row.Encode(nil)
+	for range n {
+		if err == nil {
+			_, err = s.network.Write(data)
+		}
+	}
+	return err == nil
+}
+
 func (s *fakeSession) row(value string) {
 	s.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
 }
--- /dev/null
+++ b/holder/flow_test.go
@@ -0,0 +1,304 @@
+package holder
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/promoter"
+)
+
+// TestBoundsUnderLoad guards against more statements than slots and more
+// connections than configured, with reads, writes, transactions, cancels and
+// lost answers at once.
+func TestBoundsUnderLoad(t *testing.T) {
+	b := newBench(t, nil)
+	for _, d := range b.databases {
+		d.limit = 6
+	}
+	end := time.Now().Add(time.Second)
+	var group sync.WaitGroup
+	for worker := range 40 {
+		group.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				exchange, err := b.Open(context.Background(), executor.Attributes{Service: "orders", Customer: "acme", Session: fmt.Sprint(worker)})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				switch (worker + i) % 5 {
+				case 0:
+					_, _, _ = run(exchange, query("BEGIN", executor.ClassBegin))
+					_, _, _ = run(exchange, query("PAUSE", executor.ClassWrite))
+					_, _, _ = run(exchange, query("COMMIT", executor.ClassWrite))
+				case 1:
+					_, _, _ = run(exchange, query("LOSE", executor.ClassWrite))
+				case 2:
+					batch := query("SLEEP", executor.ClassRead)
+					batch.Deadline = 20 * time.Millisecond
+					_, _, _ = run(exchange, batch)
+				default:
+					_, _, _ = run(exchange, query("PAUSE", executor.Class((worker+i)%2)))
+				}
+				_ = exchange.Close()
+			}
+		})
+	}
+	group.Wait()
+	for _, d := range b.databases {
+		d.set(func() {
+			if d.maxRunning > 3 || d.maxOpen > 6 {
+				t.Errorf("%s: %d statements and %d connections at once, want at most 3 and 6", d.name, d.maxRunning, d.maxOpen)
+			}
+			if len(d.log) < 20 {
+				t.Errorf("%s ran %d statements only", d.name, len(d.log))
+			}
+		})
+	}
+	for wait := 0; b.Stats().Writing > 0 && wait < 100; wait++ {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, d := range b.Stats().Databases {
+		if d.Load.Running != 0 || d.Load.Queued != 0 || d.Load.Pinned != 0 || d.Connections.Used != 0 {
+			t.Errorf("%s after the load: %+v", d.Name, d)
+		}
+	}
+}
+
+// A slowWriter pauses after every 4 MB and records the largest live heap.
+type slowWriter struct {
+	total   int
+	largest uint64
+}
+
+// liveHeap returns the size of what is reachable.
+func liveHeap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	w.total += len(p)
+	if w.total%(4<<20) < len(p) {
+		time.Sleep(10 * time.Millisecond)
+		w.largest = max(w.largest, liveHeap())
+	}
+	return len(p), nil
+}
+
+// TestBackPressure guards against an answer that is collected in memory while the
+// caller is slow.
+func TestBackPressure(t *testing.T) {
+	for _, class := range []executor.Class{executor.ClassRead, executor.ClassWrite} {
+		b := newBench(t, nil)
+		before := liveHeap()
+		w := &slowWriter{}
+		batch := query("BIG 100000", class)
+		batch.Deadline = 30 * time.Second
+		if _, err := b.open(t, "s").Run(context.Background(), batch, w); err != nil {
+			t.Fatal(err)
+		}
+		if got := w.total; got < 100_000_000 {
+			t.Errorf("answer = %d bytes, want at least 100 MB", got)
+		}
+		if got, limit := int64(w.largest)-int64(before), int64(1<<20); got > limit {
+			t.Errorf("heap grew by %d bytes, want at most %d", got, limit)
+		}
+	}
+}
+
+// TestPauseWrites guards against a planned change of primary that interrupts a
+// write or a transaction, and against writes that are refused meanwhile.
+func TestPauseWrites(t *testing.T) {
+	b := newBench(t, nil)
+	transaction := b.open(t, "s1")
+	mustRun(t, transaction, "BEGIN", executor.ClassBegin)
+	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := b.PauseWrites(short); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("pause with an open transaction = %v, want a timeout", err)
+	}
+	mustRun(t, b.open(t, "s2"), "INSERT", executor.ClassWrite)
+	paused := make(chan func(), 1)
+	go func() {
+		resume, err := b.PauseWrites(context.Background())
+		if err != nil {
+			t.Error(err)
+		}
+		paused <- resume
+	}()
+	time.Sleep(20 * time.Millisecond)
+	written := make(chan error, 1)
+	go func() {
+		_, _, err := run(b.open(t, "s3"), query("INSERT", executor.ClassWrite))
+		written <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	mustRun(t, transaction, "INSERT", executor.ClassWrite)
+	mustRun(t, transaction, "COMMIT", executor.ClassWrite)
+	resume := <-paused
+	mustRun(t, b.open(t, "s4"), "SELECT", executor.ClassRead)
+	if got, want := b.databases[0].count("INSERT"), 2; got != want {
+		t.Errorf("writes while paused = %d, want %d", got, want)
+	}
+	resume()
+	if err := <-written; err != nil {
+		t.Errorf("paused write: %v", err)
+	}
+}
+
+// TestDrain guards against queued batches that are lost or run at a leaving
+// holder, and against open transactions that are interrupted.
+func TestDrain(t *testing.T) {
+	b := newBench(t, nil)
+	transaction := b.open(t, "s1")
+	mustRun(t, transaction, "BEGIN", executor.ClassBegin)
+	waiting := make(chan error, 1)
+	idle := b.open(t, "s2")
+	b.group.change(func(v *promoter.View) { v.LeaseUntil = time.Now() })
+	go func() {
+		_, _, err := run(b.open(t, "s3"), query("INSERT", executor.ClassWrite))
+		waiting <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	drained := make(chan error, 1)
+	go func() { drained <- b.Drain(context.Background()) }()
+	wantRefusal(t, <-waiting, executor.CodeCannotServe, executor.Moved)
+	_, _, err := run(idle, query("SELECT", executor.ClassRead))
+	wantRefusal(t, err, executor.CodeCannotServe, executor.Moved)
+	_, err = b.Open(context.Background(), executor.Attributes{Customer: "acme", Session: "s4"})
+	wantRefusal(t, err, executor.CodeCannotServe, executor.Moved)
+	b.group.change(func(v *promoter.View) { v.LeaseUntil = time.Now().Add(time.Hour) })
+	mustRun(t, transaction, "INSERT", executor.ClassWrite)
+	select {
+	case err := <-drained:
+		t.Errorf("drained with an open transaction: %v", err)
+	default:
+	}
+	if _, result := mustRun(t, transaction, "COMMIT", executor.ClassWrite); result.Position.IsZero() {
+		t.Error("transaction committed nothing")
+	}
+	if err := <-drained; err != nil {
+		t.Errorf("drain: %v", err)
+	}
+	for wait := 0; wait < 100; wait++ {
+		open := 0
+		for _, d := range b.Stats().Databases {
+			open += d.Connections.Open
+		}
+		if open == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("connections stay open after the drain")
+}
+
+// TestPreparedStatements guards against statements that a connection lacks, has
+// twice, or whose extra answers reach the caller.
+func TestPreparedStatements(t *testing.T) {
+	b := newBench(t, nil)
+	statement := executor.Statement{Name: "et_1", Query: "SELECT"}
+	execute := batchOf(&pgproto3.Bind{PreparedStatement: "et_1"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	execute.Statements = []executor.Statement{statement}
+	define := batchOf(&pgproto3.Parse{Name: "et_1", Query: "SELECT"}, &pgproto3.Sync{})
+	tests := []struct {
+		name  string
+		batch executor.Batch
+		want  []string
+	}{
+		{"prepares what is missing", execute, []string{"*pgproto3.BindComplete", "*pgproto3.DataRow", "*pgproto3.CommandComplete"}},
+		{"uses what is there", execute, []string{"*pgproto3.BindComplete", "*pgproto3.DataRow", "*pgproto3.CommandComplete"}},
+		{"parses again", define, []string{"*pgproto3.ParseComplete"}},
+		{"close of the caller is answered", batchOf(&pgproto3.Close{ObjectType: 'S', Name: "x"}, &pgproto3.Sync{}), []string{"*pgproto3.CloseComplete"}},
+		{"missing statement", batchOf(&pgproto3.Bind{PreparedStatement: "et_2"}, &pgproto3.Sync{}), []string{"*pgproto3.ErrorResponse"}},
+	}
+	for _, test := range tests {
+		for range 4 {
+			messages, _, err := run(b.open(t, "s"), test.batch)
+			if err != nil {
+				t.Fatalf("%s: %v", test.name, err)
+			}
+			var got []string
+			for _, message := range messages {
+				got = append(got, fmt.Sprintf("%T", message))
+			}
+			if fmt.Sprint(got) != fmt.Sprint(test.want) {
+				t.Errorf("%s: answer = %v, want %v", test.name, got, test.want)
+			}
+		}
+	}
+}
+
+func batchOf(messages ...pgproto3.FrontendMessage) executor.Batch {
+	batch := executor.Batch{Class: executor.ClassWrite, Deadline: time.Second}
+	for _, message := range messages {
+		var err error
+		if batch.Messages, err = message.Encode(batch.Messages); err != nil {
+			panic(err)
+		}
+	}
+	return batch
+}
+
+// TestCustomers guards against statements that run for another customer than the
+// one whose key was shown.
+func TestCustomers(t *testing.T) {
+	b := newBench(t, nil)
+	var group sync.WaitGroup
+	for worker := range 10 {
+		customer := []string{"acme", "apex"}[worker%2]
+		group.Go(func() {
+			for range 50 {
+				exchange, err := b.Open(context.Background(), executor.Attributes{Service: "orders", Customer: customer, Session: "s"})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				var answer bytes.Buffer
+				if _, err := exchange.Run(context.Background(), query("SELECT", executor.ClassWrite), &answer); err != nil {
+					t.Error(err)
+				} else if !bytes.Contains(answer.Bytes(), []byte(customer+" 0")) {
+					t.Errorf("answer for %s = %q", customer, answer.Bytes())
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// TestRefusals guards against batches that run without admission.
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(b *bench)
+		batch  executor.Batch
+		code   string
+	}{
+		{"revoked key", func(b *bench) {
+			b.CheckKey = func(executor.Attributes) *executor.Refusal { return executor.RefuseNotRun("28000", "key revoked") }
+		}, query("INSERT", executor.ClassWrite), "28000"},
+		{"no bucket", func(b *bench) { b.Limiter.Drop("orders") }, query("INSERT", executor.ClassWrite), "57P03"},
+		{"malformed", nil, executor.Batch{Messages: []byte{'Q', 0, 0, 0, 99}, Deadline: time.Second}, "08P01"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, test.change)
+			_, _, err := run(b.open(t, "s"), test.batch)
+			wantRefusal(t, err, test.code, executor.NotRun)
+			if got := b.databases[0].count("INSERT"); got != 0 {
+				t.Errorf("writes = %d, want 0", got)
+			}
+		})
+	}
+}
--- a/holder/route.go
+++ b/holder/route.go
@@ -94,6 +94,10 @@
 	if h.Counters.Queued != nil {
 		h.Counters.Queued(r.exchange.attributes.Customer, h.Now().Sub(start))
 	}
+	if errors.Is(err, scheduler.ErrTooLate) && r.excluded != "" {
+		// The time was spent on a database that could not be reached.
+		return nil, executor.RefuseNotRun(executor.CodeCannotServe, "database "+r.excluded+" cannot be reached")
+	}
 	if err != nil {
 		return nil, refuseWaiting(r.waiting, err, executor.CodeTooManyQueued)
 	}
