Keep batches sent ahead from running outside a lost transaction

Cause: a caller that sends BEGIN, writes and COMMIT without waiting had its writes run one by one when BEGIN was refused or the transaction was lost. Change: such a connection ends with the refusal as a fatal error. A failed Open counts as not run, a transaction keeps its service when the route changes, and own settings in a failed transaction go to the database.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -26,7 +26,7 @@
 	DefaultWriteTimeout      = time.Minute
 	DefaultDeadline          = 30 * time.Second
 	DefaultMaxStatements     = 1024
-	DefaultMaxStatementBytes = 1 << 20
+	DefaultMaxStatementBytes = 256 << 10
 	DefaultMockIterations    = 4096
 )
 
--- a/acceptor/batch_test.go
+++ b/acceptor/batch_test.go
@@ -113,7 +113,7 @@
 		t.Errorf("the same text has the names %v, want one", names)
 	}
 	first := newPrepared(&pgproto3.Parse{Query: "SELECT $1", ParameterOIDs: []uint32{23}})
-	if names[first.endpointName] {
+	if names[first.endpointName()] {
 		t.Error("other parameter types have the same name")
 	}
 }
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -47,6 +47,9 @@
 	statements statements
 	// exchange is open during a transaction only.
 	exchange executor.Exchange
+	// exchangeService is the service of the last exchange. The route may lead
+	// to another before the transaction ends.
+	exchangeService string
 	// status is the state of the transaction. It is statusFailed without an
 	// exchange when the proxy rolled the transaction back.
 	status byte
--- a/acceptor/drivers_test.go
+++ b/acceptor/drivers_test.go
@@ -48,6 +48,11 @@
 // its query modes.
 func TestPgx(t *testing.T) {
 	f := newFixture(t, nil)
+	newer, err := pgx.Connect(t.Context(), f.url("acme-1", testSecret, "jobs")+"&max_protocol_version=3.2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer.Close(t.Context())
 	conn := connectPgx(t, f)
 	modes := []pgx.QueryExecMode{
 		pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec,
--- a/acceptor/own.go
+++ b/acceptor/own.go
@@ -18,14 +18,14 @@
 
 // runOwn answers a request of which no statement goes to an endpoint. After an
 // error, the rest up to Sync is skipped.
-func (c *connection) runOwn(p *plan, answer *answer) {
+func (c *connection) runOwn(p *plan, answer *answer) error {
 	portals := make(map[string]*prepared)
 	for _, step := range p.steps {
 		if refusal := c.runOwnStep(p, portals, step, answer); refusal != nil {
-			c.fail(answer, refusal)
-			return
+			return c.fail(p, answer, refusal)
 		}
 	}
+	return nil
 }
 
 // runOwnStep answers one message.
--- a/acceptor/place.go
+++ b/acceptor/place.go
@@ -33,6 +33,8 @@
 	// aborted is set if the proxy rolled the transaction back and the caller
 	// has not ended it yet.
 	aborted bool
+	// failed is set if the database waits for the end of a failed transaction.
+	failed bool
 	// deallocatable reports whether a prepared statement of the caller is kept
 	// by the acceptor.
 	deallocatable func(name string) bool
@@ -56,6 +58,16 @@
 	if s.aborted {
 		return s.placeAborted(statement.Kind)
 	}
+	where, refusal := s.placeActive(statement)
+	if where == placeOwn && s.failed {
+		// The database refuses everything but the end of the transaction.
+		where = placeEndpoint
+	}
+	return where, refusal
+}
+
+// placeActive places a statement outside a transaction that was rolled back.
+func (s *scope) placeActive(statement classifier.Statement) (place, *executor.Refusal) {
 	switch statement.Kind {
 	case classifier.KindEmpty:
 		return placeEither, nil
--- a/acceptor/plan.go
+++ b/acceptor/plan.go
@@ -50,6 +50,7 @@
 	p := &plan{connection: c, request: r, messages: r.messages[:0], class: executor.ClassRead}
 	p.inTransaction = c.status != statusIdle
 	p.aborted = c.status == statusFailed && c.exchange == nil
+	p.failed = c.status == statusFailed && c.exchange != nil
 	p.deallocatable = func(name string) bool { return name == "all" || c.statements.byName[name] != nil }
 	for i := range r.ends {
 		message, err := r.decode(i)
@@ -121,7 +122,7 @@
 	p.define(m.Name, defined)
 	if m.Name != "" {
 		renamed := *m
-		renamed.Name = defined.endpointName
+		renamed.Name = defined.endpointName()
 		m = &renamed
 	}
 	return p.encode(m)
@@ -278,13 +279,13 @@
 		if name == "" {
 			return statement, "", nil
 		}
-		return statement, statement.endpointName, nil
+		return statement, statement.endpointName(), nil
 	}
 	for _, r := range p.referred {
-		if r.Name == statement.endpointName {
-			return statement, statement.endpointName, nil
+		if r.Name == statement.endpointName() {
+			return statement, statement.endpointName(), nil
 		}
 	}
 	p.referred = append(p.referred, statement.executorStatement())
-	return statement, statement.endpointName, nil
+	return statement, statement.endpointName(), nil
 }
--- a/acceptor/serve.go
+++ b/acceptor/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
@@ -41,11 +42,11 @@
 	var fatal error
 	switch {
 	case p.refusal != nil:
-		c.fail(answer, p.refusal)
+		fatal = c.fail(p, answer, p.refusal)
 	case p.endpoint:
 		fatal = c.runBatch(ctx, p, granted, answer)
 	default:
-		c.runOwn(p, answer)
+		fatal = c.runOwn(p, answer)
 	}
 	if fatal == nil {
 		if p.request.last() != 'H' {
@@ -62,13 +63,19 @@
 
 // fail answers with a refusal of a batch of which nothing ran. As an error does
 // at a database, it aborts an open transaction: a caller that does not look at
-// errors must not commit the rest.
-func (c *connection) fail(answer *answer, refusal *executor.Refusal) {
-	if c.status != statusIdle {
+// errors must not commit the rest. If the batch was to begin a transaction and
+// the caller has sent more, that was meant for the transaction and must not run
+// outside it: the connection ends with the error that is returned.
+func (c *connection) fail(p *plan, answer *answer, refusal *executor.Refusal) error {
+	switch {
+	case c.status != statusIdle:
 		c.closeExchange()
 		c.status = statusFailed
+	case p.inTransaction && c.sentAhead():
+		return refusal
 	}
 	answer.fail(refusal)
+	return nil
 }
 
 // runBatch hands a batch to the exchange. An error ends the connection.
@@ -79,8 +86,7 @@
 			return refusal
 		}
 		if !stopping {
-			c.fail(answer, refusal)
-			return nil
+			return c.fail(p, answer, refusal)
 		}
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -93,7 +99,7 @@
 	c.batches++
 	result, err := c.runExchange(ctx, p, granted, answer)
 	c.define(p, answer)
-	outcome, err := c.conclude(granted, answer, result, err)
+	outcome, err := c.conclude(p, answer, result, err)
 	if c.acceptor.BatchDone != nil {
 		c.acceptor.BatchDone(c.acceptor.Now().Sub(started), outcome)
 	}
@@ -105,11 +111,23 @@
 	if c.exchange == nil {
 		exchange, err := c.acceptor.Opener.Open(ctx, c.attributes(granted))
 		if err != nil {
-			return executor.Result{}, err
+			return executor.Result{}, refuseOpen(ctx, err)
 		}
-		c.exchange = exchange
+		c.exchange, c.exchangeService = exchange, granted.service
+	}
+	return c.exchange.Run(ctx, c.batch(p, granted.deadline), answer)
+}
+
+// refuseOpen returns the refusal of a failed Open, which contacts no endpoint.
+func refuseOpen(ctx context.Context, err error) *executor.Refusal {
+	var refusal *executor.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case ctx.Err() != nil:
+		return executor.RefuseNotRun(executor.CodeQueryCanceled, "canceling statement due to user request")
 	}
-	return c.exchange.Run(ctx, c.batch(p, granted), answer)
+	return executor.RefuseNotRun(executor.CodeInternal, err.Error())
 }
 
 // attributes returns on whose behalf an exchange runs.
@@ -127,15 +145,14 @@
 	return attributes
 }
 
-// batch returns the batch of a plan.
-func (c *connection) batch(p *plan, granted access) executor.Batch {
-	deadline := granted.deadline
+// batch returns the batch of a plan; deadline is that of the service.
+func (c *connection) batch(p *plan, deadline time.Duration) executor.Batch {
 	if c.settings.deadline > 0 {
 		deadline = c.settings.deadline
 	}
 	return executor.Batch{
 		Messages: p.messages, Statements: p.referred, Class: p.class, Tainting: p.tainting,
-		Idempotent: c.settings.idempotent, Floor: c.settings.floorOf(granted.service),
+		Idempotent: c.settings.idempotent, Floor: c.settings.floorOf(c.exchangeService),
 		MaxAge: c.settings.maxAge, Deadline: deadline,
 	}
 }
@@ -162,13 +179,13 @@
 
 // conclude takes over the state of the transaction after a batch and tells the
 // caller what went wrong. An error ends the connection.
-func (c *connection) conclude(granted access, answer *answer, result executor.Result, err error) (string, error) {
+func (c *connection) conclude(p *plan, answer *answer, result executor.Result, err error) (string, error) {
 	if answer.err != nil {
 		c.closeExchange()
 		return OutcomeUnknown, errors.Wrap(answer.err, "answer")
 	}
 	if err != nil {
-		return c.concludeRefused(answer, executor.AsRefusal(err))
+		return c.concludeRefused(p, answer, executor.AsRefusal(err))
 	}
 	if !answer.scanner.between() {
 		c.closeExchange()
@@ -180,15 +197,14 @@
 		c.closeExchange()
 	}
 	if !result.Position.IsZero() {
-		c.settings.raise(granted.service, result.Position)
+		c.settings.raise(c.exchangeService, result.Position)
 		answer.send(&pgproto3.ParameterStatus{Name: settingToken, Value: c.settings.token()})
 	}
 	return OutcomeDone, nil
 }
 
 // concludeRefused concludes a batch for which the exchange returned an error.
-func (c *connection) concludeRefused(answer *answer, refusal *executor.Refusal) (string, error) {
-	inTransaction := c.status != statusIdle
+func (c *connection) concludeRefused(p *plan, answer *answer, refusal *executor.Refusal) (string, error) {
 	c.closeExchange()
 	if !answer.scanner.between() {
 		// The error would become part of a message that was cut off.
@@ -196,20 +212,13 @@
 	}
 	switch refusal.Outcome {
 	case executor.NotRun, executor.Moved:
-		c.fail(answer, refusal)
-		return OutcomeNotRun, nil
+		return OutcomeNotRun, c.fail(p, answer, refusal)
 	case executor.RolledBack:
-		c.fail(answer, refusal)
-		return OutcomeRolledBack, nil
+		return OutcomeRolledBack, c.fail(p, answer, refusal)
 	}
+	// The transaction is gone, whatever became of it.
 	c.status = statusIdle
-	if inTransaction && c.sentAhead() {
-		// What the caller sent ahead was meant for the transaction, which is
-		// gone; it must not run outside it.
-		return OutcomeUnknown, refusal
-	}
-	answer.fail(refusal)
-	return OutcomeUnknown, nil
+	return OutcomeUnknown, c.fail(p, answer, refusal)
 }
 
 // setCancel makes cancel the way to cancel the running batch. It returns false
--- a/acceptor/startup.go
+++ b/acceptor/startup.go
@@ -59,7 +59,11 @@
 		return err
 	}
 	if len(unknownOptions) > 0 || message.ProtocolVersion != pgproto3.ProtocolVersion30 {
-		if err := c.send(&pgproto3.NegotiateProtocolVersion{UnrecognizedOptions: unknownOptions}); err != nil {
+		// PostgreSQL sends the whole version here, not the minor one alone.
+		negotiate := &pgproto3.NegotiateProtocolVersion{
+			NewestMinorProtocol: pgproto3.ProtocolVersion30, UnrecognizedOptions: unknownOptions,
+		}
+		if err := c.send(negotiate); err != nil {
 			return err
 		}
 	}
--- a/acceptor/statements.go
+++ b/acceptor/statements.go
@@ -29,11 +29,10 @@
 // A prepared is a statement that a caller prepared. Callers of the same
 // application prepare the same statements, so the texts are shared.
 type prepared struct {
-	// endpointName is the name at endpoints: the same text and types have the
-	// same name on every connection.
-	endpointName string
-	text         unique.Handle[preparedText]
-	statement    classifier.Statement
+	// hashed is the result of endpointName once it was called.
+	hashed    string
+	text      unique.Handle[preparedText]
+	statement classifier.Statement
 }
 
 // newPrepared returns the statement of a Parse message.
@@ -42,17 +41,26 @@
 	for _, oid := range parse.ParameterOIDs {
 		types = binary.BigEndian.AppendUint32(types, oid)
 	}
-	h := sha256.New()
-	h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(types))))
-	h.Write(types)
-	h.Write([]byte(parse.Query))
 	return &prepared{
-		endpointName: endpointPrefix + hex.EncodeToString(h.Sum(nil)[:16]),
-		text:         unique.Make(preparedText{query: parse.Query, types: string(types)}),
-		statement:    classifier.Classify(parse.Query),
+		text:      unique.Make(preparedText{query: parse.Query, types: string(types)}),
+		statement: classifier.Classify(parse.Query),
 	}
 }
 
+// endpointName returns the name at endpoints: the same text and types have the
+// same name on every connection. An unnamed statement often needs none.
+func (p *prepared) endpointName() string {
+	if p.hashed == "" {
+		text := p.text.Value()
+		h := sha256.New()
+		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text.types))))
+		h.Write([]byte(text.types))
+		h.Write([]byte(text.query))
+		p.hashed = endpointPrefix + hex.EncodeToString(h.Sum(nil)[:16])
+	}
+	return p.hashed
+}
+
 // executorStatement returns the statement as a batch refers to it.
 func (p *prepared) executorStatement() executor.Statement {
 	text := p.text.Value()
@@ -60,7 +68,7 @@
 	for i := range oids {
 		oids[i] = binary.BigEndian.Uint32([]byte(text.types[4*i : 4*i+4]))
 	}
-	return executor.Statement{Name: p.endpointName, Query: text.query, ParameterOIDs: oids}
+	return executor.Statement{Name: p.endpointName(), Query: text.query, ParameterOIDs: oids}
 }
 
 // size is what the statement counts against the bound of a connection.
