--- a/classifier/classifier_test.go
+++ b/classifier/classifier_test.go
@@ -179,6 +179,7 @@
 		{"SELECT U&'endive\\0074urn.customer'", true},
 		{"SELECT 1; SHOW endiveturn.customer", true},
 		{"DO $$ BEGIN SET endiveturn.customer = 'x'; END $$", true},
+		{"DO $$ BEGIN EXECUTE 'SET endive' || 'turn.customer = x'; END $$", true},
 		{"SELECT customer FROM endiveturn", false},
 	}
 	for _, test := range tests {
