Run a batch that has arrived before a stopping host ends the connection

Cause: when Admit said that the host stops, a request that had arrived was refused, and idle callers were not told until they sent one. Change: such a batch runs and the connection ends after it; Recheck ends idle connections when Admit says that the host stops. Conclusion: a planned stop refuses only requests that cross its message.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -40,8 +40,9 @@
 	// Set returns the configuration in force.
 	Set func() configurer.Set
 	// Admit refuses a caller at startup or before a batch when this host may
-	// not serve it now; keyed says whether the caller showed a key. A refusal
-	// with CodeStopping ends a connection without an open transaction.
+	// not serve it now; keyed says whether the caller showed a key. After a
+	// refusal with CodeStopping, a connection ends when it has no request and
+	// no open transaction: a batch that has arrived is still run.
 	Admit func(ctx context.Context, keyed bool) *executor.Refusal
 	// HostName is the name of this host; its hash is part of process ids.
 	HostName string
@@ -233,19 +234,24 @@
 	}
 }
 
-// Recheck ends the idle connections whose key or route no longer admits them.
-// Call it when a new Set is in force; the others are checked before their next
-// batch in any case.
+// Recheck ends the idle connections whose key or route no longer admits them,
+// and all idle connections if Admit says that the host stops. Call it when a
+// new Set is in force; the others are checked before their next batch.
 func (a *Acceptor) Recheck() {
 	a.init()
 	set := a.Set()
+	stopping := isStopping(a.Admit(context.Background(), false))
 	a.each(func(c *connection) {
-		if c.checkAccess(set) != nil {
+		if stopping || c.checkAccess(set) != nil {
 			c.wake()
 		}
 	})
 }
 
+func isStopping(refusal *executor.Refusal) bool {
+	return refusal != nil && refusal.Code == executor.CodeStopping
+}
+
 // Connections returns the number of admitted connections.
 func (a *Acceptor) Connections() int {
 	a.mu.Lock()
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -56,6 +56,8 @@
 	// skipping is set when an answer before Sync was an error: everything up
 	// to Sync is skipped.
 	skipping bool
+	// stopping is set once Admit said that the host stops.
+	stopping bool
 	// waiting is set while no part of a request has arrived.
 	waiting bool
 	batches int
@@ -188,7 +190,7 @@
 		return err
 	}
 	for {
-		if err := c.waitIdle(); err != nil {
+		if err := c.waitIdle(ctx); err != nil {
 			return err
 		}
 		if err := c.serveRequest(ctx); err != nil {
@@ -199,7 +201,7 @@
 
 // waitIdle waits for the first byte of a request. Between requests it ends the
 // connection if the host stops or the key is revoked.
-func (c *connection) waitIdle() error {
+func (c *connection) waitIdle(ctx context.Context) error {
 	for {
 		if err := c.checkIdle(); err != nil {
 			return err
@@ -210,6 +212,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
+		c.stopping = c.stopping || isStopping(c.acceptor.Admit(ctx, c.key != ""))
 	}
 }
 
@@ -223,7 +226,7 @@
 		return refusal
 	}
 	idle := c.status == statusIdle && c.reader.buffered() == 0
-	if idle && c.acceptor.isDraining() {
+	if idle && (c.stopping || c.acceptor.isDraining()) {
 		return executor.RefuseNotRun(executor.CodeStopping, "host is stopping")
 	}
 	return nil
--- a/acceptor/serve.go
+++ b/acceptor/serve.go
@@ -81,13 +81,10 @@
 // runBatch hands a batch to the exchange. An error ends the connection.
 func (c *connection) runBatch(ctx context.Context, p *plan, granted access, answer *answer) error {
 	if refusal := c.acceptor.Admit(ctx, c.key != ""); refusal != nil {
-		stopping := refusal.Code == executor.CodeStopping
-		if stopping && c.status == statusIdle {
-			return refusal
-		}
-		if !stopping {
+		if !isStopping(refusal) {
 			return c.fail(p, answer, refusal)
 		}
+		c.stopping = true
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
