Report the role of primary only in the term of the promotion

Cause: the stand-in kept the role of a former primary over a raise, with no primary named. The promoter takes the database with the role primary in its term as the promoted one and could tell a third one to follow the wrong one. Change: a raise makes every database a replica until it is promoted, and the flag beside the role is gone. Conclusion: role primary and term together say who was promoted.

--- a/groupemulator/admin.go
+++ b/groupemulator/admin.go
@@ -22,8 +22,7 @@
 	Name string
 	// Term is the highest term that the database has accepted.
 	Term uint64
-	// Role is the role by the last group_promote or group_follow. A primary
-	// keeps it over a raise, but writes nothing until it is promoted.
+	// Role is RolePrimary only on the database that was promoted in Term.
 	Role Role
 	// Primary names the database that this one follows, or itself. It is empty
 	// after a raise until the database is promoted, or follows with a log that
--- a/groupemulator/database.go
+++ b/groupemulator/database.go
@@ -38,6 +38,7 @@
 	mu sync.Mutex
 	// term is the highest term that was accepted.
 	term uint64
+	// role is RolePrimary from the promotion in term to the next raise.
 	role Role
 	// primary names the database that this one follows, or itself. It is
 	// empty after a raise until the database is promoted or its log has been
@@ -45,8 +46,6 @@
 	primary string
 	// following names the primary that group_follow gave, on a replica.
 	following string
-	// promoted is set on the primary of term.
-	promoted bool
 	// log only ever grows at the end or is cut with its capacity, so that a
 	// copy of the slice header stays valid without the lock.
 	log []*entry
@@ -93,7 +92,7 @@
 func (d *database) seed(first *database) {
 	d.term, d.primary = 1, first.member.Name
 	if d == first {
-		d.role, d.promoted = RolePrimary, true
+		d.role = RolePrimary
 		d.log = []*entry{{term: 1, offset: 1, at: d.group.Now()}}
 	} else {
 		d.following = first.member.Name
@@ -113,7 +112,7 @@
 	}
 	d.group.Logger.Info("term raised", "service", d.group.Service, "database", d.member.Name,
 		"from", d.term, "to", term)
-	d.term, d.promoted = term, false
+	d.term, d.role = term, RoleReplica
 	d.primary, d.following = "", ""
 	for _, s := range d.sessions {
 		if s.started && !s.admin && s.term < term {
@@ -133,12 +132,12 @@
 	if term != d.term {
 		return staleTerm(term, d.term)
 	}
-	if d.promoted {
+	if d.role == RolePrimary {
 		return nil
 	}
 	d.applyTo(len(d.log))
 	d.arrivals = nil
-	d.role, d.promoted, d.primary, d.following = RolePrimary, true, d.member.Name, ""
+	d.role, d.primary, d.following = RolePrimary, d.member.Name, ""
 	now := d.group.Now()
 	d.append(&entry{term: term, offset: uint64(len(d.log)) + 1, at: now})
 	d.group.record(Promotion{Term: term, Database: d.member.Name, At: now})
@@ -160,7 +159,7 @@
 		return staleTerm(term, d.term)
 	}
 	if d.following != primary {
-		d.role, d.promoted, d.primary, d.following = RoleReplica, false, "", primary
+		d.role, d.primary, d.following = RoleReplica, "", primary
 		d.notify()
 	}
 	d.mu.Unlock()
@@ -219,7 +218,7 @@
 	if err := d.admit(s); err != nil {
 		return err
 	}
-	if d.role != RolePrimary || !d.promoted {
+	if d.role != RolePrimary {
 		return failf(codeReadOnly, "cannot write on a replica or before the promotion")
 	}
 	return nil
--- a/groupemulator/execute.go
+++ b/groupemulator/execute.go
@@ -128,7 +128,7 @@
 	case "transaction_read_only", "in_hot_standby":
 		s.db.mu.Lock()
 		defer s.db.mu.Unlock()
-		if s.db.role == RolePrimary && s.db.promoted {
+		if s.db.role == RolePrimary {
 			return "off", nil
 		}
 		return "on", nil
--- a/groupemulator/replication.go
+++ b/groupemulator/replication.go
@@ -70,7 +70,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.log, d.promoted && d.term == term
+	return d.log, d.role == RolePrimary && d.term == term
 }
 
 // accept brings the log to the first arrived entries of the primary's log.
