Refuse functions that concern one connection outside a transaction

Cause: on a pooled connection lastval returns another caller's value, and a session-level advisory lock or set_config is lost without a word. Change: the classifier marks such texts, and the acceptor answers 0A000 when one stands alone outside a transaction. Conclusion: callers see an error instead of a wrong value.

--- a/acceptor/place.go
+++ b/acceptor/place.go
@@ -141,6 +141,10 @@
 // that the acceptor answers have to stand alone.
 func (s *scope) placeText(text string, all classifier.Statement) (place, *executor.Refusal) {
 	if all.Statements < 2 {
+		if all.ConnectionBound && !s.inTransaction {
+			return 0, executor.RefuseNotRun(executor.CodeNotSupported,
+				"functions that concern the connection are supported in a transaction only")
+		}
 		where, refusal := s.place(all)
 		s.follow(all.Kind)
 		return where, refusal
--- a/classifier/body.go
+++ b/classifier/body.go
@@ -37,6 +37,7 @@
 func classifyBody(s *Statement, t statement) {
 	calls := t.calls()
 	s.Tainting = calls.unlisted || t.taints()
+	s.ConnectionBound = calls.connectionBound
 	if calls.unlisted || calls.writing || t.unknown() || !t.startsRead() || t.changes() {
 		if t.declaresHold() {
 			s.Kind = KindDeclareWithHold
--- a/classifier/calls.go
+++ b/classifier/calls.go
@@ -6,6 +6,9 @@
 	unlisted bool
 	// writing: a function that changes data and leaves no state that matters.
 	writing bool
+	// connectionBound: a function whose effect or result belongs to one
+	// connection.
+	connectionBound bool
 }
 
 // calls finds the functions that t calls: names with a parenthesis after them.
@@ -16,6 +19,7 @@
 			continue
 		}
 		name := t[i-1].text
+		found.connectionBound = found.connectionBound || connectionFunctions[name]
 		switch {
 		case t.at(i-2).symbol(".") && !t.isCatalog(i-3):
 			found.unlisted = true
--- a/classifier/classifier.go
+++ b/classifier/classifier.go
@@ -52,6 +52,10 @@
 	Value string
 	// Tainting is set when the text may leave state on the connection.
 	Tainting bool
+	// ConnectionBound is set when the text calls a function whose effect or
+	// result belongs to one connection, such as lastval or pg_advisory_lock. Run
+	// by itself on a pooled connection, it would mislead the caller.
+	ConnectionBound bool
 	// Statements is the number of statements that are not empty.
 	Statements int
 	// CustomerSetting is set when the text mentions endiveturn.customer, which
@@ -74,6 +78,7 @@
 			all.Class = executor.ClassWrite
 		}
 		all.Tainting = all.Tainting || s.Tainting
+		all.ConnectionBound = all.ConnectionBound || s.ConnectionBound
 		all.CustomerSetting = all.CustomerSetting || s.CustomerSetting
 	}
 	return all
--- a/classifier/classifier_test.go
+++ b/classifier/classifier_test.go
@@ -128,6 +128,26 @@
 	}
 }
 
+// Guards against values and locks of a pooled connection that callers take for
+// their own.
+func TestClassifyConnectionBound(t *testing.T) {
+	tests := []struct {
+		sql  string
+		want bool
+	}{
+		{"SELECT lastval()", true},
+		{"INSERT INTO t VALUES (1); SELECT pg_catalog.currval('s')", true},
+		{"SELECT pg_try_advisory_lock(1)", true},
+		{"SELECT pg_advisory_xact_lock(1)", false},
+		{"SELECT nextval('s'), 'lastval()'", false},
+	}
+	for _, test := range tests {
+		if got := Classify(test.sql).ConnectionBound; got != test.want {
+			t.Errorf("Classify(%q).ConnectionBound = %v, want %v", test.sql, got, test.want)
+		}
+	}
+}
+
 // Guards against settings of the proxy that are not recognised in one of the
 // forms that drivers use.
 func TestClassifySettings(t *testing.T) {
--- a/classifier/words.go
+++ b/classifier/words.go
@@ -92,3 +92,8 @@
 var sequenceFunctions = wordSet("nextval setval currval lastval pg_notify",
 	"pg_advisory_xact_lock pg_try_advisory_xact_lock pg_advisory_xact_lock_shared",
 	"pg_try_advisory_xact_lock_shared pg_current_wal_lsn txid_current")
+
+// connectionFunctions act on, or tell of, the connection that they run on.
+var connectionFunctions = wordSet("currval lastval set_config",
+	"pg_advisory_lock pg_advisory_lock_shared pg_try_advisory_lock pg_try_advisory_lock_shared",
+	"pg_advisory_unlock pg_advisory_unlock_shared pg_advisory_unlock_all")
