Catch the reuse of a cancelled connection in a test

Cause: reusing a cancelled connection passed the tests. Change: the test of late answers uses all connections that were used last.

--- a/holder/failure_test.go
+++ b/holder/failure_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 
 	"github.com/endiveturn/endiveturn/executor"
@@ -113,6 +115,18 @@
 		}
 	}
 	group.Wait()
+	// Three batches at once use the connections that were used last.
+	for i := range 3 {
+		group.Go(func() {
+			messages, _, err := run(b.open(t, fmt.Sprint(i)), query("PAUSE", executor.ClassWrite))
+			if err != nil || len(messages) != 1 {
+				t.Errorf("answer = %v, error = %v, want no late cancel", messages, err)
+			} else if _, ok := messages[0].(*pgproto3.CommandComplete); !ok {
+				t.Errorf("answer = %T, want no late cancel", messages[0])
+			}
+		})
+	}
+	group.Wait()
 }
 
 // TestCancel guards against a cancel that hits another statement, and against a
