Test that a closed connection learns the reason

Cause: no test failed when the draining of closed connections was taken out. Change: a client with a further query under way reads GT001 after a raise. Conclusion: proxies under test see the fencing and not a random reset.

--- a/groupemulator/protocol_test.go
+++ b/groupemulator/protocol_test.go
@@ -7,23 +7,24 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/endiveturn/endiveturn/groupemulator"
 )
 
-// rawConnect opens a connection without a driver.
-func rawConnect(t testing.TB, g *groupemulator.Group, database string, term string) *pgproto3.Frontend {
+// rawConnect opens a connection of term 1 to the primary without a driver.
+func rawConnect(t testing.TB, g *groupemulator.Group) *pgproto3.Frontend {
 	t.Helper()
 	var dialer net.Dialer
-	conn, err := dialer.DialContext(t.Context(), "tcp", g.Address(database))
+	conn, err := dialer.DialContext(t.Context(), "tcp", g.Address("a"))
 	must(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	f := pgproto3.NewFrontend(conn, conn)
 	f.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersionNumber,
-		Parameters:      map[string]string{"user": "endpoint", "database": "orders", "group_term": term},
+		Parameters:      map[string]string{"user": "endpoint", "database": "orders", "group_term": "1"},
 	})
 	f.Send(&pgproto3.PasswordMessage{Password: "secret"})
 	must(t, f.Flush())
@@ -67,7 +68,7 @@
 // them the position before ReadyForQuery after each commit.
 func TestMessages(t *testing.T) {
 	g := startGroup(t, nil)
-	f := rawConnect(t, g, "a", "1")
+	f := rawConnect(t, g)
 	two := []byte{0, 0, 0, 0, 0, 0, 0, 2}
 	for _, test := range []struct {
 		name string
@@ -175,7 +176,7 @@
 // closed with the reason, without a further statement.
 func TestRaiseClosesConnections(t *testing.T) {
 	g := startGroup(t, nil)
-	f := rawConnect(t, g, "a", "1")
+	f := rawConnect(t, g)
 	mustAdminister(t, g, "a", "group_raise_term(7)")
 	if got, want := answer(f), []string{"ErrorResponse FATAL GT001", "closed"}; !slices.Equal(got, want) {
 		t.Errorf("got %q, want %q", got, want)
@@ -183,10 +184,29 @@
 	eventually(t, "the connection is counted no more", func() bool { return g.Stats("a").Connections == 0 })
 }
 
+// TestReasonSurvivesClose guards that a client that had sent more learns why its
+// connection was closed: a reset would make it lose the reason.
+func TestReasonSurvivesClose(t *testing.T) {
+	g := startGroup(t, nil)
+	f := rawConnect(t, g)
+	for range 2 {
+		f.Send(&pgproto3.Query{String: "SELECT pg_sleep(10)"})
+		must(t, f.Flush())
+		time.Sleep(20 * time.Millisecond)
+	}
+	mustAdminister(t, g, "a", "group_raise_term(2)")
+	time.Sleep(20 * time.Millisecond)
+	f.Send(&pgproto3.Sync{})
+	must(t, f.Flush())
+	if got, want := answer(f), []string{"ErrorResponse FATAL GT001", "closed"}; !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 // TestFlush guards that Flush delivers answers before the batch ends.
 func TestFlush(t *testing.T) {
 	g := startGroup(t, nil)
-	f := rawConnect(t, g, "a", "1")
+	f := rawConnect(t, g)
 	f.Send(&pgproto3.Parse{Query: "SELECT 1"})
 	f.Send(&pgproto3.Flush{})
 	must(t, f.Flush())
