--- a/acceptor/benchmark_test.go
+++ b/acceptor/benchmark_test.go
@@ -1,7 +1,7 @@
 package acceptor
 
 import (
-	"io"
+	"bytes"
 	"net"
 	"os"
 	"runtime"
@@ -35,18 +35,8 @@
 		}
 		defer conn.Close()
 		conns[i] = conn
-		for _, message := range [][]byte{startup, []byte("Q\x00\x00\x00\x0dSELECT 1\x00")} {
-			if _, err := conn.Write(message); err != nil {
-				b.Fatal(err)
-			}
-			for n := 0; !strings.HasSuffix(string(answer[:n]), "Z\x00\x00\x00\x05I"); {
-				m, err := conn.Read(answer[n:])
-				if err != nil {
-					b.Fatal(err)
-				}
-				n += m
-			}
-		}
+		roundTrip(b, conn, startup, answer[:])
+		roundTrip(b, conn, selectOne, answer[:])
 	}
 	f.opener.mu.Lock()
 	f.opener.batches, f.opener.attributes = nil, nil
@@ -74,34 +64,31 @@
 	return float64(stats.HeapAlloc), float64(stats.StackInuse), resident
 }
 
+// selectOne is a Query message.
+var selectOne = []byte("Q\x00\x00\x00\x0dSELECT 1\x00")
+
+// roundTrip sends a message and reads up to ReadyForQuery.
+func roundTrip(b *testing.B, conn net.Conn, message, answer []byte) {
+	if _, err := conn.Write(message); err != nil {
+		b.Fatal(err)
+	}
+	for n := 0; !bytes.HasSuffix(answer[:n], []byte("Z\x00\x00\x00\x05I")); {
+		m, err := conn.Read(answer[n:])
+		if err != nil {
+			b.Fatal(err)
+		}
+		n += m
+	}
+}
+
 // BenchmarkBatch measures a simple query from a caller to the opener and back.
 func BenchmarkBatch(b *testing.B) {
 	f := newFixture(b, nil)
 	c := dialRaw(b, f)
 	c.startup(publicStartup)
-	query := []byte("Q\x00\x00\x00\x0dSELECT 1\x00")
-	answer := make([]byte, 59)
-	c.Send(&pgproto3.Query{String: "SELECT 1"})
-	length := 0
-	for _, message := range []pgproto3.BackendMessage{
-		rowDescription("value"), &pgproto3.DataRow{Values: [][]byte{[]byte("1")}},
-		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'I'},
-	} {
-		encoded, err := message.Encode(nil)
-		if err != nil {
-			b.Fatal(err)
-		}
-		length += len(encoded)
-	}
-	c.read()
-	answer = append(answer[:0], make([]byte, length)...)
+	answer := make([]byte, 4096)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := c.Write(query); err != nil {
-			b.Fatal(err)
-		}
-		if _, err := io.ReadFull(c, answer); err != nil {
-			b.Fatal(err)
-		}
+		roundTrip(b, c.Conn, selectOne, answer)
 	}
 }
--- a/acceptor/drain_test.go
+++ b/acceptor/drain_test.go
@@ -163,3 +163,30 @@
 		}
 	})
 }
+
+// Guards against statements that run on for a caller who has left, and against
+// requests that are lost because they arrive while another runs.
+func TestWatch(t *testing.T) {
+	bubble(t, func(t *testing.T, a *Acceptor, opener *fakeOpener, l *pipeListener) {
+		gone, ahead := l.dial(t), l.dial(t)
+		for _, c := range []*rawClient{gone, ahead} {
+			c.startup(publicStartup)
+			c.Send(&pgproto3.Query{String: "SELECT pg_sleep(30)"})
+			if err := c.Flush(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		gone.Close()
+		time.Sleep(watchDelay)
+		a.Recheck()
+		ahead.Send(&pgproto3.Query{String: "SELECT 2"})
+		for _, want := range []string{`DataRow ["pg_sleep(30)"]`, `DataRow ["2"]`} {
+			if got := ahead.read(); len(got) != 4 || got[1] != want {
+				t.Errorf("answer = %q, want %s in it", got, want)
+			}
+			if got := a.Connections(); got != 1 {
+				t.Errorf("%d connections after the caller left, want 1", got)
+			}
+		}
+	})
+}
--- a/acceptor/refusals_test.go
+++ b/acceptor/refusals_test.go
@@ -165,7 +165,9 @@
 	f := newFixture(t, nil)
 	shape := func(user string) []string {
 		c := dialRaw(t, f)
-		c.startupOnly(map[string]string{"user": user, "database": "jobs"})
+		c.Send(&pgproto3.StartupMessage{
+			ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": user, "database": "jobs"},
+		})
 		got := []string{c.readOne()}
 		c.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte("n,,n=,r=abc")})
 		if err := c.Flush(); err != nil {
@@ -191,10 +193,6 @@
 	}
 }
 
-func (c *rawClient) startupOnly(parameters map[string]string) {
-	c.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
-}
-
 // Guards against an unmodified client that cannot log in, and one that can
 // with a wrong secret.
 func TestScramWithPgx(t *testing.T) {
--- a/acceptor/serve.go
+++ b/acceptor/serve.go
@@ -94,7 +94,9 @@
 	defer c.setCancel(nil)
 	started := c.acceptor.Now()
 	c.batches++
+	endWatch := c.watch(cancel)
 	result, err := c.runExchange(ctx, p, granted, answer)
+	endWatch()
 	c.define(p, answer)
 	outcome, err := c.conclude(p, answer, result, err)
 	if c.acceptor.BatchDone != nil {
