--- a/gossiper/candidates.go
+++ b/gossiper/candidates.go
@@ -39,6 +39,9 @@
 
 // unknownCandidates returns the addresses at which no known host is.
 func (c *Core) unknownCandidates() []string {
+	if len(c.candidates) == 0 {
+		return nil
+	}
 	taken := make(map[string]bool, len(c.members))
 	for _, m := range c.members {
 		taken[m.PeerAddress] = true
--- a/gossiper/core.go
+++ b/gossiper/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -14,6 +15,9 @@
 	// suspicionTime is how long a host may refute. With the two times above a
 	// killed host is marked failed after 0.9 to 1.15 s.
 	suspicionTime = 600 * time.Millisecond
+	// doubtMemory is how long a host remembers that another one answers others
+	// only. It then asks them before it suspects, as all do in a large fleet.
+	doubtMemory = 10 * time.Second
 	// probeRelays is the number of hosts asked to probe a suspect.
 	probeRelays = 2
 	// failedKept is how long a failed host counts as known, unless the
@@ -47,6 +51,11 @@
 	// and two by others, in 600 ms: 2.8 KB/s without news.
 	largeInterval = 600 * time.Millisecond
 	largePeers    = 2
+	// urgentInterval is the time between rounds of a host that has not been
+	// fresh for urgentAge, up to urgentFor.
+	urgentInterval = 150 * time.Millisecond
+	urgentAge      = 1500 * time.Millisecond
+	urgentFor      = 10 * time.Second
 	// largeSuspicion leaves room for three more rounds of probes: with fewer, a
 	// loss of 10% of the messages makes hosts fail each other every few minutes.
 	largeSuspicion = 3*largeInterval + answerTimeout
@@ -55,10 +64,14 @@
 	byteBudget = 3600
 	// byteBurst is what may be sent at once when there is news.
 	byteBurst = 8000
-	// byteDebt bounds the silence after a burst, such as the join of a host.
+	// byteDebt bounds the time with little news after a burst, such as the join
+	// of a host.
 	byteDebt = 1800
 	// changeBytes bounds the changes in one heartbeat.
 	changeBytes = 900
+	// savingBytes is the same for a large fleet over its budget. The rounds
+	// themselves go on, since freshness and detection depend on them.
+	savingBytes = 300
 	// fullBytes bounds an answer with all members and claims.
 	fullBytes = 48 << 10
 )
@@ -133,6 +146,13 @@
 	selfEligibleAt time.Time
 
 	members map[string]*member
+	// timed holds the members that wait for a time: suspects, doubted ones and
+	// those not eligible yet. gone holds those that failed or left.
+	timed map[string]bool
+	gone  map[string]bool
+	// generation grows when the set of present members changes.
+	generation int
+	bitmapList hostList
 	// candidates are addresses from the seeds and the platform's list.
 	candidates map[string]HostEntry
 	// listed holds the names of the platform's list; nil before it was read.
@@ -165,12 +185,18 @@
 	fetching      bool
 	nextFetch     time.Time
 	fetchFailures int
+	// newest is the highest revision heard of.
+	newest        uint64
 	confirmations confirmationSet
 
 	// contactAt is when the store, or a host that was fresh, was last known to
 	// agree with the revision of this host; contactVia names the source.
 	contactAt  time.Time
 	contactVia string
+	// recent holds the members that may have been contacted within freshFor.
+	recent map[string]bool
+	// times is kept to save an allocation per heartbeat.
+	times []time.Time
 }
 
 // Start sets the core going. It is called once, before all other methods.
@@ -178,6 +204,9 @@
 	c.started, c.nextTick = now, now
 	c.selfEligibleAt = now.Add(eligibilityDelay)
 	c.members = make(map[string]*member)
+	c.timed = make(map[string]bool)
+	c.gone = make(map[string]bool)
+	c.recent = make(map[string]bool)
 	c.candidates = make(map[string]HostEntry)
 	c.dropped = make(map[string]uint64)
 	c.pending = make(map[uint64]contact)
@@ -219,6 +248,7 @@
 func (c *Core) Tick(now time.Time) []Action {
 	c.forgivePause(now)
 	c.expireContacts(now)
+	c.expireDoubts(now)
 	c.expireSuspects(now)
 	c.expireFailed(now)
 	c.expireUnable(now)
@@ -248,11 +278,15 @@
 	for _, p := range c.pending {
 		earlier(p.sentAt.Add(answerTimeout))
 	}
-	for _, m := range c.members {
+	for name := range c.timed {
+		m := c.members[name]
 		if m.State == Suspect && m.ownSuspicion {
 			earlier(m.failAt)
 		}
-		if !m.eligible && m.present() {
+		if !m.doubtUntil.IsZero() {
+			earlier(m.doubtUntil)
+		}
+		if !m.eligible && m.placeable() {
 			earlier(m.eligibleAt)
 		}
 	}
@@ -281,6 +315,7 @@
 	clear(c.pending)
 	clear(c.probes)
 	for _, m := range c.members {
+		m.doubtUntil = time.Time{}
 		if m.State == Suspect {
 			m.failAt = now.Add(c.suspicion())
 		}
@@ -288,14 +323,38 @@
 }
 
 // size returns the number of hosts taken to be present, with this one.
-func (c *Core) size() int {
-	n := 1
-	for _, m := range c.members {
-		if m.present() {
-			n++
+func (c *Core) size() int { return 1 + len(c.members) - len(c.gone) }
+
+// track notes what a member waits for, after any change of it.
+func (c *Core) track(m *member) {
+	if m.present() == c.gone[m.Name] {
+		c.generation++
+	}
+	if m.present() {
+		delete(c.gone, m.Name)
+	} else {
+		c.gone[m.Name] = true
+	}
+	if m.State == Suspect || !m.doubtUntil.IsZero() || !m.eligible && m.placeable() {
+		c.timed[m.Name] = true
+	} else {
+		delete(c.timed, m.Name)
+	}
+}
+
+// timedNames returns the members that wait for something and pass, in order.
+func (c *Core) timedNames(pass func(*member) bool) []string {
+	if len(c.timed) == 0 {
+		return nil
+	}
+	var names []string
+	for name := range c.timed {
+		if pass(c.members[name]) {
+			names = append(names, name)
 		}
 	}
-	return n
+	slices.Sort(names)
+	return names
 }
 
 func (c *Core) large() bool { return c.size() > largeFleet }
@@ -307,17 +366,21 @@
 	return roundInterval
 }
 
-func (c *Core) suspicion() time.Duration {
+// pace returns the time to the next round: a host of a large fleet that is
+// about to be no longer fresh asks more of the others.
+func (c *Core) pace(now time.Time) time.Duration {
 	if c.large() {
-		return largeSuspicion
+		at, _ := c.freshAt(now)
+		if age := now.Sub(at); age > urgentAge && age < urgentFor {
+			return urgentInterval
+		}
 	}
-	return suspicionTime
+	return c.interval()
 }
 
-// minRetries is the number of rounds that have to ask a suspect in vain.
-func (c *Core) minRetries() int {
+func (c *Core) suspicion() time.Duration {
 	if c.large() {
-		return 3
+		return largeSuspicion
 	}
-	return 1
+	return suspicionTime
 }
--- a/gossiper/detector.go
+++ b/gossiper/detector.go
@@ -1,7 +1,9 @@
 package gossiper
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -16,13 +18,8 @@
 
 // round sends heartbeats to the next peers.
 func (c *Core) round(now time.Time) {
-	if credit := c.credit(now); c.large() && credit < 0 {
-		wait := time.Duration(-credit / byteBudget * float64(time.Second))
-		c.nextRound = now.Add(max(wait, hurryInterval))
-		return
-	}
 	c.lastRound = now
-	c.nextRound = now.Add(c.interval())
+	c.nextRound = now.Add(c.pace(now))
 	asked := make(map[string]bool)
 	for _, m := range c.nextPeers() {
 		asked[m.Name] = true
@@ -35,6 +32,9 @@
 
 // hurry brings the next round forward, since there is news.
 func (c *Core) hurry(now time.Time) {
+	if c.large() && c.credit(now) < 0 {
+		return
+	}
 	at := c.lastRound.Add(hurryInterval)
 	if at.Before(now) {
 		at = now
@@ -80,12 +80,11 @@
 // roundSuspects asks the suspects of this host again, directly and through
 // others: a single lost message must not fail a host.
 func (c *Core) roundSuspects(now time.Time, asked map[string]bool) {
-	for _, name := range c.sortedNames(func(m *member) bool { return m.State == Suspect && m.ownSuspicion }) {
+	for _, name := range c.timedNames(func(m *member) bool { return m.State == Suspect && m.ownSuspicion }) {
 		m := c.members[name]
 		if !asked[name] {
 			c.contact(name, m.PeerAddress, now)
 		}
-		m.retries++
 		c.probe(m, now)
 	}
 }
@@ -96,7 +95,12 @@
 		return
 	}
 	c.nextFailed = now.Add(failedInterval)
-	failed := c.sortedNames(func(m *member) bool { return m.State == Failed })
+	var failed []string
+	for _, name := range sortedKeys(c.gone) {
+		if c.members[name].State == Failed {
+			failed = append(failed, name)
+		}
+	}
 	if len(failed) > 0 {
 		m := c.members[failed[c.Rand.IntN(len(failed))]]
 		c.contact(m.Name, m.PeerAddress, now)
@@ -116,6 +120,12 @@
 func (c *Core) probe(m *member, now time.Time) {
 	relays := c.sortedNames(func(r *member) bool { return r.State == Alive && r.Name != m.Name })
 	c.Rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+	if !c.large() {
+		// Prefer hosts that answer this one.
+		slices.SortStableFunc(relays, func(a, b string) int {
+			return cmp.Compare(c.silence(a, now), c.silence(b, now))
+		})
+	}
 	for _, name := range relays[:min(probeRelays, len(relays))] {
 		id := c.id()
 		c.probes[id] = contact{host: m.Name, sentAt: now}
@@ -123,6 +133,11 @@
 	}
 }
 
+// silence returns for how many seconds a host has given no sign of life.
+func (c *Core) silence(name string, now time.Time) int {
+	return int(now.Sub(c.members[name].evidenceAt).Seconds())
+}
+
 // Answered takes in the answer to a heartbeat.
 func (c *Core) Answered(now time.Time, id uint64, reply Heartbeat) []Action {
 	asked, ok := c.pending[id]
@@ -168,6 +183,7 @@
 	asked, ok := c.probes[id]
 	delete(c.probes, id)
 	if m := c.members[asked.host]; ok && answered && m != nil {
+		m.relayedAt = now
 		c.evidence(m, asked.sentAt, now, "answered another host")
 	}
 	return c.flush()
@@ -236,23 +252,48 @@
 	if m == nil {
 		return
 	}
-	if asked.sentAt.After(m.contactedAt) {
-		m.contactedAt = asked.sentAt
-	}
-	if !m.present() || !m.evidenceAt.Before(asked.sentAt) || m.ownSuspicion && m.State == Suspect {
+	c.noteAsked(m, asked.sentAt)
+	doubted := !m.doubtUntil.IsZero() || m.ownSuspicion && m.State == Suspect
+	if !m.present() || !m.evidenceAt.Before(asked.sentAt) || doubted {
 		return
 	}
 	m.missedAt = asked.sentAt
+	if c.large() || now.Sub(m.relayedAt) < doubtMemory {
+		m.doubtUntil = now.Add(answerTimeout)
+		c.track(m)
+		c.contact(m.Name, m.PeerAddress, now)
+		c.probe(m, now)
+		return
+	}
+	c.suspect(m, now, reason)
+	c.probe(m, now)
+}
+
+// suspect marks a host as suspect by this host's own finding.
+func (c *Core) suspect(m *member, now time.Time, reason string) {
 	m.ownSuspicion = true
-	m.retries = 0
 	m.failAt = now.Add(c.suspicion())
-	if m.State != Suspect {
-		suspect := m.Host
-		suspect.Departing = m.State == Leaving
-		suspect.State = Suspect
-		c.update(m, suspect, now, reason)
+	if m.State == Suspect {
+		c.track(m)
+		return
+	}
+	suspect := m.Host
+	suspect.Departing = m.State == Leaving
+	suspect.State = Suspect
+	c.update(m, suspect, now, reason)
+}
+
+// expireDoubts suspects hosts that no other host could reach either.
+func (c *Core) expireDoubts(now time.Time) {
+	doubted := func(m *member) bool { return !m.doubtUntil.IsZero() && !now.Before(m.doubtUntil) }
+	for _, name := range c.timedNames(doubted) {
+		m := c.members[name]
+		m.doubtUntil = time.Time{}
+		c.track(m)
+		if m.present() {
+			c.suspect(m, now, "no answer, also not to other hosts")
+		}
 	}
-	c.probe(m, now)
 }
 
 // evidence notes that a host was alive at a time.
@@ -260,7 +301,14 @@
 	if at.After(m.evidenceAt) {
 		m.evidenceAt = at
 	}
-	if m.State != Suspect || !at.After(m.missedAt) {
+	if !at.After(m.missedAt) {
+		return
+	}
+	if !m.doubtUntil.IsZero() {
+		m.doubtUntil = time.Time{}
+		c.track(m)
+	}
+	if m.State != Suspect {
 		return
 	}
 	restored := m.Host
@@ -274,16 +322,11 @@
 
 // expireSuspects marks suspects failed that did not refute in time.
 func (c *Core) expireSuspects(now time.Time) {
-	for _, name := range c.sortedNames(func(m *member) bool { return m.State == Suspect && m.ownSuspicion }) {
+	for _, name := range c.timedNames(func(m *member) bool { return m.State == Suspect && m.ownSuspicion }) {
 		m := c.members[name]
 		if now.Before(m.failAt) {
 			continue
 		}
-		if m.retries < c.minRetries() {
-			// Rounds were put off to save traffic.
-			m.failAt = c.nextRound.Add(answerTimeout)
-			continue
-		}
 		failed := m.Host
 		failed.State = Failed
 		c.update(m, failed, now, fmt.Sprintf("suspected for %v", c.suspicion()))
@@ -292,9 +335,10 @@
 
 // expireFailed forgets hosts that have been gone for long.
 func (c *Core) expireFailed(now time.Time) {
-	for name, m := range c.members {
-		gone := m.State == Failed || m.State == Left
-		if gone && (now.Sub(m.changedAt) >= failedKept || c.listed != nil && !c.listed[name]) {
+	for name := range c.gone {
+		m := c.members[name]
+		if now.Sub(m.changedAt) >= failedKept || c.listed != nil && !c.listed[name] {
+			delete(c.gone, name)
 			c.dropped[name] = m.Incarnation
 			delete(c.members, name)
 			c.changed = true
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -25,12 +25,15 @@
 	// missedAt is when the unanswered request was sent that made the host
 	// suspect.
 	missedAt time.Time
+	// doubtUntil is when a host becomes suspect that other hosts were asked to
+	// probe first; zero if it is not doubted.
+	doubtUntil time.Time
+	// relayedAt is when another host last reached one that this host did not.
+	relayedAt time.Time
 	// ownSuspicion says that this host itself missed an answer. Only then does
 	// it mark the suspect failed, at failAt.
 	ownSuspicion bool
 	failAt       time.Time
-	// retries is the number of rounds that asked the suspect again.
-	retries int
 	// eligible says that services may be placed on the host since eligibleAt.
 	eligible   bool
 	eligibleAt time.Time
@@ -93,6 +96,7 @@
 		m.revision, m.ownSuspicion = 0, false
 	}
 	c.setEligibility(m, before, now)
+	c.track(m)
 	if before.State == h.State && before.Incarnation == h.Incarnation && before.Departing == h.Departing {
 		return
 	}
@@ -118,11 +122,12 @@
 
 // checkEligibility lets hosts in whose time has come.
 func (c *Core) checkEligibility(now time.Time) {
-	for _, m := range c.members {
-		if !m.eligible && m.placeable() && !now.Before(m.eligibleAt) {
-			m.eligible = true
-			c.changed = true
-		}
+	waiting := func(m *member) bool { return !m.eligible && m.placeable() && !now.Before(m.eligibleAt) }
+	for _, name := range c.timedNames(waiting) {
+		m := c.members[name]
+		m.eligible = true
+		c.changed = true
+		c.track(m)
 	}
 	if !c.selfEligible && c.Self.placeable() && !now.Before(c.selfEligibleAt) {
 		c.selfEligible = true
@@ -182,6 +187,8 @@
 	delete(c.dropped, h.Name)
 	m := &member{Host: h, changedAt: now, eligibleAt: now.Add(eligibilityDelay)}
 	c.members[h.Name] = m
+	c.generation++
+	c.track(m)
 	c.digest ^= hostHash(h)
 	c.quietSince = now
 	c.spreadHost(h.Name)
--- a/gossiper/revision.go
+++ b/gossiper/revision.go
@@ -13,7 +13,7 @@
 	fetchInterval = 100 * time.Millisecond
 	fetchBackoff  = 2 * time.Second
 	// confirmationsFor is how long a change of the confirmations is spread.
-	confirmationsFor = 30 * time.Second
+	confirmationsFor = 10 * time.Second
 )
 
 // SetRevision says that this host has adopted a configuration.
@@ -30,6 +30,7 @@
 // noteRevision notes the revision that a host had at a time.
 func (c *Core) noteRevision(m *member, revision uint64, at, now time.Time) {
 	m.revision = max(m.revision, revision)
+	c.newest = max(c.newest, revision)
 	if at.After(m.revisionAt) {
 		m.revisionAt = at
 	}
@@ -37,15 +38,8 @@
 	c.fetchIfBehind(now)
 }
 
-// behind reports whether a host that is present has a newer configuration.
-func (c *Core) behind() bool {
-	for _, m := range c.members {
-		if m.present() && m.revision > c.revision {
-			return true
-		}
-	}
-	return false
-}
+// behind reports whether a host has, or had, a newer configuration.
+func (c *Core) behind() bool { return c.newest > c.revision }
 
 // fetchIfBehind fetches from one of the hosts with the newest configuration.
 func (c *Core) fetchIfBehind(now time.Time) {
@@ -58,6 +52,11 @@
 			newest = max(newest, m.revision)
 		}
 	}
+	if newest <= c.revision {
+		// The hosts that have it are gone. Another round may bring it back.
+		c.nextFetch = now.Add(fetchInterval)
+		return
+	}
 	names := c.sortedNames(func(m *member) bool { return m.present() && m.revision == newest })
 	m := c.members[names[c.Rand.IntN(len(names))]]
 	c.fetching = true
@@ -101,8 +100,19 @@
 	}
 }
 
-// bitmapHosts returns the names that bitmaps refer to and their hash.
+// A hostList holds the sorted names that bitmaps refer to and their hash.
+type hostList struct {
+	generation int
+	names      []string
+	hash       uint64
+}
+
+// bitmapHosts returns the hosts that take part.
 func (c *Core) bitmapHosts() ([]string, uint64) {
+	list := &c.bitmapList
+	if list.names != nil && list.generation == c.generation {
+		return list.names, list.hash
+	}
 	names := append(c.sortedNames((*member).present), c.Self.Name)
 	slices.Sort(names)
 	hash := xxhash.New()
@@ -111,7 +121,8 @@
 		_, _ = hash.WriteString(name)
 		_, _ = hash.Write([]byte{0})
 	}
-	return names, hash.Sum64()
+	*list = hostList{generation: c.generation, names: names, hash: hash.Sum64()}
+	return list.names, list.hash
 }
 
 // addConfirmations adds the bitmap where hosts are too many to hear from each
@@ -149,4 +160,5 @@
 			m.revision, m.revisionAt = received.Revision, now
 		}
 	}
+	c.newest = max(c.newest, received.Revision)
 }
--- /dev/null
+++ b/gossiper/revision_test.go
@@ -0,0 +1,114 @@
+package gossiper
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a configuration that reaches hosts late, and against a publish
+// that waits for hosts which have long confirmed.
+func TestRevisionSpreads(t *testing.T) {
+	tests := []struct {
+		name    string
+		hosts   int
+		loss    float64
+		adopted time.Duration
+		known   time.Duration
+	}{
+		{"9 hosts", 9, 0, time.Second, 2 * time.Second},
+		{"9 hosts with loss", 9, 0.1, 3 * time.Second, 4 * time.Second},
+		{"40 hosts", 40, 0, 3 * time.Second, 8 * time.Second},
+		{"40 hosts with loss", 40, 0.1, 5 * time.Second, 10 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t)
+				n.startJoined(test.hosts)
+				defer n.stop()
+				n.mu.Lock()
+				n.loss = test.loss
+				n.mu.Unlock()
+				for revision := uint64(1); revision <= 3; revision++ {
+					publisher := n.host(hostName(int(revision)))
+					published := time.Now()
+					publisher.adopt(revision)
+					took, ok := within(test.adopted, func() bool {
+						for _, h := range n.hosts {
+							h.mu.Lock()
+							behind := h.revision < revision
+							h.mu.Unlock()
+							if behind {
+								return false
+							}
+						}
+						return true
+					})
+					if !ok {
+						t.Errorf("revision %d: not adopted by all within %v", revision, test.adopted)
+					}
+					_, ok = within(test.known, func() bool {
+						for _, confirmation := range publisher.Confirmations() {
+							if confirmation.Revision < revision {
+								return false
+							}
+						}
+						return true
+					})
+					if !ok {
+						t.Errorf("revision %d: publisher has not heard of all within %v", revision, test.known)
+					}
+					t.Logf("revision %d adopted by all after %v, confirmed to the publisher after %v",
+						revision, took, time.Since(published))
+					time.Sleep(5 * time.Second)
+				}
+			})
+		})
+	}
+}
+
+// Guards against several fetches at a time, a fetch in a tight loop, and a fetch
+// of what this host has.
+func TestFetchIsLimited(t *testing.T) {
+	start := time.Now()
+	c := testCore(start, 8)
+	c.SetRevision(start, 5)
+	at := func(i int, revision uint64, now time.Time) (fetches int) {
+		_, actions := c.Receive(now, Heartbeat{From: Host{Name: hostName(i), Incarnation: 1}, Revision: revision})
+		for _, action := range actions {
+			if _, ok := action.(Fetch); ok {
+				fetches++
+			}
+		}
+		return fetches
+	}
+	steps := []struct {
+		name  string
+		after time.Duration
+		act   func(now time.Time)
+		from  int
+		has   uint64
+		want  int
+	}{
+		{"older revision", 0, nil, 1, 4, 0},
+		{"same revision", 0, nil, 1, 5, 0},
+		{"newer revision", time.Millisecond, nil, 1, 6, 1},
+		{"again while fetching", 2 * time.Millisecond, nil, 2, 7, 0},
+		{"right after a failure", 3 * time.Millisecond, func(now time.Time) { c.Fetched(now, false) }, 2, 7, 0},
+		{"later", 500 * time.Millisecond, nil, 2, 7, 1},
+		{"after the fetch", time.Second, func(now time.Time) {
+			c.SetRevision(now, 7)
+			c.Fetched(now, true)
+		}, 2, 7, 0},
+	}
+	for _, step := range steps {
+		now := start.Add(step.after)
+		if step.act != nil {
+			step.act(now)
+		}
+		if got := at(step.from, step.has, now); got != step.want {
+			t.Errorf("%s: got %d fetches want %d", step.name, got, step.want)
+		}
+	}
+}
--- a/gossiper/spread.go
+++ b/gossiper/spread.go
@@ -75,6 +75,9 @@
 			cmp.Compare(a.key.name, b.key.name), cmp.Compare(a.key.host, b.key.host))
 	})
 	limit, left := c.spreadLimit(), changeBytes
+	if c.large() && c.credit(now) < 0 {
+		left = savingBytes
+	}
 	for _, item := range items {
 		size := c.addItem(h, item.key, now, to, left)
 		if size < 0 {
