Measure fair share, limits, replica reads and overhead

Change: baseline hosts (all to the first database, even shares, first come first served); measures worst_served, refused_within_rate, replica_reads and overhead. A host claims services only 2.2 s after it became ready and gives a claim up when another host holds the service: at the start of nine hosts each saw itself as the winner and services changed hands a dozen times, which cost 23 writes an unknown outcome. A killed host of the fleet can no longer tell others.

--- /dev/null
+++ b/measurer/baseline.go
@@ -0,0 +1,262 @@
+package measurer
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/acceptor"
+	"github.com/endiveturn/endiveturn/configurer"
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/groupemulator"
+	"github.com/endiveturn/endiveturn/pooler"
+)
+
+// baselineTerm is the term of a group that nobody has promoted in.
+const baselineTerm = 1
+
+// A Baseline is the naive version that measures are compared with: each host
+// sends everything to the first database of a service, has an even part of
+// every limit, and queues first come first served. Hosts know nothing of each
+// other, and nobody promotes.
+type Baseline struct {
+	Fleet *Fleet
+
+	hosts []*baselineHost
+}
+
+// A baselineHost is one host of the baseline.
+type baselineHost struct {
+	name     string
+	dc       string
+	acceptor *acceptor.Acceptor
+	stop     context.CancelFunc
+	done     chan struct{}
+	address  string
+	services map[string]*baselineService
+
+	mu      sync.Mutex
+	buckets map[string]*evenBucket
+}
+
+// A baselineService is a host's part of the connections and slots of a service.
+type baselineService struct {
+	pool  *pooler.Pool
+	slots chan struct{}
+}
+
+// An evenBucket is a host's even part of a customer's rate.
+type evenBucket struct {
+	rate, burst, level float64
+	updated            time.Time
+}
+
+func (b *evenBucket) take(now time.Time) bool {
+	b.level = min(b.burst, b.level+now.Sub(b.updated).Seconds()*b.rate)
+	b.updated = now
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+// Start starts stand-ins and baseline hosts of the shape.
+func (b *Baseline) Start(ctx context.Context, shape Shape) error {
+	b.Fleet = &Fleet{Shape: shape, Network: NewNetwork()}
+	if err := b.Fleet.startGroups(); err != nil {
+		return err
+	}
+	set, err := b.Fleet.BuildSet()
+	if err != nil {
+		return err
+	}
+	for i := range shape.Hosts {
+		if err := b.startHost(ctx, i, set); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *Baseline) startHost(ctx context.Context, i int, set configurer.Set) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	hostCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	h := &baselineHost{
+		name: hostName(i + 1), dc: dataCentreName(i%b.Fleet.Shape.DataCentres + 1), stop: stop, done: make(chan struct{}),
+		address: listener.Addr().String(), services: map[string]*baselineService{}, buckets: map[string]*evenBucket{},
+	}
+	for service, group := range b.Fleet.Groups {
+		h.services[service] = b.newService(group)
+	}
+	h.acceptor = &acceptor.Acceptor{
+		Listener: listener, Opener: &baselineOpener{host: h, shape: b.Fleet.Shape},
+		Set: func() configurer.Set { return set }, HostName: h.name, Logger: b.Fleet.Shape.Logger,
+	}
+	b.hosts = append(b.hosts, h)
+	go func() {
+		defer close(h.done)
+		if err := h.acceptor.Run(hostCtx); err != nil {
+			b.Fleet.Shape.Logger.Error("baseline host ended", "host", h.name, "error", err)
+		}
+	}()
+	return nil
+}
+
+func (b *Baseline) newService(group *groupemulator.Group) *baselineService {
+	shape := b.Fleet.Shape
+	pool := &pooler.Pool{
+		Name: group.Members[0].Name, Address: group.Address(group.Members[0].Name),
+		Login: pooler.Login{User: endpointUser, Password: endpointPassword, Database: "ledger"},
+		Dial:  b.Fleet.Network.Dialer("baseline"), Now: time.Now, Logger: shape.Logger,
+	}
+	connections := max(1, shape.Connections/shape.Hosts)
+	pool.SetTerm(baselineTerm)
+	pool.Configure(connections, connections)
+	return &baselineService{pool: pool, slots: make(chan struct{}, max(1, shape.Slots/shape.Hosts))}
+}
+
+// Hosts returns the running hosts with the same weight.
+func (b *Baseline) Hosts() []WeightedHost {
+	var hosts []WeightedHost
+	for _, h := range b.hosts {
+		hosts = append(hosts, WeightedHost{Address: h.address, Name: h.name, Weight: 1})
+	}
+	return hosts
+}
+
+// Stop ends hosts and stand-ins.
+func (b *Baseline) Stop() {
+	for _, h := range b.hosts {
+		h.stop()
+		<-h.done
+		for _, s := range h.services {
+			s.pool.Close()
+		}
+	}
+	if b.Fleet != nil {
+		b.Fleet.Stop()
+	}
+}
+
+// KillHost ends one host.
+func (b *Baseline) KillHost(i int) {
+	h := b.hosts[i]
+	b.hosts = append(b.hosts[:i:i], b.hosts[i+1:]...)
+	h.stop()
+	<-h.done
+}
+
+// A baselineOpener runs batches on the first database of a service.
+type baselineOpener struct {
+	host  *baselineHost
+	shape Shape
+}
+
+// Open implements executor.Opener.
+func (o *baselineOpener) Open(_ context.Context, attributes executor.Attributes) (executor.Exchange, error) {
+	service := o.host.services[attributes.Service]
+	if service == nil {
+		return nil, executor.RefuseNotRun(executor.CodeUnknownRoute, "unknown service")
+	}
+	return &baselineExchange{opener: o, service: service, customer: attributes.Customer}, nil
+}
+
+func (o *baselineOpener) admit(customer string) bool {
+	o.host.mu.Lock()
+	defer o.host.mu.Unlock()
+	now := time.Now()
+	bucket := o.host.buckets[customer]
+	if bucket == nil {
+		hosts := float64(o.shape.Hosts)
+		bucket = &evenBucket{rate: o.shape.Rate / hosts, burst: max(1, float64(o.shape.Burst)/hosts), updated: now}
+		bucket.level = bucket.burst
+		o.host.buckets[customer] = bucket
+	}
+	return bucket.take(now)
+}
+
+type baselineExchange struct {
+	opener   *baselineOpener
+	service  *baselineService
+	customer string
+	conn     *pooler.Conn
+}
+
+// Run implements executor.Exchange.
+func (e *baselineExchange) Run(ctx context.Context, batch executor.Batch, w io.Writer) (executor.Result, error) {
+	if e.conn == nil && !e.opener.admit(e.customer) {
+		return executor.Result{}, executor.RefuseNotRun(executor.CodeRateExceeded, "rate exceeded")
+	}
+	ctx, cancel := context.WithTimeout(ctx, batch.Deadline)
+	defer cancel()
+	select {
+	case e.service.slots <- struct{}{}:
+	case <-ctx.Done():
+		return executor.Result{}, executor.RefuseNotRun(executor.CodeTooManyQueued, "deadline passed")
+	}
+	defer func() { <-e.service.slots }()
+	if e.conn == nil {
+		conn, err := e.service.pool.Get(ctx, baselineTerm, e.customer)
+		if err != nil {
+			return executor.Result{}, executor.RefuseNotRun(executor.CodeCannotServe, err.Error())
+		}
+		e.conn = conn
+	}
+	deadline, _ := ctx.Deadline()
+	e.conn.SetReadDeadline(deadline)
+	status, err := e.relay(&batch, w)
+	if err != nil {
+		e.service.pool.Discard(e.conn, nil)
+		e.conn = nil
+		return executor.Result{}, executor.RefuseUnknown(executor.CodeOutcomeUnknown, err.Error())
+	}
+	if status == 'I' {
+		e.service.pool.Put(e.conn)
+		e.conn = nil
+	}
+	return executor.Result{TxStatus: status}, nil
+}
+
+// relay passes the whole answer on.
+func (e *baselineExchange) relay(batch *executor.Batch, w io.Writer) (byte, error) {
+	answer, _, err := e.conn.Start(batch, e.customer)
+	if err != nil {
+		return 0, err
+	}
+	for {
+		message, err := answer.Next()
+		if err != nil {
+			return 0, err
+		}
+		if message.Type == pooler.TypeReady {
+			return answer.Finish(e.customer)
+		}
+		body, err := answer.Body()
+		if err != nil {
+			return 0, err
+		}
+		frame := binary.BigEndian.AppendUint32([]byte{message.Type}, uint32(len(body))+4)
+		if _, err := w.Write(append(frame, body...)); err != nil {
+			return 0, errors.WithStack(err)
+		}
+	}
+}
+
+// Close implements executor.Exchange.
+func (e *baselineExchange) Close() error {
+	if e.conn != nil {
+		e.service.pool.Discard(e.conn, nil)
+		e.conn = nil
+	}
+	return nil
+}
--- a/measurer/failover_gap.go
+++ b/measurer/failover_gap.go
@@ -28,7 +28,7 @@
 	if err := f.Start(ctx); err != nil {
 		return nil, nil, err
 	}
-	workload := &Workload{Hosts: f.AllHosts, Seed: options.Seed, Timeout: 6 * time.Second}
+	workload := &Workload{Hosts: f.AllHosts, Seed: options.Seed, Timeout: 6 * time.Second, Logger: options.Logger}
 	for i := range shape.Services {
 		workload.Groups = append(workload.Groups, CallerGroup{
 			Customer: CustomerName(i + 1), Route: RouteName(i + 1), Callers: 20, Rate: 400, WriteShare: 0.6, Roam: 50,
--- a/measurer/fleet.go
+++ b/measurer/fleet.go
@@ -247,6 +247,7 @@
 
 // StartHost starts a host, or starts it again at its former addresses.
 func (f *Fleet) StartHost(ctx context.Context, h *FleetHost) error {
+	f.Network.Revive(h.Name)
 	callers, err := f.Network.Listen(ctx, h.Name, h.CallerAddress)
 	if err != nil {
 		return err
@@ -323,7 +324,6 @@
 	closeAll(s.CallerListener, s.PeerListener)
 	f.Network.Kill(h.Name)
 	stop()
-	f.Network.Kill(h.Name)
 	<-done
 }
 
--- a/measurer/measures.go
+++ b/measurer/measures.go
@@ -10,7 +10,11 @@
 // All returns all measures in the order in which they are run.
 func All() []Measure {
 	return []Measure{
+		{Name: "replica_reads", Describes: "share of reads on replicas against an oracle that knows every lag", Run: measureReplicaReads},
 		{Name: "failover_gap", Describes: "time without an acknowledged write when primaries are killed or cut off", Run: measureFailoverGap},
+		{Name: "worst_served", Describes: "small customers while one customer offers many times its share", Run: measureWorstServed},
+		{Name: "refused_within_rate", Describes: "refusals within the rate with a skewed balancer and a lost host", Run: measureRefusedWithinRate},
+		{Name: "overhead", Describes: "lookups through one host against lookups directly at the database", Run: measureOverhead},
 	}
 }
 
--- a/measurer/network.go
+++ b/measurer/network.go
@@ -21,6 +21,8 @@
 	// names holds the part that listens at an address.
 	names map[string]string
 	cuts  map[pair]bool
+	// dead holds the parts that were killed: they reach nobody.
+	dead  map[string]bool
 	conns map[*conn]struct{}
 	// changed is closed and replaced whenever a cut changes.
 	changed chan struct{}
@@ -39,7 +41,7 @@
 // NewNetwork returns a network without cuts.
 func NewNetwork() *Network {
 	return &Network{
-		names: make(map[string]string), cuts: make(map[pair]bool),
+		names: make(map[string]string), cuts: make(map[pair]bool), dead: make(map[string]bool),
 		conns: make(map[*conn]struct{}), changed: make(chan struct{}),
 	}
 }
@@ -64,9 +66,18 @@
 	n.changed = make(chan struct{})
 }
 
-// Kill closes every connection of a name at once.
+// Revive lets a part that was killed open connections again.
+func (n *Network) Revive(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.dead, name)
+}
+
+// Kill closes every connection of a name at once and lets it open none until
+// Revive, so that what is left of it in this process can tell nobody.
 func (n *Network) Kill(name string) {
 	n.mu.Lock()
+	n.dead[name] = true
 	var victims []*conn
 	for c := range n.conns {
 		if c.link.a == name || c.link.b == name {
@@ -83,8 +94,11 @@
 func (n *Network) Dialer(from string) func(ctx context.Context, address string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mu.Lock()
-		to := n.names[address]
+		to, dead := n.names[address], n.dead[from]
 		n.mu.Unlock()
+		if dead {
+			return nil, errKilled
+		}
 		link := pairOf(from, to)
 		if err := n.await(ctx, link, nil, time.Time{}); err != nil {
 			return nil, err
@@ -101,8 +115,12 @@
 func (n *Network) track(raw net.Conn, link pair) net.Conn {
 	c := &conn{Conn: raw, network: n, link: link, closed: make(chan struct{})}
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.conns[c] = struct{}{}
+	dead := n.dead[link.a] || n.dead[link.b]
+	n.mu.Unlock()
+	if dead {
+		c.reset()
+	}
 	return c
 }
 
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -93,6 +94,8 @@
 	Seed  uint64
 	// Timeout bounds one operation.
 	Timeout time.Duration
+	// Logger gets a line for each operation that was not done; may be nil.
+	Logger *slog.Logger
 
 	start time.Time
 	mu    sync.Mutex
@@ -146,6 +149,10 @@
 }
 
 func (w *Workload) record(o Operation) {
+	if w.Logger != nil && o.Outcome != Done {
+		w.Logger.Warn("operation not done", "id", o.ID, "kind", o.Kind, "outcome", o.Outcome, "host", o.Host,
+			"code", o.Code, "message", o.Message, "start", o.Start, "end", o.End)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.operations = append(w.operations, o)
--- a/run.go
+++ b/run.go
@@ -39,7 +39,16 @@
 
 // logger writes one key=value line per event to stderr.
 func (e *environment) logger(level slog.Level) *slog.Logger {
-	return slog.New(slog.NewTextHandler(e.stderr, &slog.HandlerOptions{Level: level}))
+	return slog.New(slog.NewTextHandler(e.stderr, &slog.HandlerOptions{Level: level, ReplaceAttr: plainError}))
+}
+
+// plainError logs errors by their text. The handler would print the stack of
+// an error of pkg/errors, which does not belong on a line of key=value pairs.
+func plainError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
 }
 
 // run executes the command line and returns the exit code.
--- a/server/peers.go
+++ b/server/peers.go
@@ -135,6 +135,11 @@
 // winner returns the host that should hold a service, or "".
 func (s *Server) winner(service string) string { return s.gossip.View().Winner(service) }
 
+// alone reports whether this host was told of no other.
+func (s *Server) alone() bool {
+	return len(s.Settings.Seeds) == 0 && s.Settings.HostListPrefix == "" && len(s.gossip.View().Hosts) <= 1
+}
+
 func (s *Server) peerAddress(host string) (string, bool) {
 	h, ok := s.gossip.View().Host(host)
 	return h.PeerAddress, ok && host != s.Settings.Host
--- a/server/placer.go
+++ b/server/placer.go
@@ -20,6 +20,12 @@
 	// reclaimPause is the mean pause before a service that was lost to a higher
 	// term is claimed again.
 	reclaimPause = 200 * time.Millisecond
+	// acquaintTime is how long a host listens to the others after it became
+	// ready before it claims a service. A host that has just started does not
+	// know of holders yet and would take their services away; and hosts that
+	// start together count each other as eligible only after two seconds, so
+	// each would see itself as the winner before.
+	acquaintTime = 2200 * time.Millisecond
 	// invitationTime is how long a request to take a service over counts.
 	invitationTime = 2 * time.Second
 )
@@ -36,6 +42,8 @@
 	// invited holds the services that their holder asked this host to take
 	// over, until when.
 	invited map[string]time.Time
+	// readyAt is when the host became ready, or zero.
+	readyAt time.Time
 	// stopping is set when this host hands everything over for good.
 	stopping bool
 }
@@ -107,6 +115,9 @@
 	if p.stopping || !p.server.ready.Load() {
 		return
 	}
+	if p.readyAt.IsZero() {
+		p.readyAt = now
+	}
 	for name, service := range set.Services {
 		if p.holdings[name] == nil && p.shouldClaim(name, now) {
 			p.server.Logger.Info("service claimed", "service", name, "reason", p.claimReason(name, now))
@@ -138,10 +149,16 @@
 	if now.Before(p.invited[service]) {
 		return true
 	}
-	if claim, ok := p.server.liveClaim(service); ok && claim.Host != p.server.Settings.Host {
+	if now.Sub(p.readyAt) < acquaintTime && !p.server.alone() {
 		return false
 	}
-	return p.server.winner(service) == p.server.Settings.Host
+	return !p.heldElsewhere(service) && p.server.winner(service) == p.server.Settings.Host
+}
+
+// heldElsewhere reports whether another live host has claimed the service.
+func (p *placer) heldElsewhere(service string) bool {
+	claim, ok := p.server.liveClaim(service)
+	return ok && claim.Host != p.server.Settings.Host
 }
 
 func (p *placer) claimReason(service string, now time.Time) string {
@@ -157,6 +174,11 @@
 	if h.draining.Load() {
 		return
 	}
+	if h.term() == 0 && !now.Before(p.invited[h.service]) && p.heldElsewhere(h.service) {
+		p.server.Logger.Info("claim given up", "service", h.service, "reason", "held by another host")
+		h.stop()
+		return
+	}
 	if !p.reviewAble(h, now) {
 		return
 	}
