--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -23,8 +23,11 @@
 	asyncWriteSize = 32 << 10
 	// farewell bounds how long a closed connection is counted while the database
 	// does not confirm the end.
-	farewell   = time.Second
-	headerSize = 5
+	farewell = time.Second
+	// expireGrace bounds the wait for a database to end a connection of a past
+	// term; one that is cut off never does.
+	expireGrace = 50 * time.Millisecond
+	headerSize  = 5
 )
 
 var noDeadline time.Time
@@ -63,8 +66,10 @@
 	c.abort.Do(func() { _ = c.network.Close() })
 }
 
-// SetReadDeadline bounds reading the answer.
-func (c *Conn) SetReadDeadline(t time.Time) { _ = c.network.SetReadDeadline(t) }
+// expire bounds what runs on a connection of a past term. A database that has
+// accepted the new term ends the connection itself; closing it here at once would
+// leave unknown when the statement has ended there.
+func (c *Conn) expire() { _ = c.network.SetDeadline(time.Now().Add(expireGrace)) }
 
 // Cancel asks the database to cancel what runs on the connection. The connection
 // must not be used for another batch afterwards, since the request may take
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -81,7 +81,7 @@
 	p.wake()
 }
 
-// SetTerm closes all connections of another term, those in use included.
+// SetTerm closes all connections of another term; those in use fail soon.
 func (p *Pool) SetTerm(term uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -94,7 +94,7 @@
 		p.closeOldest()
 	}
 	for conn := range p.used {
-		conn.Abort()
+		conn.expire()
 	}
 	p.wake()
 }
