Watch the callers of long batches by one ticker

Change: one ticker per acceptor looks for batches that run for longer than 100 ms and starts to watch their callers.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -161,6 +161,9 @@
 		a.kill()
 	})
 	defer stop()
+	var watch sync.WaitGroup
+	defer watch.Wait()
+	watch.Go(a.watchCallers)
 	err := a.accept(ctx)
 	if err != nil {
 		a.stopAccepting()
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -63,12 +63,13 @@
 	batches int
 	reader  reader
 
+	// mu may be locked while the acceptor's is held, not the other way round.
 	mu sync.Mutex
 	// conn is replaced by a TLS connection at startup.
 	conn net.Conn
-	// cancelRun cancels the batch that runs now, nil if there is none.
-	cancelRun context.CancelFunc
-	killed    bool
+	// running is the batch that runs now, nil if there is none.
+	running *run
+	killed  bool
 }
 
 // read reads from the caller. A wake-up is an os.ErrDeadlineExceeded while the
@@ -141,8 +142,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.killed = true
-	if c.cancelRun != nil {
-		c.cancelRun()
+	if c.running != nil {
+		c.running.cancel()
 	}
 	c.conn.SetReadDeadline(time.Unix(1, 0))
 	c.conn.SetWriteDeadline(time.Now().Add(killTimeout))
@@ -158,8 +159,8 @@
 func (c *connection) cancel() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancelRun != nil {
-		c.cancelRun()
+	if c.running != nil {
+		c.running.cancel()
 	}
 }
 
--- a/acceptor/drain_test.go
+++ b/acceptor/drain_test.go
@@ -177,7 +177,7 @@
 			}
 		}
 		gone.Close()
-		time.Sleep(watchDelay)
+		time.Sleep(3 * watchInterval)
 		a.Recheck()
 		ahead.Send(&pgproto3.Query{String: "SELECT 2"})
 		for _, want := range []string{`DataRow ["pg_sleep(30)"]`, `DataRow ["2"]`} {
--- a/acceptor/serve.go
+++ b/acceptor/serve.go
@@ -88,15 +88,14 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if !c.setCancel(cancel) {
+	if !c.beginRun(&run{cancel: cancel}) {
+		c.endRun()
 		return errKilled
 	}
-	defer c.setCancel(nil)
 	started := c.acceptor.Now()
 	c.batches++
-	endWatch := c.watch(cancel)
 	result, err := c.runExchange(ctx, p, granted, answer)
-	endWatch()
+	c.endRun()
 	c.define(p, answer)
 	outcome, err := c.conclude(p, answer, result, err)
 	if c.acceptor.BatchDone != nil {
@@ -219,12 +218,3 @@
 	c.status = statusIdle
 	return OutcomeUnknown, c.fail(p, answer, refusal)
 }
-
-// setCancel makes cancel the way to cancel the running batch. It returns false
-// if the connection was killed.
-func (c *connection) setCancel(cancel context.CancelFunc) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cancelRun = cancel
-	return !c.killed || cancel == nil
-}
