--- a/messenger/client.go
+++ b/messenger/client.go
@@ -39,7 +39,8 @@
 	MaxIdle int
 	// IdleTimeout is how long an idle connection is kept; 0 stands for 1 min.
 	IdleTimeout time.Duration
-	// DialTimeout bounds the opening of a connection; 0 stands for 2 s.
+	// DialTimeout bounds the opening of a connection and then the wait for the
+	// peer's greeting; 0 stands for 2 s.
 	DialTimeout time.Duration
 	// MaxBatch is the largest encoded batch in bytes; 0 stands for 16 MB.
 	MaxBatch int
@@ -121,13 +122,16 @@
 	return c.MaxBatch
 }
 
+func (c *Client) dialTimeout() time.Duration {
+	if c.DialTimeout == 0 {
+		return defaultDialTimeout
+	}
+	return c.DialTimeout
+}
+
 // dial opens a connection within the dial timeout.
 func (c *Client) dial(ctx context.Context, address string) (*transport, error) {
-	timeout := c.DialTimeout
-	if timeout == 0 {
-		timeout = defaultDialTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout())
 	defer cancel()
 	dial := c.Dial
 	if dial == nil {
@@ -168,6 +172,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := l.hello(ctx, c.dialTimeout()); err != nil {
+		l.discard()
+		return nil, err
+	}
 	c.mu.Lock()
 	closed := c.closed
 	if !closed {
@@ -181,6 +189,11 @@
 		l.discard()
 		return nil, errors.WithStack(ErrClosed)
 	}
+	go func() {
+		// The pool drops lines that have broken without closing them.
+		<-l.Closed()
+		l.discard()
+	}()
 	return l, nil
 }
 
@@ -242,6 +255,10 @@
 		_ = conn.Conn.Close()
 		return nil, errors.WithStack(ErrClosed)
 	}
+	go func() {
+		<-conn.Closed()
+		_ = conn.Close()
+	}()
 	return conn, nil
 }
 
--- a/messenger/exchange.go
+++ b/messenger/exchange.go
@@ -126,12 +126,22 @@
 		return executor.RefuseNotRun(executor.CodeTooLarge, "batch too large")
 	case l.transport.writes.Load() == written:
 		return e.unsent("connection to the holder lost before the batch was sent", executor.NotRun)
+	case e.ended():
+		return e.unsent("host stopping", executor.Moved)
 	default:
 		e.fail()
 		return lost(err)
 	}
 }
 
+// ended reports whether the host had ended the stream before a send failed. Its
+// stream is terminated then, so that the read does not wait.
+func (e *remoteExchange) ended() bool {
+	_ = e.line.transport.Close()
+	_, err := e.line.receive()
+	return errors.Is(err, io.EOF)
+}
+
 // unsent is the refusal of a batch of which the holder got nothing, on a line
 // that is of no more use. A transaction that was open has ended with the line.
 func (e *remoteExchange) unsent(message string, outcome executor.Outcome) error {
@@ -188,13 +198,14 @@
 func (e *remoteExchange) collect(number uint64, deadline time.Duration, w io.Writer) (executor.Result, error) {
 	for {
 		answer, err := e.line.receive()
+		if errors.Is(err, io.EOF) {
+			// The host ended the stream, so that it has not run this batch.
+			return executor.Result{}, e.unsent("host stopping", executor.Moved)
+		}
 		if err != nil {
 			e.fail()
 			return executor.Result{}, lost(err)
 		}
-		if answer.Leaving && answer.Number < number {
-			return executor.Result{}, e.unsent("host stopping", executor.Moved)
-		}
 		if answer.Number != number {
 			e.fail()
 			return executor.Result{}, lost(errors.Errorf("got answer %d for batch %d", answer.Number, number))
@@ -228,7 +239,7 @@
 	e.open = answer.Open
 	result := resultFromWire(answer.Result)
 	refusal := answer.Refusal
-	if answer.Leaving {
+	if answer.Last {
 		e.line.end()
 		e.line.discard()
 		e.line = nil
--- a/messenger/execute_test.go
+++ b/messenger/execute_test.go
@@ -65,12 +65,18 @@
 	stop func()
 }
 
-func newPair(t testing.TB, opener executor.Opener) *pair {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return listener
+}
+
+func newPair(t testing.TB, opener executor.Opener) *pair {
+	t.Helper()
+	listener := listen(t)
 	p := &pair{
 		server: &Server{Listener: listener, Opener: opener}, client: &Client{MaxIdle: 2000},
 		address: listener.Addr().String(),
--- a/messenger/execution.go
+++ b/messenger/execution.go
@@ -66,7 +66,7 @@
 	x.closeExchange()
 	x.cancel()
 	if err == nil {
-		// The peer closes its end after it has read that this host leaves.
+		// The peer closes its end after it has read that this host has.
 		reader.Wait()
 	}
 	return err
@@ -89,11 +89,11 @@
 	}
 }
 
-// leave tells the peer up to which batch this host has run what it was sent.
+// leave ends the stream cleanly: the peer learns that nothing has run that was
+// not answered, and closes its end.
 func (x *execution) leave() error {
 	x.closeExchange()
-	err := x.stream.Send(&peerpb.ExecuteAnswer{Number: x.number, Leaving: true})
-	return errors.Wrap(err, "send that host leaves")
+	return errors.Wrap(x.stream.CloseSend(), "end stream")
 }
 
 // read receives frames, and cancels what runs when the stream breaks.
@@ -136,6 +136,9 @@
 	if err := check(request.GetVersion()); err != nil {
 		return x.refuseLast(request.GetNumber(), executor.RefuseNotRun(executor.CodeNotSupported, err.Error()), err)
 	}
+	if request.GetHello() {
+		return errors.Wrap(x.stream.Send(&peerpb.ExecuteAnswer{Hello: true}), "greet peer")
+	}
 	if request.GetNumber() <= x.number {
 		return errors.Errorf("batch %d came after batch %d", request.GetNumber(), x.number)
 	}
@@ -263,7 +266,7 @@
 // refuseLast answers a batch and ends the stream for the reason.
 func (x *execution) refuseLast(number uint64, refusal *executor.Refusal, reason error) error {
 	x.closeExchange()
-	err := x.stream.Send(&peerpb.ExecuteAnswer{Number: number, Refusal: refusalToWire(refusal), Leaving: true})
+	err := x.stream.Send(&peerpb.ExecuteAnswer{Number: number, Refusal: refusalToWire(refusal), Last: true})
 	if err != nil {
 		return errors.Wrap(err, "send refusal")
 	}
--- /dev/null
+++ b/messenger/fuzz_test.go
@@ -0,0 +1,102 @@
+package messenger
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/messenger/peerpb"
+)
+
+// Guards against frames of a peer that crash this host, or that mean something
+// else after they were passed on.
+func FuzzFrames(f *testing.F) {
+	batch := &peerpb.Batch{}
+	batchToWire(&executor.Batch{Messages: []byte("Q"), Class: executor.ClassRead, MaxAge: time.Second}, time.Second, batch)
+	seeds := []proto.Message{
+		batch, heartbeatToWire(fullBeat), attributesToWire(attributesFor("a")),
+		refusalToWire(executor.RefuseNotRun("57P03", "no")), resultToWire(executor.Result{TxStatus: 'T'}),
+	}
+	for _, seed := range seeds {
+		data, err := proto.Marshal(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var b peerpb.Batch
+		if proto.Unmarshal(data, &b) == nil {
+			first := batchFromWire(&b)
+			if first.Class > executor.ClassBeginRead || first.Deadline < 0 || first.MaxAge < 0 {
+				t.Errorf("batch out of range: %+v", first)
+			}
+			var again peerpb.Batch
+			batchToWire(&first, first.Deadline, &again)
+			if second := batchFromWire(&again); !reflect.DeepEqual(first, second) {
+				t.Errorf("batch:\ngot  %+v\nwant %+v", second, first)
+			}
+		}
+		var h peerpb.HeartbeatMessage
+		if proto.Unmarshal(data, &h) == nil {
+			first := heartbeatFromWire(&h)
+			second := heartbeatFromWire(heartbeatToWire(first))
+			if len(first.Confirmations.Bitmap) == 0 {
+				first.Confirmations = second.Confirmations
+			}
+			if !reflect.DeepEqual(first, second) {
+				t.Errorf("heartbeat:\ngot  %+v\nwant %+v", second, first)
+			}
+		}
+		var r peerpb.Refusal
+		if proto.Unmarshal(data, &r) == nil {
+			if refusal := refusalFromWire(&r); refusal.Outcome > executor.RolledBack || len(refusal.Code) != 5 {
+				t.Errorf("refusal out of range: %+v", refusal)
+			}
+		}
+		var a peerpb.Attributes
+		if proto.Unmarshal(data, &a) == nil {
+			first := attributesFromWire(&a)
+			if second := attributesFromWire(attributesToWire(first)); first != second {
+				t.Errorf("attributes: got %+v want %+v", second, first)
+			}
+		}
+	})
+}
+
+// Guards against an answer that is cut or reordered between chunks.
+func FuzzAnswer(f *testing.F) {
+	f.Add(uint16(1), uint16(40000))
+	f.Add(uint16(32768), uint16(32768))
+	f.Fuzz(func(t *testing.T, first, second uint16) {
+		stream := &collectingStream{}
+		w := &answerWriter{stream: stream}
+		w.reset(1)
+		want := bytes.Repeat([]byte("abc"), (int(first)+int(second))/3+1)[:int(first)+int(second)]
+		for _, part := range [][]byte{want[:first], want[first:]} {
+			if n, err := w.Write(part); n != len(part) || err != nil {
+				t.Fatalf("Write() = %d, %v", n, err)
+			}
+		}
+		got := append(stream.data, w.take().GetData()...)
+		if !bytes.Equal(got, want) || stream.largest > chunkSize {
+			t.Errorf("got %d bytes in chunks of up to %d, want %d bytes", len(got), stream.largest, len(want))
+		}
+	})
+}
+
+type collectingStream struct {
+	peerpb.DRPCPeer_ExecuteStream
+	data    []byte
+	largest int
+}
+
+func (s *collectingStream) Send(answer *peerpb.ExecuteAnswer) error {
+	s.data = append(s.data, answer.GetData()...)
+	s.largest = max(s.largest, len(answer.GetData()))
+	return nil
+}
--- a/messenger/line.go
+++ b/messenger/line.go
@@ -30,10 +30,9 @@
 	encoding  drpc.Encoding
 	// number is that of the last batch sent.
 	number uint64
-	// request, batch and answer are reused from batch to batch.
-	request peerpb.ExecuteRequest
-	batch   peerpb.Batch
-	answer  peerpb.ExecuteAnswer
+	// batch and answer are reused from batch to batch.
+	batch  peerpb.Batch
+	answer peerpb.ExecuteAnswer
 	// onDiscard is called once.
 	onDiscard func(*line)
 
@@ -57,8 +56,7 @@
 	return c
 }()
 
-// newLine starts the stream on a connection. Nothing is sent before the first
-// batch.
+// newLine starts the stream on a connection. Nothing is sent before hello.
 func newLine(t *transport, address string, onDiscard func(*line)) (*line, error) {
 	l := &line{
 		Conn:      drpcconn.NewWithOptions(t, drpcconn.Options{Manager: managerOptions(readBuffer)}),
@@ -67,7 +65,7 @@
 		encoding:  limitedEncoding{Encoding: protoEncoding{}, sendLimit: maxFrame, receiveLimit: maxFrame},
 		onDiscard: onDiscard,
 	}
-	stream, err := l.Conn.NewStream(context.Background(), executeRPC, l.encoding)
+	stream, err := l.NewStream(context.Background(), executeRPC, l.encoding)
 	if err != nil {
 		_ = l.Conn.Close()
 		return nil, errors.Wrapf(err, "open stream to %s", address)
@@ -82,6 +80,31 @@
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: buffer}}
 }
 
+// hello waits until the peer serves the stream. A batch sent to a host that
+// accepts connections only in its kernel, since it is held up or has just
+// stopped, would otherwise end with an unknown outcome.
+func (l *line) hello(ctx context.Context, patience time.Duration) error {
+	l.await(patience)
+	defer l.pause()
+	stop := context.AfterFunc(ctx, l.discard)
+	defer stop()
+	request := peerpb.ExecuteRequest{Version: ProtocolVersion, Hello: true}
+	if err := l.stream.MsgSend(&request, l.encoding); err != nil {
+		return errors.Wrapf(err, "greet %s", l.address)
+	}
+	answer, err := l.receive()
+	if err != nil {
+		return errors.Wrapf(err, "greet %s", l.address)
+	}
+	if answer.GetRefusal() != nil {
+		return errors.Wrapf(refusalFromWire(answer.GetRefusal()), "greet %s", l.address)
+	}
+	if !answer.GetHello() {
+		return errors.Errorf("%s sent another frame before its greeting", l.address)
+	}
+	return nil
+}
+
 // Unblocked hides that the connection's stream is open at all times.
 func (l *line) Unblocked() <-chan struct{} { return neverBlocked }
 
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -18,8 +18,8 @@
 	"github.com/endiveturn/endiveturn/messenger/peerpb"
 )
 
-// farewell is how long a stopping server waits for its peers to close their
-// connections, so that none of them loses the word that it leaves.
+// farewell is how long a stopping server keeps streams that it has ended, so that
+// peers read the end before the connection breaks.
 const farewell = 300 * time.Millisecond
 
 // ErrNoListener says that a server has nothing to listen on.
@@ -92,18 +92,21 @@
 		cancel()
 	})
 	defer stop()
-	if err := server.Serve(serving, s.Listener); err != nil {
+	listener := &stoppableListener{Listener: s.Listener, stopping: s.stopping, done: serving.Done()}
+	if err := server.Serve(serving, listener); err != nil {
 		return errors.Wrap(err, "serve peers")
 	}
 	return nil
 }
 
-// dismiss tells the streams that the server stops and waits for their ends.
+// dismiss ends the streams that have no batch running, waits until the peers have
+// closed theirs, and accepts no more connections.
 func (s *Server) dismiss() {
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
 	close(s.stopping)
+	_ = s.Listener.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), farewell)
 	defer cancel()
 	// An error means that a peer kept its connection, which is then cut.
@@ -174,6 +177,27 @@
 	return s.MaxBatch
 }
 
+// A stoppableListener can be closed without an end of the connections: drpc's
+// server cuts them as soon as it can accept no more.
+type stoppableListener struct {
+	net.Listener
+	stopping <-chan struct{}
+	done     <-chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *stoppableListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		select {
+		case <-l.stopping:
+			<-l.done
+		default:
+		}
+	}
+	return conn, err
+}
+
 // A limitedHandler bounds the messages of all streams.
 type limitedHandler struct{ drpc.Handler }
 
