--- /dev/null
+++ b/main_test.go
@@ -0,0 +1,262 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/endiveturn/endiveturn/messenger"
+	"github.com/endiveturn/endiveturn/server"
+)
+
+// portsPerScript is the number of free ports that a script gets as $ADDR1 and
+// so on.
+const portsPerScript = 16
+
+// scriptTimeout bounds one statement or wait of a script.
+const scriptTimeout = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"endiveturn": main})
+}
+
+// Guards against commands that do not work as processes: whole sessions of
+// operators and callers, with the stand-ins as processes too.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: setupAddresses,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"sql":           runSQL,
+			"await":         awaitSQL,
+			"start":         startProcess,
+			"await_store":   awaitStore,
+			"signal":        signalProcess,
+			"find_holder":   findHolder,
+			"find_survivor": findSurvivor,
+			"ended":         awaitEnd,
+			"expand":        expandFiles,
+		},
+	})
+}
+
+// setupAddresses sets $ADDR1 and so on to free loopback addresses.
+func setupAddresses(env *testscript.Env) error {
+	var listeners []net.Listener
+	for i := range portsPerScript {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		listeners = append(listeners, listener)
+		env.Setenv("ADDR"+strconv.Itoa(i+1), listener.Addr().String())
+	}
+	// Verifiers contain dollar signs, which expand would take for variables.
+	env.Setenv("DOLLAR", "$")
+	for _, listener := range listeners {
+		if err := listener.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// expandFiles replaces variables in files of the script.
+func expandFiles(ts *testscript.TestScript, _ bool, files []string) {
+	for _, file := range files {
+		content := os.Expand(ts.ReadFile(file), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(content), 0o600))
+	}
+}
+
+// query runs a statement on a new connection and returns the values of its
+// rows, one row a line.
+func query(ctx context.Context, url, statement string) (string, error) {
+	conn, err := pgx.Connect(ctx, url)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	rows, err := conn.Query(ctx, statement)
+	if err != nil {
+		return "", err
+	}
+	defer rows.Close()
+	text := ""
+	for rows.Next() {
+		values, err := rows.Values()
+		if err != nil {
+			return "", err
+		}
+		for _, value := range values {
+			text += fmt.Sprint(value, " ")
+		}
+		text += "\n"
+	}
+	return text, rows.Err()
+}
+
+// runSQL is the command "sql URL STATEMENT [WANT]"; "! sql URL STATEMENT CODE"
+// wants an error that contains the code.
+func runSQL(ts *testscript.TestScript, neg bool, args []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
+	defer cancel()
+	got, err := query(ctx, args[0], args[1])
+	if neg {
+		if err == nil || !strings.Contains(err.Error(), args[2]) {
+			ts.Fatalf("error: got %v, want one with %q", err, args[2])
+		}
+		return
+	}
+	ts.Check(err)
+	if len(args) > 2 && !strings.Contains(got, args[2]) {
+		ts.Fatalf("rows: got %q, want %q in them", got, args[2])
+	}
+}
+
+// awaitSQL repeats a statement until it succeeds, for hosts that start.
+func awaitSQL(ts *testscript.TestScript, _ bool, args []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
+	defer cancel()
+	for {
+		_, err := query(ctx, args[0], args[1])
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			ts.Fatalf("no success within %v: %v", scriptTimeout, err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// awaitStore is the command "await_store ADDRESS": it waits until something
+// listens there.
+func awaitStore(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(scriptTimeout)
+	for {
+		conn, err := net.DialTimeout("tcp", args[0], time.Second)
+		if err == nil {
+			conn.Close()
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("nothing listens at %s: %v", args[0], err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// startProcess is the command "start NAME ARGUMENT...": it runs endiveturn in
+// the background, with its output in NAME.log, until the script ends.
+func startProcess(ts *testscript.TestScript, _ bool, args []string) {
+	path, err := exec.LookPath("endiveturn")
+	ts.Check(err)
+	log, err := os.Create(ts.MkAbs(args[0] + ".log"))
+	ts.Check(err)
+	command := exec.Command(path, args[1:]...)
+	command.Dir, command.Stdout, command.Stderr = ts.MkAbs("."), log, log
+	ts.Check(command.Start())
+	ts.Setenv(args[0]+"_PID", strconv.Itoa(command.Process.Pid))
+	ended := make(chan struct{})
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+	processes.Store(command.Process.Pid, ended)
+	ts.Defer(func() {
+		_ = command.Process.Kill()
+		<-ended
+		log.Close()
+	})
+}
+
+// processes holds a channel for each process of a script that is closed when
+// the process has ended.
+var processes sync.Map
+
+// signalProcess is the command "signal SIGNAL NAME": it sends a signal to a
+// process that start has started.
+func signalProcess(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM,
+	}
+	pid, err := strconv.Atoi(ts.Getenv(args[1] + "_PID"))
+	ts.Check(err)
+	ts.Check(syscall.Kill(pid, signals[args[0]]))
+}
+
+// findHolder is the command "find_holder SERVICE": it finds the holder among
+// the hosts h1 to h3, whose peer addresses are $ADDR6 to $ADDR8 and whose
+// caller addresses are $ADDR11 to $ADDR13. It sets $HOLDER and $OTHER1, $OTHER2
+// to caller addresses and holder_PID to the holder's process.
+func findHolder(ts *testscript.TestScript, _ bool, args []string) {
+	client := &messenger.Client{}
+	defer client.Close()
+	deadline := time.Now().Add(scriptTimeout)
+	for time.Now().Before(deadline) {
+		for i := range 3 {
+			status, err := askHost(client, ts, i)
+			if err != nil || !holds(status, args[0]) {
+				continue
+			}
+			ts.Setenv("HOLDER", ts.Getenv(fmt.Sprint("ADDR", 11+i)))
+			ts.Setenv("holder_PID", ts.Getenv(fmt.Sprintf("h%d_PID", i+1)))
+			ts.Setenv("OTHER1", ts.Getenv(fmt.Sprint("ADDR", 11+(i+1)%3)))
+			ts.Setenv("OTHER2", ts.Getenv(fmt.Sprint("ADDR", 11+(i+2)%3)))
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("no holder of %s within %v", args[0], scriptTimeout)
+}
+
+// findSurvivor is the command "find_survivor": it sets $SURVIVOR to the caller
+// address of a host that still answers.
+func findSurvivor(ts *testscript.TestScript, _ bool, _ []string) {
+	client := &messenger.Client{}
+	defer client.Close()
+	for i := range 3 {
+		if _, err := askHost(client, ts, i); err == nil {
+			ts.Setenv("SURVIVOR", ts.Getenv(fmt.Sprint("ADDR", 11+i)))
+			return
+		}
+	}
+	ts.Fatalf("no host answers")
+}
+
+// askHost returns the status of one of the hosts h1 to h3, counted from 0.
+func askHost(client *messenger.Client, ts *testscript.TestScript, i int) (server.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return askAny(ctx, client, []string{ts.Getenv(fmt.Sprint("ADDR", 6+i))})
+}
+
+func holds(status server.Status, service string) bool {
+	return slices.ContainsFunc(status.Services, func(s server.ServiceStatus) bool { return s.Name == service && s.Held })
+}
+
+// awaitEnd is the command "ended NAME": it waits until a process has ended.
+func awaitEnd(ts *testscript.TestScript, _ bool, args []string) {
+	pid, err := strconv.Atoi(ts.Getenv(args[0] + "_PID"))
+	ts.Check(err)
+	ended, _ := processes.Load(pid)
+	select {
+	case <-ended.(chan struct{}):
+	case <-time.After(scriptTimeout):
+		ts.Fatalf("%s did not end within %v", args[0], scriptTimeout)
+	}
+}
--- a/measurer/baseline.go
+++ b/measurer/baseline.go
@@ -212,9 +212,9 @@
 		}
 		e.conn = conn
 	}
-	deadline, _ := ctx.Deadline()
-	e.conn.SetReadDeadline(deadline)
+	stop := context.AfterFunc(ctx, e.conn.Abort)
 	status, err := e.relay(&batch, w)
+	stop()
 	if err != nil {
 		e.service.pool.Discard(e.conn, nil)
 		e.conn = nil
