Measure the leave and return of a data centre

Cause: the table of measures asks for failed requests, throughput and the last new work while a data centre leaves and returns.

--- a/measurer/measures.go
+++ b/measurer/measures.go
@@ -14,6 +14,9 @@
 		{Name: "failover_gap", Describes: "time without an acknowledged write when primaries are killed or cut off", Run: measureFailoverGap},
 		{Name: "worst_served", Describes: "small customers while one customer offers many times its share", Run: measureWorstServed},
 		{Name: "refused_within_rate", Describes: "refusals within the rate with a skewed balancer and a lost host", Run: measureRefusedWithinRate},
+		{Name: "store_outage", Describes: "service without the store, and calls to it after its return", Run: measureStoreOutage},
+		{Name: "consistency", Describes: "reads, answers, customers and writes under all faults together", Run: measureConsistency},
+		{Name: "data_centre_leave", Describes: "failed requests and throughput while a data centre, a host and a database leave and return", Run: measureDataCentreLeave},
 		{Name: "overhead", Describes: "lookups through one host against lookups directly at the database", Run: measureOverhead},
 	}
 }
--- a/server/status.go
+++ b/server/status.go
@@ -234,3 +234,16 @@
 		s.Logger.Warn("http answer not sent", "error", err)
 	}
 }
+
+// HeldTerms returns the terms by which this host holds services, by service. A
+// service that is being claimed or handed over is among them once it has a
+// term.
+func (s *Server) HeldTerms() map[string]uint64 {
+	terms := make(map[string]uint64)
+	for _, h := range s.placer.all() {
+		if term := h.term(); term > 0 {
+			terms[h.service] = term
+		}
+	}
+	return terms
+}
