--- a/server/configuration.go
+++ b/server/configuration.go
@@ -176,25 +176,49 @@
 	return configuration
 }
 
-// servicesOf returns the services that the routes of a customer lead to, in
-// the order of their names.
-func servicesOf(set configurer.Set, customer string) []string {
-	var services []string
+// A reach says which services the routes of each customer lead to, in the
+// order of their names. It is worked out once per set, since the limiter asks
+// for it on each pull.
+type reach struct {
+	revision uint64
+	services map[string][]string
+}
+
+func reachOf(set configurer.Set) *reach {
+	r := &reach{revision: set.Revision, services: make(map[string][]string, len(set.Customers))}
+	add := func(customer, service string) {
+		if customer != "" && !slices.Contains(r.services[customer], service) {
+			r.services[customer] = append(r.services[customer], service)
+		}
+	}
 	for _, route := range set.Routes {
-		reached := route.OpenAs == customer || slices.Contains(route.Customers, customer)
-		if reached && !slices.Contains(services, route.Service) {
-			services = append(services, route.Service)
+		add(route.OpenAs, route.Service)
+		for _, customer := range route.Customers {
+			add(customer, route.Service)
 		}
 	}
-	slices.Sort(services)
-	return services
+	for _, services := range r.services {
+		slices.Sort(services)
+	}
+	return r
+}
+
+// servicesOf returns the services that a customer reaches in the present set.
+func (s *Server) servicesOf(customer string) []string {
+	set := s.Set()
+	r := s.reached.Load()
+	if r == nil || r.revision != set.Revision {
+		r = reachOf(set)
+		s.reached.Store(r)
+	}
+	return r.services[customer]
 }
 
 // configureBuckets gives the limiter the shares of a held service.
 func (s *Server) configureBuckets(set configurer.Set, service string) {
 	wanted := make(map[limiter.Name]bool)
 	for _, customer := range set.Customers {
-		services := servicesOf(set, customer.Name)
+		services := s.servicesOf(customer.Name)
 		if !slices.Contains(services, service) {
 			continue
 		}
@@ -214,7 +238,7 @@
 // donors returns the other buckets of a customer.
 func (s *Server) donors(name limiter.Name) []limiter.Name {
 	var donors []limiter.Name
-	for _, service := range servicesOf(s.Set(), name.Customer) {
+	for _, service := range s.servicesOf(name.Customer) {
 		if service != name.Service {
 			donors = append(donors, limiter.Name{Customer: name.Customer, Service: service})
 		}
--- /dev/null
+++ b/server/forwarder_test.go
@@ -0,0 +1,165 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/executor"
+)
+
+// A fakeHolder answers batches with what each attempt is to do.
+type fakeHolder struct {
+	attempts []func(w io.Writer) (executor.Result, error)
+	ran      int
+	closed   int
+}
+
+func (h *fakeHolder) Open(context.Context, executor.Attributes) (executor.Exchange, error) {
+	return h, nil
+}
+
+func (h *fakeHolder) Run(_ context.Context, _ executor.Batch, w io.Writer) (executor.Result, error) {
+	attempt := h.attempts[min(h.ran, len(h.attempts)-1)]
+	h.ran++
+	return attempt(w)
+}
+
+func (h *fakeHolder) Close() error {
+	h.closed++
+	return nil
+}
+
+func succeed(status byte) func(io.Writer) (executor.Result, error) {
+	return func(io.Writer) (executor.Result, error) { return executor.Result{TxStatus: status}, nil }
+}
+
+func refuse(outcome executor.Outcome, code string) func(io.Writer) (executor.Result, error) {
+	return func(io.Writer) (executor.Result, error) {
+		return executor.Result{}, &executor.Refusal{Code: code, Message: "refused", Outcome: outcome}
+	}
+}
+
+func refuseAfterBytes(w io.Writer) (executor.Result, error) {
+	if _, err := w.Write([]byte("row")); err != nil {
+		return executor.Result{}, err
+	}
+	return refuse(executor.Unknown, executor.CodeOutcomeUnknown)(w)
+}
+
+func newTestForwarder(holder executor.Opener, budget bool) *forwarder {
+	return &forwarder{
+		locate:     func(string, string) (target, bool) { return target{opener: holder, host: "h1"}, holder != nil },
+		allowRetry: func() bool { return budget },
+		now:        time.Now,
+		logger:     slog.New(slog.DiscardHandler),
+		counted:    func(string) {},
+	}
+}
+
+// Guards against a write that is sent twice, a read that is given up although
+// it may be repeated, and repetitions without a budget or after the caller has
+// seen a part of the answer.
+func TestForwarderRepeats(t *testing.T) {
+	done := succeed('I')
+	moved := refuse(executor.Moved, executor.CodeCannotServe)
+	unknown := refuse(executor.Unknown, executor.CodeOutcomeUnknown)
+	tests := []struct {
+		name     string
+		batch    executor.Batch
+		noBudget bool
+		attempts []func(io.Writer) (executor.Result, error)
+		wantRuns int
+		wantErr  error
+	}{
+		{"write done", executor.Batch{}, false, []func(io.Writer) (executor.Result, error){done}, 1, nil},
+		{"write moved", executor.Batch{}, false, []func(io.Writer) (executor.Result, error){moved, moved, done}, 3, nil},
+		{"write not run yet", executor.Batch{}, false, []func(io.Writer) (executor.Result, error){refuse(executor.NotRun, executor.CodeCannotServe), done}, 2, nil},
+		{"write over its rate", executor.Batch{}, false, []func(io.Writer) (executor.Result, error){refuse(executor.NotRun, executor.CodeRateExceeded), done}, 1, executor.ErrNotRun},
+		{"write unknown", executor.Batch{}, false, []func(io.Writer) (executor.Result, error){unknown, done}, 1, executor.ErrOutcomeUnknown},
+		{"idempotent write unknown", executor.Batch{Idempotent: true}, false, []func(io.Writer) (executor.Result, error){unknown, done}, 2, nil},
+		{"read unknown", executor.Batch{Class: executor.ClassRead}, false, []func(io.Writer) (executor.Result, error){unknown, done}, 2, nil},
+		{"read unknown without budget", executor.Batch{Class: executor.ClassRead}, true, []func(io.Writer) (executor.Result, error){unknown, done}, 1, executor.ErrOutcomeUnknown},
+		{"read unknown after rows", executor.Batch{Class: executor.ClassRead}, false, []func(io.Writer) (executor.Result, error){refuseAfterBytes, done}, 1, executor.ErrOutcomeUnknown},
+		{"read cancelled", executor.Batch{Class: executor.ClassRead}, false, []func(io.Writer) (executor.Result, error){refuse(executor.Unknown, executor.CodeQueryCanceled), done}, 1, executor.ErrOutcomeUnknown},
+		{"always moved", executor.Batch{}, false, []func(io.Writer) (executor.Result, error){moved}, 0, executor.ErrNotRun},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				holder := &fakeHolder{attempts: test.attempts}
+				f := newTestForwarder(holder, !test.noBudget)
+				exchange, err := f.Open(t.Context(), executor.Attributes{Service: "ledger"})
+				if err != nil {
+					t.Fatalf("Open: %v", err)
+				}
+				test.batch.Deadline = time.Second
+				start := time.Now()
+				_, err = exchange.Run(t.Context(), test.batch, io.Discard)
+				if !errors.Is(err, test.wantErr) {
+					t.Errorf("Run: got error %v, want %v", err, test.wantErr)
+				}
+				if test.wantRuns > 0 && holder.ran != test.wantRuns {
+					t.Errorf("attempts: got %d, want %d", holder.ran, test.wantRuns)
+				}
+				if got := time.Since(start); got > test.batch.Deadline+2*retryPause {
+					t.Errorf("time: got %v, want at most the deadline of %v", got, test.batch.Deadline)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a batch of an open transaction that goes to another holder,
+// where the transaction does not exist.
+func TestForwarderKeepsTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder := &fakeHolder{attempts: []func(io.Writer) (executor.Result, error){
+			succeed('T'), refuse(executor.Moved, executor.CodeCannotServe), succeed('I'),
+		}}
+		f := newTestForwarder(holder, true)
+		exchange, err := f.Open(t.Context(), executor.Attributes{Service: "ledger"})
+		if err != nil {
+			t.Fatalf("Open: %v", err)
+		}
+		batch := executor.Batch{Class: executor.ClassBegin, Deadline: time.Second}
+		if _, err := exchange.Run(t.Context(), batch, &bytes.Buffer{}); err != nil {
+			t.Fatalf("first batch: %v", err)
+		}
+		_, err = exchange.Run(t.Context(), executor.Batch{Deadline: time.Second}, &bytes.Buffer{})
+		if !errors.Is(err, executor.ErrRolledBack) {
+			t.Errorf("batch of a moved transaction: got %v, want %v", err, executor.ErrRolledBack)
+		}
+		if holder.ran != 2 {
+			t.Errorf("attempts: got %d, want 2", holder.ran)
+		}
+	})
+}
+
+// Guards against repetitions that grow with an overload.
+func TestRetryBudget(t *testing.T) {
+	tests := []struct {
+		requests int
+		want     int
+	}{{0, 10}, {100, 20}, {1000, 110}}
+	for _, test := range tests {
+		now := time.Unix(100, 0)
+		b := &retryBudget{now: func() time.Time { return now }}
+		for range test.requests {
+			b.request()
+		}
+		got := 0
+		for b.allow() {
+			got++
+		}
+		if got != test.want {
+			t.Errorf("repetitions after %d requests: got %d, want %d", test.requests, got, test.want)
+		}
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -61,6 +61,8 @@
 	ready atomic.Bool
 	// leaving is set when a planned stop has begun.
 	leaving atomic.Bool
+	// reached caches the services that customers reach.
+	reached atomic.Pointer[reach]
 	// holderViews caches what holders need of the present set, by service.
 	holderViews sync.Map
 
--- a/server/status.go
+++ b/server/status.go
@@ -157,7 +157,7 @@
 	var list []CustomerStatus
 	for _, name := range s.limiter.Names() {
 		level, burst := s.limiter.Level(name)
-		services := len(servicesOf(set, name.Customer))
+		services := len(s.servicesOf(name.Customer))
 		limit := set.Limits[set.Customers[name.Customer].Limit]
 		list = append(list, CustomerStatus{
 			Customer: name.Customer, Service: name.Service, Tokens: level, Burst: burst,
