--- a/measurer/fleet.go
+++ b/measurer/fleet.go
@@ -257,7 +257,10 @@
 		callers.Close()
 		return err
 	}
-	h.CallerAddress, h.PeerAddress = callers.Addr().String(), peers.Addr().String()
+	if h.CallerAddress == "" {
+		// Addresses are read without a lock once a host has started.
+		h.CallerAddress, h.PeerAddress = callers.Addr().String(), peers.Addr().String()
+	}
 	dial := f.Network.Dialer(h.Name)
 	store := &storer.Client{Addresses: []string{f.StoreAddress}, Dial: dial, Logger: f.Shape.Logger}
 	s := &server.Server{
--- a/measurer/measures.go
+++ b/measurer/measures.go
@@ -17,6 +17,7 @@
 		{Name: "store_outage", Describes: "service without the store, and calls to it after its return", Run: measureStoreOutage},
 		{Name: "consistency", Describes: "reads, answers, customers and writes under all faults together", Run: measureConsistency},
 		{Name: "data_centre_leave", Describes: "failed requests and throughput while a data centre, a host and a database leave and return", Run: measureDataCentreLeave},
+		{Name: "key_withdrawal", Describes: "last request served on a withdrawn key, also by hosts that are cut off", Run: measureKeyWithdrawal},
 		{Name: "overhead", Describes: "lookups through one host against lookups directly at the database", Run: measureOverhead},
 	}
 }
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -68,6 +68,9 @@
 	// Rate is the number of operations per second that all of them together
 	// ask for; 0 lets each ask as soon as its last one has ended.
 	Rate float64
+	// Even lets each caller ask at equal intervals instead of random ones, so
+	// that the number of operations itself does not vary.
+	Even bool
 	// WriteShare is the part of writes, from 0 to 1.
 	WriteShare float64
 	// Roam is the mean number of operations after which a session goes to
@@ -201,7 +204,11 @@
 		}
 		if interval > 0 {
 			// A caller that falls behind does not catch up in a rush.
-			next = next.Add(time.Duration(c.rng.ExpFloat64() * float64(interval)))
+			step := interval
+			if !c.group.Even {
+				step = time.Duration(c.rng.ExpFloat64() * float64(interval))
+			}
+			next = next.Add(step)
 			if now := time.Now(); next.Before(now) {
 				next = now
 			}
