--- /dev/null
+++ b/pooler/pool_test.go
@@ -0,0 +1,299 @@
+package pooler
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/groupemulator"
+)
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// startPool returns a pool of term 1 for a database of the emulator.
+func startPool(t *testing.T, connections, warm int) (*Pool, *groupemulator.Group) {
+	t.Helper()
+	group := &groupemulator.Group{Service: "orders", User: "endpoint", Password: "secret", Members: []groupemulator.Member{{
+		Name: "a", Address: "127.0.0.1:0", Slots: 50, Connections: connections,
+	}}}
+	if err := group.Start(); err != nil {
+		t.Fatal(err)
+	}
+	pool := &Pool{
+		Name: "a", Address: group.Address("a"), Login: Login{User: "endpoint", Password: "secret", Database: "orders"},
+		Dial: dial, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+	pool.Configure(connections, warm)
+	pool.SetTerm(1)
+	t.Cleanup(func() {
+		pool.Close()
+		group.Stop()
+	})
+	return pool, group
+}
+
+func get(t *testing.T, pool *Pool, customer string) *Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	conn, err := pool.Get(ctx, 1, customer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// query runs a simple query to its end and returns the SQLSTATE of an error.
+func query(t *testing.T, conn *Conn, customer, text string) string {
+	t.Helper()
+	messages, err := (&pgproto3.Query{String: text}).Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return exchange(t, conn, customer, executor.Batch{Messages: messages})
+}
+
+func exchange(t *testing.T, conn *Conn, customer string, batch executor.Batch) string {
+	t.Helper()
+	answer, _, err := conn.Start(&batch, customer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	code := ""
+	for {
+		message, err := answer.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch message.Type {
+		case TypeError:
+			body, err := answer.Body()
+			if err != nil {
+				t.Fatal(err)
+			}
+			code = ErrorCode(body)
+		case TypeReady:
+			if _, err := answer.Finish(customer); err != nil {
+				t.Fatal(err)
+			}
+			return code
+		}
+	}
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(3 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not seen within 3 s: %s", what)
+		}
+	}
+}
+
+// TestWarm guards against batches that wait for a connection to be opened.
+func TestWarm(t *testing.T) {
+	pool, _ := startPool(t, 10, 4)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- pool.Run(ctx) }()
+	eventually(t, "4 idle connections", func() bool { return pool.Stats().Idle == 4 })
+	conn := pool.TryGet(1, "acme")
+	if conn == nil {
+		t.Fatal("no idle connection")
+	}
+	eventually(t, "another idle connection", func() bool { return pool.Stats().Idle == 4 })
+	pool.Put(conn)
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	eventually(t, "all closed", func() bool { return pool.Stats().Open == 0 })
+}
+
+// TestIdleClosed guards against connections that stay open without need, and
+// against closing those that were used last.
+func TestIdleClosed(t *testing.T) {
+	pool, _ := startPool(t, 10, 2)
+	now := time.Now()
+	pool.Now = func() time.Time { return now }
+	var conns []*Conn
+	for range 6 {
+		conns = append(conns, get(t, pool, "acme"))
+	}
+	for _, conn := range conns {
+		pool.Put(conn)
+		now = now.Add(time.Second)
+	}
+	now = now.Add(idleTimeout - 3*time.Second)
+	pool.Warm(t.Context())
+	eventually(t, "the 4 longest unused closed", func() bool { return pool.Stats() == Stats{Open: 2, Idle: 2} })
+	for i := 5; i >= 4; i-- {
+		if got := pool.TryGet(1, "acme"); got != conns[i] {
+			t.Errorf("connection %d was closed", i)
+		}
+	}
+}
+
+// TestLimit guards against more connections than the database grants, also while
+// connections are closed and opened again.
+func TestLimit(t *testing.T) {
+	pool, group := startPool(t, 5, 5)
+	var running sync.WaitGroup
+	for range 20 {
+		running.Go(func() {
+			for i := range 20 {
+				conn, err := pool.Get(context.Background(), 1, "acme")
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if i%2 == 0 {
+					pool.Discard(conn, nil)
+				} else {
+					pool.Put(conn)
+				}
+			}
+		})
+	}
+	running.Wait()
+	if got := group.Stats("a"); got.MaxConnections > 5 || got.RefusedConnections > 0 {
+		t.Errorf("connections = %d, refused = %d, want at most 5 and none", got.MaxConnections, got.RefusedConnections)
+	}
+	ctx, cancel := context.WithTimeoutCause(t.Context(), 20*time.Millisecond, errors.New("no time"))
+	defer cancel()
+	for range 5 {
+		get(t, pool, "acme")
+	}
+	if _, err := pool.Get(ctx, 1, "acme"); err == nil || err.Error() != "no time" {
+		t.Errorf("error with all connections in use = %v, want the cause of the context", err)
+	}
+}
+
+// TestTerm guards against connections that outlive their term.
+func TestTerm(t *testing.T) {
+	pool, _ := startPool(t, 5, 2)
+	idle, used := get(t, pool, "acme"), get(t, pool, "acme")
+	pool.Put(idle)
+	pool.SetTerm(2)
+	if _, err := pool.Get(t.Context(), 1, "acme"); !errors.Is(err, ErrClosed) {
+		t.Errorf("error of the past term = %v, want %v", err, ErrClosed)
+	}
+	if _, err := pool.Get(t.Context(), 2, "acme"); !errors.Is(err, ErrStaleTerm) {
+		t.Errorf("error of a term that was not raised = %v, want %v", err, ErrStaleTerm)
+	}
+	pool.Put(used)
+	eventually(t, "all closed", func() bool { return pool.Stats() == Stats{} })
+}
+
+// TestLogin guards against a pool that takes a refused login for a connection.
+func TestLogin(t *testing.T) {
+	pool, _ := startPool(t, 5, 0)
+	pool.Login.Password = "wrong"
+	if _, err := pool.Get(t.Context(), 1, "acme"); !errors.Is(err, ErrConnect) {
+		t.Errorf("error = %v, want %v", err, ErrConnect)
+	}
+	if got := pool.Stats().Open; got != 0 {
+		t.Errorf("open = %d, want 0", got)
+	}
+}
+
+// TestDiscardRules guards against connections that are used again although
+// something is outstanding on them, or although the database has closed them.
+func TestDiscardRules(t *testing.T) {
+	tests := []struct {
+		name string
+		use  func(conn *Conn, group *groupemulator.Group)
+		want bool
+	}{
+		{"answer read to its end", func(conn *Conn, _ *groupemulator.Group) { query(t, conn, "acme", "SELECT 1") }, true},
+		{"error in the answer", func(conn *Conn, _ *groupemulator.Group) { query(t, conn, "acme", "SELECT 1 +") }, true},
+		{"answer not read", func(conn *Conn, _ *groupemulator.Group) {
+			batch := executor.Batch{Messages: []byte("Q\x00\x00\x00\x0dSELECT 1\x00")}
+			if _, _, err := conn.Start(&batch, "acme"); err != nil {
+				t.Fatal(err)
+			}
+		}, false},
+		{"statement missing", func(conn *Conn, _ *groupemulator.Group) {
+			bind, _ := (&pgproto3.Bind{PreparedStatement: "none"}).Encode(nil)
+			bind, _ = (&pgproto3.Sync{}).Encode(bind)
+			if got := exchange(t, conn, "acme", executor.Batch{Messages: bind}); got != codeUndefinedStatement {
+				t.Errorf("SQLSTATE = %s", got)
+			}
+		}, false},
+		{"closed by the database", func(conn *Conn, group *groupemulator.Group) {
+			if err := group.Kill("a"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool, group := startPool(t, 5, 0)
+			conn := get(t, pool, "acme")
+			test.use(conn, group)
+			pool.Put(conn)
+			if got := pool.TryGet(1, "acme") == conn; got != test.want {
+				t.Errorf("used again = %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestCustomer guards against a connection that keeps the customer of an earlier
+// batch, and prefers those that served the customer before.
+func TestCustomer(t *testing.T) {
+	pool, group := startPool(t, 5, 0)
+	first, second := get(t, pool, "acme"), get(t, pool, "apex")
+	query(t, first, "acme", "SELECT 1")
+	query(t, second, "o'neil", "SELECT 1")
+	pool.Put(first)
+	pool.Put(second)
+	if got := pool.TryGet(1, "acme"); got != first {
+		t.Error("connection of another customer was preferred")
+	}
+	query(t, first, "apex", "SELECT 1")
+	counts := group.StatementsByCustomer("a")
+	for _, customer := range []string{"acme", "o'neil", "apex"} {
+		if counts[customer] < 1 {
+			t.Errorf("statements by customer = %v, want some of %s", counts, customer)
+		}
+	}
+}
+
+// TestStatements guards against prepared statements without bound, missing ones,
+// and ones that are prepared twice.
+func TestStatements(t *testing.T) {
+	pool, _ := startPool(t, 5, 0)
+	conn := get(t, pool, "acme")
+	for i := range 3 * maxStatements {
+		name := fmt.Sprint("et_", i%(maxStatements+50))
+		batch := executor.Batch{Statements: []executor.Statement{{Name: name, Query: "SELECT 1"}}}
+		for _, message := range []pgproto3.FrontendMessage{
+			&pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{}, &pgproto3.Sync{},
+		} {
+			var err error
+			if batch.Messages, err = message.Encode(batch.Messages); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if code := exchange(t, conn, "acme", batch); code != "" {
+			t.Fatalf("batch %d: SQLSTATE %s", i, code)
+		}
+	}
+	if got := conn.statements.table.Len(); got != maxStatements {
+		t.Errorf("statements = %d, want %d", got, maxStatements)
+	}
+}
