Measure the last request on a withdrawn key

Cause: the table of measures asks until when a withdrawn key is served, also by hosts that are cut off. Change: callers of four kinds use a key at each of nine hosts on all services; the key is withdrawn in a whole fleet, with hosts cut off, and with a holder cut off. Databases tell when the last statement of each caller began.

--- a/measurer/key_probe.go
+++ b/measurer/key_probe.go
@@ -63,12 +63,10 @@
 	// loggedIn when a login of a caller last succeeded.
 	ran      map[string]time.Time
 	loggedIn map[string]time.Time
-	// refused holds the first refusal of each caller after the withdrawal.
-	refused map[string]time.Time
 }
 
 func newProbeLog() *probeLog {
-	return &probeLog{ran: map[string]time.Time{}, loggedIn: map[string]time.Time{}, refused: map[string]time.Time{}}
+	return &probeLog{ran: map[string]time.Time{}, loggedIn: map[string]time.Time{}}
 }
 
 // record is called by the databases.
@@ -83,11 +81,11 @@
 	l.ran[name] = run.At
 }
 
-// note keeps the present time in one of the tables.
-func (l *probeLog) note(table map[string]time.Time, name string) {
+// noteLogin notes that a login of the caller succeeded now.
+func (l *probeLog) noteLogin(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	table[name] = time.Now()
+	l.loggedIn[name] = time.Now()
 }
 
 // last returns when a caller was last served: a statement of it began or a
@@ -169,10 +167,9 @@
 	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable",
 		KeyName(p.customer), KeySecret(p.customer), p.host.CallerAddress, p.route))
 	if err != nil {
-		p.log.note(p.log.refused, p.name())
 		return errors.WithStack(err)
 	}
-	p.log.note(p.log.loggedIn, p.name())
+	p.log.noteLogin(p.name())
 	p.conn = conn
 	if p.kind == probeTransaction {
 		_, err = conn.Exec(ctx, "BEGIN READ ONLY")
--- a/measurer/key_withdrawal.go
+++ b/measurer/key_withdrawal.go
@@ -55,7 +55,7 @@
 	rng := rand.New(rand.NewPCG(options.Seed, 0))
 	phases := []keyPhase{
 		{name: "whole", cut: func(*Fleet) ([]*FleetHost, error) { return nil, nil }},
-		{name: "cut", cut: func(f *Fleet) ([]*FleetHost, error) { return f.cutThree(rng) }},
+		{name: "cut", cut: func(f *Fleet) ([]*FleetHost, error) { return f.cutSome(rng) }},
 		{name: "holder_cut", cut: func(f *Fleet) ([]*FleetHost, error) { return f.cutIsland(rng) }},
 	}
 	var figures []Figure
@@ -117,10 +117,11 @@
 		return keyResult{}, err
 	}
 	result.isolated = len(cutOff) > 0
+	// The time before publishing is a lower bound of that of acceptance.
+	accepted := time.Now()
 	if err := f.withdraw(ctx, customer); err != nil {
 		return keyResult{}, err
 	}
-	accepted := time.Now()
 	pauseFor(ctx, idleUntil)
 	wake(probes)
 	pauseFor(ctx, watchAfter)
@@ -178,25 +179,27 @@
 	}
 }
 
-// cutThree cuts a host off from the store alone, another from the store and all
-// but one of its peers, and a third one together with that peer from the rest:
-// two hosts that hear nobody but each other.
-func (f *Fleet) cutThree(rng *rand.Rand) ([]*FleetHost, error) {
+// cutSome cuts hosts off that hold nothing: one from the store alone, one from
+// the store and all peers but one that hears the store, one from all, and two
+// from all but each other. It returns the last three.
+func (f *Fleet) cutSome(rng *rand.Rand) ([]*FleetHost, error) {
 	var others []*FleetHost
 	for _, h := range f.Hosts {
 		if !f.holdsAny(h) {
 			others = append(others, h)
 		}
 	}
-	const needed = 4
+	const needed = 6
 	if len(others) < needed {
 		return nil, errors.Errorf("%d hosts hold nothing, want %d", len(others), needed)
 	}
 	rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	f.CutFromStore(others[0], true)
 	f.cutOffGroup(others[1:2])
-	f.cutOffGroup(others[2:4])
-	return others[1:4], nil
+	f.Network.SetCut(others[1].Name, others[5].Name, false)
+	f.cutOffGroup(others[2:3])
+	f.cutOffGroup(others[3:5])
+	return others[2:5], nil
 }
 
 // cutIsland cuts the holder of a service and another host off from the rest,
