Close idle transactions of a past term and bound samples of service times

Cause: a drain that timed out left idle open transactions connected, and batches that hang on a failed database raised the average from which early refusals follow. Conclusion: failures leave neither connections nor refusals behind.

--- /dev/null
+++ b/holder/configuration_test.go
@@ -0,0 +1,143 @@
+package holder
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/configurer"
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/promoter"
+	"github.com/endiveturn/endiveturn/scheduler"
+)
+
+// TestConfigurationOf guards against databases of other services, and against
+// work for databases in a data centre that is taken out.
+func TestConfigurationOf(t *testing.T) {
+	set := configurer.Set{
+		Revision:    7,
+		Customers:   map[string]configurer.Customer{"acme": {Name: "acme", Limit: "small", Weight: 3}},
+		Limits:      map[string]configurer.Limit{"small": {Name: "small", MaxQueued: 20}},
+		DataCentres: map[string]configurer.DataCentre{"north": {Name: "north", TakenOut: true}},
+		Databases: map[string]configurer.Database{
+			"db2": {Name: "db2", Service: "orders", DataCentre: "south"},
+			"db1": {Name: "db1", Service: "orders", DataCentre: "north"},
+			"db3": {Name: "db3", Service: "payroll"},
+		},
+	}
+	got := ConfigurationOf(set, "orders")
+	if got.Revision != 7 || len(got.Databases) != 2 || got.Databases[0].Name != "db1" {
+		t.Fatalf("configuration = %+v, want db1 and db2 of revision 7", got)
+	}
+	if !got.Databases[0].TakenOut || got.Databases[1].TakenOut {
+		t.Errorf("taken out = %v, %v, want true, false", got.Databases[0].TakenOut, got.Databases[1].TakenOut)
+	}
+	if got, want := got.Shares["acme"], (scheduler.Share{Weight: 3, MaxQueued: 20}); got != want {
+		t.Errorf("share = %+v, want %+v", got, want)
+	}
+}
+
+// TestConfigurationChanges guards against new work for databases that are taken
+// out or removed, and against full load on one that returns.
+func TestConfigurationChanges(t *testing.T) {
+	var present atomic.Pointer[Configuration]
+	b := newBench(t, func(b *bench) {
+		first := b.Configuration()
+		present.Store(&first)
+		b.Configuration = func() Configuration { return *present.Load() }
+	})
+	change := func(change func(databases []configurer.Database) []configurer.Database) {
+		next := *present.Load()
+		next.Revision++
+		next.Databases = change(append([]configurer.Database(nil), next.Databases...))
+		present.Store(&next)
+	}
+	reads := func() int {
+		before := b.databases[1].count("SELECT")
+		for range 10 {
+			mustRun(t, b.open(t, "s"), "SELECT", executor.ClassRead)
+		}
+		return b.databases[1].count("SELECT") - before
+	}
+	b.group.change(func(v *promoter.View) { v.Members[2].Reachable = false })
+	if got, want := reads(), 10; got != want {
+		t.Errorf("reads on the replica = %d, want %d", got, want)
+	}
+	change(func(d []configurer.Database) []configurer.Database {
+		d[1].TakenOut = true
+		return d
+	})
+	if got, want := reads(), 0; got != want {
+		t.Errorf("reads on the replica that is taken out = %d, want %d", got, want)
+	}
+	change(func(d []configurer.Database) []configurer.Database {
+		d[1].TakenOut, d[1].Slots = false, 20
+		return d
+	})
+	if got, want := reads(), 10; got != want {
+		t.Errorf("reads on the returned replica = %d, want %d", got, want)
+	}
+	if got := b.Stats().Databases[1].Load.Slots; got < 2 || got > 10 {
+		t.Errorf("slots of the returned replica = %d, want about 2 of 20", got)
+	}
+	change(func(d []configurer.Database) []configurer.Database { return d[:1] })
+	if got, want := reads(), 0; got != want {
+		t.Errorf("reads on the removed replica = %d, want %d", got, want)
+	}
+	change(func(d []configurer.Database) []configurer.Database { return nil })
+	_, _, err := run(b.open(t, "s"), query("INSERT", executor.ClassWrite))
+	wantRefusal(t, err, executor.CodeCannotServe, executor.NotRun)
+}
+
+// TestDrainTimeout guards against transactions that stay open at a database after
+// the holder has left.
+func TestDrainTimeout(t *testing.T) {
+	b := newBench(t, nil)
+	exchange := b.open(t, "s")
+	mustRun(t, exchange, "BEGIN", executor.ClassBegin)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := b.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("drain with an open transaction = %v, want a timeout", err)
+	}
+	open := 1
+	for wait := 0; open > 0 && wait < 100; wait++ {
+		time.Sleep(10 * time.Millisecond)
+		b.databases[0].set(func() { open = len(b.databases[0].sessions) })
+	}
+	if open > 0 {
+		t.Errorf("%d connections stay open", open)
+	}
+	_, _, err := run(exchange, query("COMMIT", executor.ClassWrite))
+	wantRefusal(t, err, executor.CodeRolledBack, executor.RolledBack)
+}
+
+// TestAcknowledgePrimary guards against a service that accepts loss and still
+// waits for replicas, or that acknowledges without the lease.
+func TestAcknowledgePrimary(t *testing.T) {
+	for _, held := range []bool{true, false} {
+		b := newBench(t, func(b *bench) { b.Service.Acknowledge = configurer.AcknowledgePrimary })
+		b.group.confirm = func(context.Context, executor.Position) error { return errors.New("asked for a confirmation") }
+		exchange := b.open(t, "s")
+		mustRun(t, exchange, "BEGIN", executor.ClassBegin)
+		mustRun(t, exchange, "INSERT", executor.ClassWrite)
+		b.Counters.Queued = func(string, time.Duration) {
+			// The lease ends after the last check before the commit is sent.
+			if !held {
+				time.AfterFunc(10*time.Millisecond, func() {
+					b.group.change(func(v *promoter.View) { v.LeaseUntil = time.Now() })
+				})
+			}
+		}
+		b.databases[0].set(func() { b.databases[0].delay = 30 * time.Millisecond })
+		batch := query("COMMIT", executor.ClassWrite)
+		batch.Deadline = 200 * time.Millisecond
+		_, _, err := run(exchange, batch)
+		if code, _ := refusal(err); (code == "") != held {
+			t.Errorf("lease held = %v, error = %v", held, err)
+		}
+	}
+}
--- a/holder/fake_test.go
+++ b/holder/fake_test.go
@@ -33,6 +33,8 @@
 	sessions map[*fakeSession]bool
 	// limit is the number of connections above which a startup is refused.
 	limit int
+	// delay is the time that a commit takes.
+	delay time.Duration
 	// down refuses every startup.
 	down bool
 	// refuse is the SQLSTATE with which the next statement is refused.
@@ -359,6 +361,9 @@
 	}
 	s.wrote = false
 	d := s.database
+	delay := time.Duration(0)
+	d.set(func() { delay = d.delay })
+	time.Sleep(delay)
 	d.set(func() {
 		d.applied++
 		position := executor.Position{Term: d.term, Offset: d.applied}
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -69,7 +69,11 @@
 // expire bounds what runs on a connection of a past term. A database that has
 // accepted the new term ends the connection itself; closing it here at once would
 // leave unknown when the statement has ended there.
-func (c *Conn) expire() { _ = c.network.SetDeadline(time.Now().Add(expireGrace)) }
+func (c *Conn) expire() {
+	_ = c.network.SetDeadline(time.Now().Add(expireGrace))
+	// An open transaction may be idle, so that nobody meets the deadline.
+	time.AfterFunc(expireGrace, c.Abort)
+}
 
 // Cancel asks the database to cancel what runs on the connection. The connection
 // must not be used for another batch afterwards, since the request may take
--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -26,7 +26,7 @@
 func startPool(t *testing.T, connections, warm int) (*Pool, *groupemulator.Group) {
 	t.Helper()
 	group := &groupemulator.Group{Service: "orders", User: "endpoint", Password: "secret", Members: []groupemulator.Member{{
-		Name: "a", Address: "127.0.0.1:0", Slots: 50, Connections: connections,
+		Name: "a", Address: "127.0.0.1:0", Slots: 50, Connections: connections, ConnectCost: groupemulator.None,
 	}}}
 	if err := group.Start(); err != nil {
 		t.Fatal(err)
@@ -55,16 +55,17 @@
 	return conn
 }
 
-// query runs a simple query to its end and returns the SQLSTATE of an error.
-func query(t *testing.T, conn *Conn, customer, text string) string {
+// query runs a simple query to its end.
+func query(t *testing.T, conn *Conn, customer, text string) {
 	t.Helper()
 	messages, err := (&pgproto3.Query{String: text}).Encode(nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return exchange(t, conn, customer, executor.Batch{Messages: messages})
+	exchange(t, conn, customer, executor.Batch{Messages: messages})
 }
 
+// exchange runs a batch to its end and returns the SQLSTATE of an error.
 func exchange(t *testing.T, conn *Conn, customer string, batch executor.Batch) string {
 	t.Helper()
 	answer, _, err := conn.Start(&batch, customer)
@@ -297,3 +298,26 @@
 		t.Errorf("statements = %d, want %d", got, maxStatements)
 	}
 }
+
+// TestDiscardWaits guards against a connection and its slot that count as free
+// while the database still runs a statement on it.
+func TestDiscardWaits(t *testing.T) {
+	pool, group := startPool(t, 5, 0)
+	const cost = 100 * time.Millisecond
+	if err := group.SetStatementCost("a", cost); err != nil {
+		t.Fatal(err)
+	}
+	conn := get(t, pool, "")
+	batch := executor.Batch{Messages: []byte("Q\x00\x00\x00\x0dSELECT 1\x00")}
+	start := time.Now()
+	if _, _, err := conn.Start(&batch, ""); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	pool.Discard(conn, func() { close(ended) })
+	<-ended
+	if took := time.Since(start); took < cost || took > farewell {
+		t.Errorf("ended after %s, want %s to %s", took, cost, farewell)
+	}
+	eventually(t, "connection no longer counted", func() bool { return pool.Stats().Open == 0 })
+}
--- a/pooler/scram_test.go
+++ b/pooler/scram_test.go
@@ -15,7 +15,10 @@
 	if err != nil {
 		return err
 	}
-	credentials := client.GetStoredCredentials(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
+	credentials, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
+	if err != nil {
+		return err
+	}
 	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return credentials, nil })
 	if err != nil {
 		return err
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -18,6 +18,9 @@
 	// averageWeight is the part that a new measurement has in a running average
 	// of service times. A larger one lets a single slow statement cause refusals.
 	averageWeight = 0.05
+	// maxSample bounds a measurement relative to the average. Batches that hang on
+	// a failed database would otherwise cause refusals after it has returned.
+	maxSample = 4
 	// minCharge is charged for a batch at least, so that batches too short to
 	// measure are shared by number.
 	minCharge = 100 * time.Microsecond
@@ -270,7 +273,7 @@
 	if average == 0 {
 		return took
 	}
-	return average + averageWeight*(took-average)
+	return average + averageWeight*(min(took, maxSample*average)-average)
 }
 
 // next returns the ticket that is due, or nil if none may start.
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -379,6 +379,38 @@
 	}
 }
 
+// TestHungBatches guards against refusals after batches hung on a failed database.
+func TestHungBatches(t *testing.T) {
+	var core Core
+	now := time.Unix(0, 0)
+	core.SetSlots(5)
+	run := func(takes time.Duration) {
+		var held []*Ticket
+		for range 5 {
+			ticket, err := core.Add(Request{Customer: "a", Deadline: now.Add(time.Minute)}, now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			held = append(held, ticket)
+		}
+		core.Dispatch(now)
+		now = now.Add(takes)
+		for _, ticket := range held {
+			core.Done(ticket, now)
+		}
+	}
+	for range 20 {
+		run(time.Millisecond)
+	}
+	run(3 * time.Second)
+	for i := range 100 {
+		if _, err := core.Add(Request{Customer: "a", Deadline: now.Add(100 * time.Millisecond)}, now); err != nil {
+			t.Fatalf("batch %d: %v", i, err)
+		}
+		core.Dispatch(now)
+	}
+}
+
 // TestRamp guards against a returning database that gets its full load at once.
 func TestRamp(t *testing.T) {
 	var core Core
