Keep store errors on one line and compare objects before their fields

Cause: slog prints the stack of a pkg/errors value, so an outage of the store filled a log line with a page of text; a joined error also held line breaks. Diff encoded every field of both sets although few objects differ.

Change: storer returns its own error type, whose text is one line; the log lines of these modules give the text of errors only. Diff skips objects that are equal in memory. A caller that cancels a call no longer makes the client leave the address.

--- a/configurer/diff.go
+++ b/configurer/diff.go
@@ -57,6 +57,9 @@
 		names := append(k.names(&from), k.names(&to)...)
 		slices.Sort(names)
 		for _, name := range slices.Compact(names) {
+			if k.equal(&from, &to, name) {
+				continue
+			}
 			if change, differs := diffObject(k, &from, &to, name); differs {
 				list = append(list, change)
 			}
--- a/configurer/follower_run.go
+++ b/configurer/follower_run.go
@@ -82,7 +82,7 @@
 		f := r.follower
 		r.stopWatch()
 		r.resumeAt = f.now().Add(f.spread(f.resumeSpread()))
-		f.logger().Warn("watch ended", "resume_at", r.resumeAt, "err", err)
+		f.logger().Warn("watch ended", "resume_at", r.resumeAt, "err", err.Error())
 	}
 }
 
@@ -147,7 +147,7 @@
 	}
 	if err != nil {
 		// The read of the head that follows finds out what is wrong.
-		r.follower.logger().Warn("change of the head not followed", "err", err)
+		r.follower.logger().Warn("change of the head not followed", "err", err.Error())
 		r.nextRead = time.Time{}
 	}
 }
@@ -175,7 +175,7 @@
 		return
 	}
 	if !r.failing {
-		f.logger().Warn("store does not answer", "err", err)
+		f.logger().Warn("store does not answer", "err", err.Error())
 	}
 	r.failing = true
 	r.nextRead = now.Add(r.pauseAfter(err))
--- a/configurer/kind.go
+++ b/configurer/kind.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 	names func(*Set) []string
 	// get returns the fields of a copy of an object.
 	get func(*Set, string) ([]wireField, bool)
+	// equal reports whether two sets surely have the same object of a name; it
+	// spares the comparison of the fields.
+	equal func(a, b *Set, name string) bool
 	// add puts a new object with the defaults, changed by fill, into the set,
 	// whose table must not be shared. It returns the name of the object and
 	// whether it replaced another.
@@ -45,6 +49,11 @@
 			object, ok := (*table(s))[name]
 			return fields(&object), ok
 		},
+		equal: func(a, b *Set, name string) bool {
+			one, inA := (*table(a))[name]
+			two, inB := (*table(b))[name]
+			return inA && inB && reflect.DeepEqual(one, two)
+		},
 		add: func(s *Set, fill func([]wireField)) (string, bool) {
 			object := defaults
 			list := fields(&object)
--- a/configurer/publisher_store.go
+++ b/configurer/publisher_store.go
@@ -54,7 +54,7 @@
 		if !errors.Is(err, storer.ErrUnavailable) {
 			return errors.WithMessage(err, "write head")
 		}
-		p.logger().Warn("answer to publication lost", "revision", d.head.Revision, "publish_id", d.head.PublishID, "err", err)
+		p.logger().Warn("answer to publication lost", "revision", d.head.Revision, "publish_id", d.head.PublishID, "err", err.Error())
 		inForce, err := p.readBack(ctx, d, pause, err)
 		if err != nil {
 			return err
@@ -109,7 +109,7 @@
 	defer cancel()
 	entries, err := p.Store.Range(ctx, setPrefix)
 	if err != nil {
-		p.logger().Warn("old sets not deleted", "err", err)
+		p.logger().Warn("old sets not deleted", "err", err.Error())
 		return
 	}
 	for _, entry := range entries {
@@ -118,7 +118,7 @@
 			continue
 		}
 		if _, err := p.Store.Delete(ctx, entry.Key, entry.ModRevision); err != nil {
-			p.logger().Warn("old set not deleted", "key", entry.Key, "err", err)
+			p.logger().Warn("old set not deleted", "key", entry.Key, "err", err.Error())
 		}
 	}
 }
@@ -133,7 +133,7 @@
 			_, err = p.Store.Delete(ctx, key, entry.ModRevision)
 		}
 		if err != nil {
-			p.logger().Warn("chunk of a lost publication not deleted", "key", key, "err", err)
+			p.logger().Warn("chunk of a lost publication not deleted", "key", key, "err", err.Error())
 		}
 	}
 }
--- a/storeemulator/emulator.go
+++ b/storeemulator/emulator.go
@@ -79,7 +79,7 @@
 	go func() {
 		defer close(done)
 		if err := e.serve(ctx, listener); err != nil {
-			e.Logger.Error("store emulator failed", "err", err)
+			e.Logger.Error("store emulator failed", "err", err.Error())
 		}
 	}()
 	return listener.Addr().String(), func() { cancel(); <-done }, nil
--- a/storer/call.go
+++ b/storer/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 )
 
@@ -52,7 +53,10 @@
 	c.counts.add(operation)
 	err = translate(operation, f(ctx, conn))
 	if err != nil && !answered(err) {
-		c.avoid(index, err)
+		// A caller that gave up says nothing about the address.
+		if !errors.Is(context.Cause(ctx), context.Canceled) {
+			c.avoid(index, err)
+		}
 		return err
 	}
 	c.prefer(index)
--- a/storer/client.go
+++ b/storer/client.go
@@ -145,6 +145,9 @@
 			return conn, (first + i) % len(conns), nil
 		}
 	}
+	if ctx.Err() != nil {
+		return nil, 0, errors.WithStack(ctx.Err())
+	}
 	return nil, 0, errors.New("no address of the store accepts a connection")
 }
 
@@ -179,7 +182,7 @@
 		return
 	}
 	c.current = (index + 1) % len(c.Addresses)
-	c.logger().Warn("store address changed", "from", c.Addresses[index], "to", c.Addresses[c.current], "cause", cause)
+	c.logger().Warn("store address changed", "from", c.Addresses[index], "to", c.Addresses[c.current], "cause", cause.Error())
 }
 
 // prefer makes later calls start at the address that worked.
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -123,6 +124,9 @@
 			if swapped || !errors.Is(err, storer.ErrUnavailable) {
 				t.Errorf("got %v, %v; want ErrUnavailable", swapped, err)
 			}
+			if strings.Contains(fmt.Sprintf("%+v", err), "\n") {
+				t.Errorf("the error is not one line in a log: %+v", err)
+			}
 			if got := e.Calls()[storer.OperationTxn]; got > 2 {
 				t.Errorf("the store got %d changes, want at most 2", got)
 			}
@@ -186,6 +190,30 @@
 	}
 }
 
+// A client must find a store that returns by itself, and soon.
+func TestClientRecovers(t *testing.T) {
+	for _, down := range []storeemulator.Down{storeemulator.Refuse, storeemulator.Hang} {
+		e, _, c := start(t)
+		put(t, c, "a", "v")
+		e.SetDown(down)
+		if _, err := c.Get(t.Context(), "a"); !errors.Is(err, storer.ErrUnavailable) {
+			t.Errorf("down %d: got %v, want ErrUnavailable", down, err)
+		}
+		e.SetDown(storeemulator.Up)
+		returned := time.Now()
+		for {
+			_, err := c.Get(t.Context(), "a")
+			if err == nil {
+				break
+			}
+			if time.Since(returned) > 3*time.Second {
+				t.Fatalf("down %d: still %v 3s after the store returned", down, err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
 func put(t *testing.T, c *storer.Client, key, value string) {
 	t.Helper()
 	swapped, _, err := c.CompareAndSwap(context.Background(), key, 0, []byte(value), 0)
--- a/storer/errors.go
+++ b/storer/errors.go
@@ -1,16 +1,33 @@
 package storer
 
 import (
-	stderrors "errors"
-
 	"github.com/pkg/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 )
 
+// A callError is the failure of a call. It matches its sentinel and its cause,
+// and its text is one line.
+type callError struct {
+	operation Operation
+	sentinel  error
+	cause     error
+}
+
+// Error returns operation: sentinel: cause.
+func (e *callError) Error() string {
+	return e.operation.String() + ": " + e.sentinel.Error() + ": " + e.cause.Error()
+}
+
+// Is makes the error match its sentinel.
+func (e *callError) Is(target error) bool { return target == e.sentinel }
+
+// Unwrap returns the cause.
+func (e *callError) Unwrap() error { return e.cause }
+
 // unavailable returns an error that matches both ErrUnavailable and its cause.
 func unavailable(operation Operation, cause error) error {
-	return errors.Wrap(stderrors.Join(ErrUnavailable, cause), operation.String())
+	return &callError{operation: operation, sentinel: ErrUnavailable, cause: cause}
 }
 
 // answered reports whether err is an answer of the store, so that the outcome
@@ -30,7 +47,7 @@
 	case codes.NotFound:
 		// Only leases are looked up by the store; a missing key is an empty
 		// range.
-		return errors.Wrap(stderrors.Join(ErrLeaseExpired, err), operation.String())
+		return &callError{operation: operation, sentinel: ErrLeaseExpired, cause: err}
 	case codes.InvalidArgument, codes.FailedPrecondition, codes.OutOfRange, codes.AlreadyExists,
 		codes.PermissionDenied, codes.Unauthenticated, codes.Unimplemented:
 		return errors.Wrap(err, operation.String())
