Set the customer before a batch is sent

The statement that sets the customer was sent together with the batch. A cancel that hit it left the old customer in force, and the database ran the batch behind it for that customer. Start now waits until the database has accepted the customer and sends nothing when it has not; a refusal is then known as not run. It costs one round trip where a connection changes its customer.

--- a/pooler/answer.go
+++ b/pooler/answer.go
@@ -28,7 +28,7 @@
 const codeUndefinedStatement = "26000"
 
 // ErrSetCustomer says that the database did not accept the customer; the batch
-// may have run.
+// was not sent.
 var ErrSetCustomer = errors.New("database did not accept the customer")
 
 // A Message is the header of a backend message. Its body is read with Body or
@@ -54,9 +54,11 @@
 	wrote chan error
 }
 
-// Start sends a batch. If sent is false, no byte has left and the connection can
-// be given up without doubt. The answer must be read to its end or the
-// connection discarded.
+// Start sends a batch. If sent is false, no byte of it has left and the
+// connection can be given up without doubt. The answer must be read to its end or
+// the connection discarded. Where the connection served another customer, Start
+// waits until the database has accepted the new one: a cancel can hit that
+// statement, and a batch sent behind it would run for the other customer.
 func (c *Conn) Start(batch *executor.Batch, customer string) (answer *Answer, sent bool, err error) {
 	p, err := c.plan(batch, customer)
 	if err != nil {
@@ -64,10 +66,10 @@
 		return nil, false, err
 	}
 	c.unusable = true // until the end of the answer
-	answer = &Answer{conn: c, plan: p}
-	if p.setsCustomer {
-		answer.before++
+	if err := c.setCustomer(p.customer); err != nil {
+		return nil, false, err
 	}
+	answer = &Answer{conn: c, plan: p}
 	if p.synced {
 		answer.before++
 	}
@@ -86,6 +88,42 @@
 	return answer, n > 0, err
 }
 
+// setCustomer runs the query that sets the customer, if there is one.
+func (c *Conn) setCustomer(query []byte) error {
+	if len(query) == 0 {
+		return nil
+	}
+	if _, err := c.network.Write(query); err != nil {
+		return errors.WithStack(err)
+	}
+	answer := &Answer{conn: c, plan: &plan{}}
+	for {
+		message, err := answer.Next()
+		if err != nil {
+			return err
+		}
+		switch message.Type {
+		case TypeReady:
+			return answer.skipBody()
+		case TypeError:
+			return answer.refusedCustomer()
+		}
+	}
+}
+
+// refusedCustomer returns the error of a database that did not accept the
+// customer.
+func (a *Answer) refusedCustomer() error {
+	body, err := a.Body()
+	if err != nil {
+		return err
+	}
+	if ErrorCode(body) == codeStaleTerm {
+		return errors.WithStack(&ServerError{Code: codeStaleTerm, Message: "customer setting refused"})
+	}
+	return errors.Wrapf(ErrSetCustomer, "SQLSTATE %s", ErrorCode(body))
+}
+
 func (c *Conn) write(p *plan) (int64, error) {
 	if len(p.prefix) == 0 {
 		n, err := c.network.Write(p.messages)
@@ -124,9 +162,6 @@
 	if message.Type == TypeNotification {
 		return false, nil
 	}
-	if a.settingCustomer() {
-		return false, a.customerAnswer(message)
-	}
 	switch message.Type {
 	case TypeCloseComplete:
 		a.closes++
@@ -146,32 +181,6 @@
 	return true, nil
 }
 
-// settingCustomer reports whether the next message answers the customer setting.
-func (a *Answer) settingCustomer() bool {
-	outstanding := 1
-	if a.plan.synced {
-		outstanding = 2
-	}
-	return a.plan.setsCustomer && a.before == outstanding
-}
-
-func (a *Answer) customerAnswer(message Message) error {
-	switch message.Type {
-	case TypeReady:
-		a.before--
-	case TypeError:
-		body, err := a.Body()
-		if err != nil {
-			return err
-		}
-		if ErrorCode(body) == codeStaleTerm {
-			return errors.WithStack(&ServerError{Code: codeStaleTerm, Message: "customer setting refused"})
-		}
-		return errors.Wrapf(ErrSetCustomer, "SQLSTATE %s", ErrorCode(body))
-	}
-	return nil
-}
-
 func (a *Answer) noteError() error {
 	a.failed = true
 	body, err := a.Body()
--- a/pooler/plan.go
+++ b/pooler/plan.go
@@ -26,11 +26,12 @@
 // A plan is what is sent for a batch and which of the answers are not the
 // caller's.
 type plan struct {
+	// customer is a query that sets the customer, or empty. The rest is sent only
+	// when the database has accepted it.
+	customer []byte
 	// prefix precedes the messages of the batch.
 	prefix   []byte
 	messages []byte
-	// setsCustomer is set when prefix begins with a query that sets the customer.
-	setsCustomer bool
 	// synced is set when prefix ends with a Sync whose answer is not the caller's.
 	synced bool
 	// closes says of each Close, in order, whether its answer is the caller's.
@@ -78,8 +79,7 @@
 	}
 	query := pgproto3.Query{String: "SET endiveturn.customer = '" + strings.ReplaceAll(customer, "'", "''") + "'"}
 	var err error
-	p.prefix, err = query.Encode(p.prefix)
-	p.setsCustomer = true
+	p.customer, err = query.Encode(nil)
 	return errors.WithStack(err)
 }
 
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -55,7 +55,12 @@
 	opening int
 	// idle is in the order of last use, the latest at the back.
 	idle []*Conn
-	used map[*Conn]struct{}
+	// idleOf counts idle by the customer that was served last.
+	idleOf map[string]int
+	used   map[*Conn]struct{}
+	// grow is set when a batch met no idle connection of its customer.
+	grow     bool
+	switches uint64
 	// changed is closed and replaced when a connection may have become available.
 	changed chan struct{}
 	// failedAt is when opening an idle connection last failed.
@@ -67,6 +72,9 @@
 	Open int
 	Idle int
 	Used int
+	// Switches counts connections that were handed out to another customer than
+	// the one they served before.
+	Switches uint64
 }
 
 // Configure sets the number of connections that may be open at once and the
@@ -75,6 +83,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit, p.warm = connections, warm
+	if p.idleOf == nil {
+		p.idleOf = make(map[string]int)
+	}
 	for p.open > p.limit && len(p.idle) > 0 {
 		p.closeOldest()
 	}
@@ -89,6 +100,7 @@
 		return
 	}
 	p.term = term
+	p.grow = false
 	p.failedAt = time.Time{}
 	for len(p.idle) > 0 {
 		p.closeOldest()
@@ -106,7 +118,7 @@
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Stats{Open: p.open, Idle: len(p.idle), Used: len(p.used)}
+	return Stats{Open: p.open, Idle: len(p.idle), Used: len(p.used), Switches: p.switches}
 }
 
 // Get hands out a connection of the term, preferably one that served the
@@ -175,24 +187,6 @@
 	return nil, p.changed, nil
 }
 
-// pick removes the idle connection that was used last by the customer, or else
-// by anyone.
-func (p *Pool) pick(customer string) *Conn {
-	if len(p.idle) == 0 {
-		return nil
-	}
-	at := len(p.idle) - 1
-	for i := at; i >= 0; i-- {
-		if p.idle[i].customer == customer {
-			at = i
-			break
-		}
-	}
-	conn := p.idle[at]
-	p.idle = append(p.idle[:at], p.idle[at+1:]...)
-	return conn
-}
-
 func (p *Pool) use(conn *Conn) {
 	if p.used == nil {
 		p.used = make(map[*Conn]struct{})
@@ -273,6 +267,7 @@
 	delete(p.used, conn)
 	conn.idleSince = p.Now()
 	p.idle = append(p.idle, conn)
+	p.idleOf[conn.customer]++
 	p.wake()
 }
 
@@ -305,9 +300,7 @@
 }
 
 func (p *Pool) closeOldest() {
-	conn := p.idle[0]
-	p.idle = p.idle[1:]
-	p.end(conn, nil)
+	p.end(p.removeIdle(0), nil)
 }
 
 // wake lets waiting callers of Get look again. The caller holds mu.
--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -274,6 +274,42 @@
 	}
 }
 
+// TestSwitches guards against a large customer that takes over the connections of
+// small ones, each time at the cost of a statement.
+func TestSwitches(t *testing.T) {
+	pool, _ := startPool(t, 8, 0)
+	serve := func(customer string, conns int) {
+		var held []*Conn
+		for range conns {
+			conn := get(t, pool, customer)
+			query(t, conn, customer, "SELECT 1")
+			held = append(held, conn)
+		}
+		for _, conn := range held {
+			pool.Put(conn)
+		}
+	}
+	pool.Configure(5, 0)
+	for _, customer := range []string{"large", "large", "small1", "small2"} {
+		serve(customer, 1)
+	}
+	pool.Configure(8, 0)
+	serve("large", 5)
+	pool.Warm(t.Context())
+	before := pool.Stats().Switches
+	for range 10 {
+		for _, customer := range []string{"small1", "small2"} {
+			serve(customer, 1)
+		}
+		serve("large", 5)
+		pool.Warm(t.Context())
+		time.Sleep(5 * time.Millisecond)
+	}
+	if got := pool.Stats().Switches - before; got > 3 {
+		t.Errorf("connections that changed their customer = %d, want at most 3", got)
+	}
+}
+
 // TestStatements guards against prepared statements without bound, missing ones,
 // and ones that are prepared twice.
 func TestStatements(t *testing.T) {
--- a/pooler/warm.go
+++ b/pooler/warm.go
@@ -27,8 +27,9 @@
 	}
 }
 
-// Warm starts to open the idle connections that are missing and closes the ones
-// that were not needed for long.
+// Warm starts to open the idle connections that are missing, one more if a batch
+// had to take over a connection of another customer, and closes the ones that
+// were not needed for long.
 func (p *Pool) Warm(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -39,7 +40,12 @@
 	if p.term == 0 || (!p.failedAt.IsZero() && now.Sub(p.failedAt) < warmBackoff) {
 		return
 	}
-	for len(p.idle)+p.opening < p.warm && p.open < p.limit {
+	wanted := p.warm - len(p.idle) - p.opening
+	if p.grow {
+		p.grow = false
+		wanted = max(wanted, 1)
+	}
+	for ; wanted > 0 && p.open < p.limit; wanted-- {
 		p.open++
 		p.opening++
 		go p.openIdle(ctx, p.term)
@@ -67,5 +73,6 @@
 	}
 	conn.idleSince = p.Now()
 	p.idle = append([]*Conn{conn}, p.idle...)
+	p.idleOf[""]++
 	p.wake()
 }
