Measure when a configuration is in force and count reversions

Cause: the table of measures asks for the time from acceptance to in force on the last of nine hosts, and for reversions over restarts and outages. Change: 35 revisions by two operators, racing, with lost answers, with hosts killed, stopped and cut off, and with two outages of the store that begin as soon as one host has a revision. Server.State is exported for it, since a host that starts does not serve by its revision yet.

--- a/measurer/measures.go
+++ b/measurer/measures.go
@@ -18,6 +18,8 @@
 		{Name: "consistency", Describes: "reads, answers, customers and writes under all faults together", Run: measureConsistency},
 		{Name: "data_centre_leave", Describes: "failed requests and throughput while a data centre, a host and a database leave and return", Run: measureDataCentreLeave},
 		{Name: "key_withdrawal", Describes: "last request served on a withdrawn key, also by hosts that are cut off", Run: measureKeyWithdrawal},
+		{Name: "config_in_force", Describes: "time until a revision is in force on the last host, under restarts and outages of the store", Run: measureConfigInForce},
+		{Name: "limit_schemes", Describes: "ways to keep a fleet-wide limit, compared in virtual time", Run: measureLimitSchemes},
 		{Name: "overhead", Describes: "lookups through one host against lookups directly at the database", Run: measureOverhead},
 	}
 }
--- a/server/status.go
+++ b/server/status.go
@@ -84,7 +84,7 @@
 	fresh, reason := s.gossip.Fresh()
 	set := s.Set()
 	status := Status{
-		Host: s.Settings.Host, DataCentre: s.Settings.DataCentre, State: s.state(), Revision: set.Revision,
+		Host: s.Settings.Host, DataCentre: s.Settings.DataCentre, State: s.State(), Revision: set.Revision,
 		Fresh: fresh, FreshReason: reason, Connections: s.acceptor.Connections(), Uptime: s.Now().Sub(s.started),
 		Counters: s.counters(),
 	}
@@ -96,7 +96,8 @@
 	return status
 }
 
-func (s *Server) state() string {
+// State returns starting, serving, taken_out or leaving.
+func (s *Server) State() string {
 	switch {
 	case s.leaving.Load():
 		return "leaving"
