Fuzz the decoding of deltas and test a change of the watching hosts

Cause: deltas come from peers like sets do, and no test covered a host that stops and starts watching.

Change: FuzzDecode reads its input as a delta too; a test moves the watch on, off and on again.

Conclusion: the tests of configurer pass with -race.

--- a/configurer/codec_test.go
+++ b/configurer/codec_test.go
@@ -141,8 +141,22 @@
 		f.Add(data)
 	}
 	f.Add([]byte(`[{"kind": "service", "name": "s", "deadline": "5s"}, {"kind": "route", "customers": ["a"]}]`))
+	delta, err := configurer.NewDelta(configurer.Set{}, validSet())
+	if err != nil {
+		f.Fatal(err)
+	}
+	data, err := delta.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		configurer.ReadFolder(fstest.MapFS{"a.json": {Data: data}})
+		if delta, err := configurer.DecodeDelta(data); err == nil {
+			if set, err := delta.Apply(configurer.Set{}); err == nil && set.Digest() != delta.ToDigest {
+				t.Errorf("delta to %s gives %s", delta.ToDigest, set.Digest())
+			}
+		}
 		set, err := configurer.Decode(data)
 		if err != nil {
 			return
--- a/configurer/follower_test.go
+++ b/configurer/follower_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,11 +141,15 @@
 
 // follow runs a follower until the test ends, in a bubble of synctest.
 func follow(t *testing.T, store storer.Store, watching bool) (*configurer.Follower, *log) {
+	return followWhile(t, store, func() bool { return watching })
+}
+
+func followWhile(t *testing.T, store storer.Store, watching func() bool) (*configurer.Follower, *log) {
 	l := &log{}
 	f := &configurer.Follower{
 		Store:    store,
 		Logger:   quiet,
-		Watching: func() bool { return watching },
+		Watching: watching,
 		OnContact: func(at time.Time) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
@@ -220,6 +225,32 @@
 	}
 }
 
+// The hosts that watch change with the membership; a watch that stayed behind
+// would load the store, and one that is missing would delay a set.
+func TestFollowerWatchingChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.publish(t, validSet().WithRevision(1))
+		var watching atomic.Bool
+		f, _ := followWhile(t, store, watching.Load)
+		for i, on := range []bool{true, false, true} {
+			watching.Store(on)
+			time.Sleep(1100 * time.Millisecond)
+			store.mu.Lock()
+			got := len(store.watches) == 1
+			store.mu.Unlock()
+			if got != on {
+				t.Errorf("change %d: got watch %v, want %v", i, got, on)
+			}
+		}
+		store.publish(t, validSet().WithRevision(2))
+		synctest.Wait()
+		if got := f.Set().Revision; got != 2 {
+			t.Errorf("got revision %d, want 2", got)
+		}
+	})
+}
+
 // Contact must end with the answers of the store, or a host that is cut off
 // would go on accepting revoked keys.
 func TestFollowerContact(t *testing.T) {
