Compare limit schemes, replica choices and acknowledgement

Cause: three decisions stood without figures. Change: limit_schemes compares token transfers with an even split and with grants of an owner in virtual time; replica_choice compares least loaded with the node score of the ECFS paper (idle capacity over temperature) and a random choice; acknowledgement measures the wait for a majority against the delay of replication. The holder does not take over a change of acknowledge before it claims again: to be mended.

--- a/measurer/measures.go
+++ b/measurer/measures.go
@@ -20,6 +20,8 @@
 		{Name: "key_withdrawal", Describes: "last request served on a withdrawn key, also by hosts that are cut off", Run: measureKeyWithdrawal},
 		{Name: "config_in_force", Describes: "time until a revision is in force on the last host, under restarts and outages of the store", Run: measureConfigInForce},
 		{Name: "limit_schemes", Describes: "ways to keep a fleet-wide limit, compared in virtual time", Run: measureLimitSchemes},
+		{Name: "replica_choice", Describes: "ways to choose a replica, compared in virtual time", Run: measureReplicaChoice},
+		{Name: "acknowledgement", Describes: "the wait of a write for a majority against the delay of replication", Run: measureAcknowledgement},
 		{Name: "overhead", Describes: "lookups through one host against lookups directly at the database", Run: measureOverhead},
 	}
 }
