Check again after the wait for a slot, and give up cut off replicas

Cause: a batch could start on a key that was revoked, or on a replica that was taken out, while it waited for its slot; reads on a replica that was cut off hung until their deadline, since no term changes then; batches that were sent again woke with every status answer. Change: key and replica are checked right before sending; a replica that leaves status queries unanswered for 1 s has its connections closed, so that reads are repeated elsewhere; the pause before a repetition lasts unless the primary changes. Conclusion: waiting does not carry old decisions into a database.

--- a/holder/attempt.go
+++ b/holder/attempt.go
@@ -46,6 +46,10 @@
 			leave()
 		}
 	}()
+	if refusal := r.checkKey(); refusal != nil {
+		slot.Release()
+		return result, false, refusal
+	}
 	if !r.current(chosen) {
 		slot.Release()
 		return result, true, nil
@@ -74,14 +78,18 @@
 	}
 }
 
-// current reports whether the route still holds: the lease, the term, and with
-// it the primary and the replicas that follow it.
+// current reports whether the route still holds: the lease, the term, and that
+// the database is the primary or a replica in service.
 func (r *request) current(chosen route) bool {
 	view := r.holder.observe()
 	if !view.Held(r.holder.Now()) || view.Term != chosen.term {
 		return false
 	}
-	return chosen.replica || view.Primary == chosen.database.pool.Name
+	name := chosen.database.pool.Name
+	if chosen.replica {
+		return r.holder.serves(name)
+	}
+	return view.Primary == name
 }
 
 func (r *request) connect(chosen route) (*pooler.Conn, error) {
--- a/holder/emulator_test.go
+++ b/holder/emulator_test.go
@@ -239,3 +239,45 @@
 		_ = undo(victim)
 	}
 }
+
+// TestReplicaCutOff guards against reads that wait for a replica that is cut off
+// until their deadline, although other databases could serve them.
+func TestReplicaCutOff(t *testing.T) {
+	h, group := startEmulated(t)
+	for _, name := range []string{"a", "b", "c"} {
+		must(t, group.SetStatementCost(name, 5*time.Millisecond))
+	}
+	c := &caller{holder: h, customer: "acme", session: "warm"}
+	c.write(1)
+	replica := "b"
+	if group.Primary() == "b" {
+		replica = "c"
+	}
+	end := time.Now().Add(2500 * time.Millisecond)
+	var running sync.WaitGroup
+	for i := range 10 {
+		c := &caller{holder: h, customer: "acme", session: fmt.Sprint("r", i)}
+		running.Go(func() {
+			for time.Now().Before(end) {
+				exchange := c.open()
+				start := time.Now()
+				_, err := c.do(exchange, "SELECT 1", executor.ClassRead)
+				if took := time.Since(start); err != nil || took > 2*time.Second {
+					t.Errorf("read after %s: %v", took, err)
+				}
+				_ = exchange.Close()
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	must(t, group.Isolate(replica))
+	running.Wait()
+	must(t, group.Heal(replica))
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/holder/exchange.go
+++ b/holder/exchange.go
@@ -161,6 +161,10 @@
 			slot.Release()
 			continue
 		}
+		if refusal := r.checkKey(); refusal != nil {
+			slot.Release()
+			return executor.Result{}, refusal
+		}
 		h.logRoute(r, t.database, t.replica, tracker.ReasonTransaction)
 		t.tainted = t.tainted || r.batch.Tainting
 		return r.runInTransaction(t, slot)
@@ -170,19 +174,26 @@
 // admit checks the key and takes a token of the customer's rate.
 func (r *request) admit(patience time.Duration) *executor.Refusal {
 	h := r.holder
-	attributes := r.exchange.attributes
-	if h.CheckKey != nil {
-		if refusal := h.CheckKey(attributes); refusal != nil {
-			return refusal
-		}
+	if refusal := r.checkKey(); refusal != nil {
+		return refusal
 	}
-	name := limiter.Name{Customer: attributes.Customer, Service: h.Service.Name}
+	name := limiter.Name{Customer: r.exchange.attributes.Customer, Service: h.Service.Name}
 	if err := h.Limiter.Acquire(r.waiting, name, patience); err != nil {
 		return refuseWaiting(r.waiting, err, executor.CodeRateExceeded)
 	}
 	return nil
 }
 
+// checkKey refuses the batch if its key does not admit any more. It is called
+// again after the wait for a slot, which may outlast the time in which a revoked
+// key has to stop working.
+func (r *request) checkKey() *executor.Refusal {
+	if r.holder.CheckKey == nil {
+		return nil
+	}
+	return r.holder.CheckKey(r.exchange.attributes)
+}
+
 // mayWrite reports whether the batch outside a transaction may write or opens a
 // transaction that may.
 func (r *request) mayWrite() bool {
--- a/holder/observe.go
+++ b/holder/observe.go
@@ -11,6 +11,10 @@
 	"github.com/endiveturn/endiveturn/tracker"
 )
 
+// cutOffTimeout is how long a replica may leave status queries unanswered before
+// what it runs is given up. A single lost query must not end long statements.
+const cutOffTimeout = time.Second
+
 // leaseRecheck bounds the wait for a view that says that the lease goes on.
 const leaseRecheck = 50 * time.Millisecond
 
@@ -101,6 +105,18 @@
 	return h.databases[name]
 }
 
+// serves reports whether reads may go to the replica.
+func (h *Holder) serves(name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.replicas {
+		if h.replicas[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the replicas in service with their loads.
 func (h *Holder) candidates() []tracker.Replica {
 	h.mu.Lock()
@@ -115,14 +131,18 @@
 	return replicas
 }
 
-// warm lets the pools of the databases that accept the term keep connections.
+// warm lets the pools of the databases that accept the term keep connections. A
+// replica that is cut off ends nothing by itself, and no change of the term does,
+// so that what waits for it is broken off here and can be sent elsewhere.
 func (h *Holder) warm(ctx context.Context, view promoter.View) {
 	for _, member := range view.Members {
-		if !member.Reachable || member.Status.Term != view.Term || view.Term == 0 {
-			continue
-		}
-		if d := h.find(member.Name); d != nil {
+		d := h.find(member.Name)
+		switch {
+		case d == nil || view.Term == 0:
+		case member.Reachable && member.Status.Term == view.Term:
 			d.pool.Warm(ctx)
+		case !member.Reachable && member.Name != view.Primary && h.Now().Sub(member.SeenAt) > cutOffTimeout:
+			d.pool.Break()
 		}
 	}
 }
--- a/holder/route.go
+++ b/holder/route.go
@@ -122,8 +122,15 @@
 		"database", d.pool.Name, "replica", replica, "reason", string(reason))
 }
 
-// pause waits before a batch is sent again: with jitter, or until the view has
-// changed.
+// pause waits before a batch is sent again, unless there is another primary
+// before that.
 func (r *request) pause(atMost time.Duration) {
-	_ = waitView(r.waiting, r.holder.observe(), atMost)
+	h := r.holder
+	first := h.observe()
+	for view, end := first, h.Now().Add(atMost); view.Term == first.Term && view.Primary == first.Primary; view = h.observe() {
+		left := end.Sub(h.Now())
+		if left <= 0 || waitView(r.waiting, view, left) != nil {
+			return
+		}
+	}
 }
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -48,7 +48,9 @@
 	idleSince  time.Time
 	// unusable is set when the connection must not serve another batch.
 	unusable bool
-	abort    sync.Once
+	// expired is set once expire was called; the pool's mutex guards it.
+	expired bool
+	abort   sync.Once
 }
 
 func newConn(network net.Conn, term uint64) *Conn {
@@ -70,6 +72,10 @@
 // accepted the new term ends the connection itself; closing it here at once would
 // leave unknown when the statement has ended there.
 func (c *Conn) expire() {
+	if c.expired {
+		return
+	}
+	c.expired = true
 	_ = c.network.SetDeadline(time.Now().Add(expireGrace))
 	// An open transaction may be idle, so that nobody meets the deadline.
 	time.AfterFunc(expireGrace, c.Abort)
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -102,6 +102,18 @@
 	p.term = term
 	p.grow = false
 	p.failedAt = time.Time{}
+	p.breakOff()
+}
+
+// Break closes all connections, those in use soon, of a database that does not
+// answer any more.
+func (p *Pool) Break() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.breakOff()
+}
+
+func (p *Pool) breakOff() {
 	for len(p.idle) > 0 {
 		p.closeOldest()
 	}
@@ -260,7 +272,7 @@
 func (p *Pool) Put(conn *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn.unusable || conn.term != p.term || p.open > p.limit {
+	if conn.unusable || conn.expired || conn.term != p.term || p.open > p.limit {
 		p.discard(conn, nil)
 		return
 	}
