--- a/measurer/consistency_check.go
+++ b/measurer/consistency_check.go
@@ -52,6 +52,10 @@
 // customerPattern finds the names of customers in statements and parameters.
 var customerPattern = regexp.MustCompile(`customer\d+`)
 
+// settingStatement matches the statement by which the proxy sets the customer
+// and nothing else; what runs after it is checked.
+var settingStatement = regexp.MustCompile(`^SET endiveturn\.customer = 'customer\d+'$`)
+
 // A claim is what a caller was told of a write.
 type claim struct {
 	id       string
@@ -157,6 +161,9 @@
 // observe compares the customer setting of a statement with the customers that
 // the statement names.
 func (c *consistencyCheck) observe(run groupemulator.StatementRun) {
+	if settingStatement.MatchString(run.Query) {
+		return
+	}
 	named := customerPattern.FindAllString(run.Query, -1)
 	for _, p := range run.Parameters {
 		named = append(named, customerPattern.FindAllString(p, -1)...)
--- a/measurer/consistency_faults.go
+++ b/measurer/consistency_faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/endiveturn/endiveturn/configurer"
+	"github.com/endiveturn/endiveturn/server"
 	"github.com/endiveturn/endiveturn/storeemulator"
 )
 
@@ -106,7 +107,9 @@
 	if rng.IntN(2) == 0 {
 		s.fleet.KillHost(h)
 	} else {
-		s.fleet.StopHost(context.WithoutCancel(ctx), h)
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), server.DefaultStopTimeout)
+		s.fleet.StopHost(call, h)
+		cancel()
 	}
 	during(ctx, rng, time.Second)
 	s.note(s.fleet.StartHost(context.WithoutCancel(ctx), h), "start host")
--- a/measurer/consistency_session.go
+++ b/measurer/consistency_session.go
@@ -84,6 +84,8 @@
 		s.cancelSleep(ctx, from)
 	case n < 92:
 		s.cancelWrite(ctx, from)
+	case n < 94:
+		s.impersonate(ctx, from)
 	default:
 		s.series(ctx, from)
 	}
--- a/measurer/consistency_transaction.go
+++ b/measurer/consistency_transaction.go
@@ -167,3 +167,43 @@
 		s.check.violate(crossedAnswer, "%s asked for %d numbers from %d and got %d", s.name, count, from, len(numbers))
 	}
 }
+
+// impersonations try to leave the customer behind. The customer named is none of
+// the fleet, so that only what runs for it afterwards is a violation.
+var impersonations = []string{
+	"SET endiveturn.customer = 'intruder'",
+	"SET SESSION \"endiveturn\".\"customer\" TO 'intruder'",
+	"SET endiveturn.customer TO DEFAULT",
+	"SELECT 1; SET endiveturn.customer = 'intruder'",
+	"RESET endiveturn.customer",
+	"RESET ALL",
+	"DISCARD ALL",
+}
+
+// impersonate tries to leave the customer behind, alone or in a transaction, and
+// reads through the same connection. Whether it is refused is up to the proxy;
+// what counts is for whom the databases run what follows.
+func (s *checkedSession) impersonate(ctx context.Context, i int) {
+	conn := s.connect(ctx, i)
+	if conn == nil || s.last == 0 {
+		return
+	}
+	inTransaction := s.rng.IntN(2) == 0
+	if inTransaction {
+		if _, err := conn.Exec(ctx, "BEGIN"); err != nil {
+			s.judge(ctx, i, err)
+			return
+		}
+	}
+	_, _ = conn.Exec(ctx, impersonations[s.rng.IntN(len(impersonations))], pgx.QueryExecModeSimpleProtocol)
+	// In a transaction that has failed the lookup is refused.
+	_, _ = conn.Exec(ctx, "SELECT id FROM bookings WHERE id = $1", s.booked[s.last])
+	if inTransaction {
+		_, _ = conn.Exec(ctx, "ROLLBACK")
+	}
+	if conn.IsClosed() {
+		s.disconnect(i)
+		return
+	}
+	s.readBooking(ctx, i, s.last)
+}
--- a/measurer/fleet.go
+++ b/measurer/fleet.go
@@ -324,8 +324,10 @@
 	if s == nil {
 		return
 	}
-	closeAll(s.CallerListener, s.PeerListener)
+	// The connections end first: a host that sees its listeners fail tells its
+	// callers, which a machine that has failed cannot.
 	f.Network.Kill(h.Name)
+	closeAll(s.CallerListener, s.PeerListener)
 	stop()
 	<-done
 }
