Test a planned change of primary with the emulator

Cause: pausing of writes was tested without a real change. Change: ten sessions write and read while the primary is taken out.

--- a/holder/emulator_test.go
+++ b/holder/emulator_test.go
@@ -281,3 +281,40 @@
 		t.Fatal(err)
 	}
 }
+
+// TestPlannedChange guards against batches that fail while operators take the
+// primary out of service.
+func TestPlannedChange(t *testing.T) {
+	h, group := startEmulated(t)
+	(&caller{holder: h, customer: "acme", session: "warm"}).write(1)
+	first := group.Primary()
+	end := time.Now().Add(2 * time.Second)
+	var running sync.WaitGroup
+	for i := range 10 {
+		c := &caller{holder: h, customer: "acme", session: fmt.Sprint("p", i), last: time.Now()}
+		running.Go(func() {
+			round := 1
+			for ; time.Now().Before(end); round++ {
+				c.write(round)
+				c.read()
+			}
+			if got, want := len(c.written), round-1; got != want || c.stale > 0 {
+				t.Errorf("acknowledged = %d of %d writes, %d stale reads", got, want, c.stale)
+			}
+			if c.gap > time.Second {
+				t.Errorf("longest gap between writes = %s", c.gap)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	watcher := h.Group.(*promoter.Watcher)
+	members := append([]promoter.Member(nil), watcher.Members...)
+	for i := range members {
+		members[i].Leaving = members[i].Name == first
+	}
+	watcher.SetMembers(members)
+	running.Wait()
+	if got := group.Primary(); got == first {
+		t.Errorf("primary is still %s", got)
+	}
+}
