--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -257,6 +257,7 @@
 
 // Connections returns the number of admitted connections.
 func (a *Acceptor) Connections() int {
+	a.init()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return len(a.byID)
--- a/acceptor/own.go
+++ b/acceptor/own.go
@@ -154,7 +154,7 @@
 	case name == "all":
 		c.settings.reset()
 	case strings.HasPrefix(name, ownPrefix):
-		return c.settings.set(name, "", c.service)
+		return c.settings.set(name, c.settings.initialValue(name), c.service)
 	}
 	return nil
 }
--- a/acceptor/place.go
+++ b/acceptor/place.go
@@ -122,7 +122,12 @@
 		if own {
 			return placeOwn, nil
 		}
-	case classifier.KindReset:
+	case classifier.KindReset, classifier.KindDiscard:
+		if statement.Name == "all" && s.inTransaction {
+			// It would end the setting of the customer at the endpoint, and the
+			// rest of the transaction would run for nobody.
+			return 0, executor.RefuseNotRun(executor.CodeNotSupported, string(statement.Kind)+" ALL in a transaction is not supported")
+		}
 		if strings.HasPrefix(statement.Name, ownPrefix) {
 			return placeOwn, nil
 		}
--- /dev/null
+++ b/acceptor/reset_test.go
@@ -0,0 +1,41 @@
+package acceptor
+
+import (
+	"maps"
+	"slices"
+	"testing"
+)
+
+// Guards against a driver's reset that ends the session named at startup, so
+// that its own writes are no longer seen.
+func TestResetKeepsSession(t *testing.T) {
+	f := newFixture(t, nil)
+	for _, reset := range []string{"RESET ALL", "DISCARD ALL", "RESET endiveturn.session"} {
+		parameters := maps.Clone(publicStartup)
+		parameters["endiveturn.session"] = "desk-7"
+		c := dialRaw(t, f)
+		c.startup(parameters)
+		c.query("SET endiveturn.session = 'other'")
+		c.query(reset)
+		if got := c.query("SHOW endiveturn.session"); !slices.Contains(got, `DataRow ["desk-7"]`) {
+			t.Errorf("session after %s: got %q, want desk-7", reset, got)
+		}
+	}
+}
+
+// Guards against a reset at the endpoint that takes the customer away from the
+// rest of the transaction.
+func TestResetInTransaction(t *testing.T) {
+	f := newFixture(t, nil)
+	for _, reset := range []string{"RESET ALL", "DISCARD ALL", "SELECT 1; reset all"} {
+		c := dialRaw(t, f)
+		c.startup(publicStartup)
+		c.query("BEGIN")
+		if got := code(c.query(reset)); got != "ERROR 0A000" {
+			t.Errorf("%s in a transaction: got %q, want ERROR 0A000", reset, got)
+		}
+		if got := code(c.query("BEGIN; " + reset)); got == "" {
+			t.Errorf("%s behind BEGIN: got no error", reset)
+		}
+	}
+}
--- a/acceptor/settings.go
+++ b/acceptor/settings.go
@@ -39,6 +39,15 @@
 	idempotent bool
 	// deadline is 0 for that of the service.
 	deadline time.Duration
+	// initial are those given at startup, to which a reset returns; nil until
+	// the startup is over.
+	initial *settings
+}
+
+// keep makes the present settings those to which a reset returns.
+func (s *settings) keep() {
+	initial := *s
+	s.initial = &initial
 }
 
 // set changes the own setting of the lower-case name. service is that of the
@@ -130,9 +139,27 @@
 	return "", false
 }
 
-// reset sets all settings but the floor to their defaults.
+// reset returns all settings but the floor to those given at startup. Drivers
+// reset a connection that they take from their pool, which must not end its
+// session.
 func (s *settings) reset() {
-	*s = settings{floorService: s.floorService, floor: s.floor}
+	next := settings{initial: s.initial}
+	if s.initial != nil {
+		next = *s.initial
+		next.initial = s.initial
+	}
+	next.floorService, next.floor = s.floorService, s.floor
+	*s = next
+}
+
+// initialValue returns the value to which the setting of the lower-case name
+// returns, or an empty text for its default.
+func (s *settings) initialValue(name string) string {
+	if s.initial == nil {
+		return ""
+	}
+	value, _ := s.initial.show(name)
+	return value
 }
 
 // setDuration reads a duration with a unit, or a number of milliseconds.
--- a/acceptor/startup.go
+++ b/acceptor/startup.go
@@ -218,6 +218,7 @@
 			return refusal
 		}
 	}
+	c.settings.keep()
 	return nil
 }
 
