Keep transactions open while a data centre leaves

Cause: the load of the measure had single statements only, so that a planned change that cuts open transactions would not have shown.

--- a/measurer/data_centre_leave.go
+++ b/measurer/data_centre_leave.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,9 @@
 	// 5 s.
 	leaveTime  = 4 * time.Second
 	returnTime = 4500 * time.Millisecond
+	// transactionHold is the longest time between two statements of a
+	// transaction. Planned changes wait for open transactions.
+	transactionHold = 100 * time.Millisecond
 	// lastWorkTarget is when the last new work begins after the order, in ms.
 	lastWorkTarget = 3000
 	// leaveThroughputTarget is relative to the steady state.
@@ -60,7 +64,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		workload.Run(load)
+		runLeaveLoad(load, workload, shape)
 	}()
 	pauseFor(ctx, leaveSteady)
 	windows, err := f.runLeaves(ctx, rand.New(rand.NewPCG(options.Seed, 0)))
@@ -90,6 +94,21 @@
 	return w
 }
 
+// runLeaveLoad puts the load on until ctx ends, with transactions beside it.
+func runLeaveLoad(ctx context.Context, w *Workload, shape Shape) {
+	w.start = time.Now()
+	transactions := &transactionLoad{workload: w, hold: transactionHold}
+	for i := range shape.Customers {
+		transactions.groups = append(transactions.groups, CallerGroup{
+			Customer: CustomerName(i + 1), Route: RouteName(i%shape.Services + 1), Callers: 3, Roam: 10,
+		})
+	}
+	var group sync.WaitGroup
+	group.Go(func() { transactions.run(ctx) })
+	w.Run(ctx)
+	group.Wait()
+}
+
 // runLeaves gives the orders one after another.
 func (f *Fleet) runLeaves(ctx context.Context, rng *rand.Rand) ([]leaveWindow, error) {
 	var windows []leaveWindow
@@ -312,7 +331,7 @@
 		pauseFor(load, phase)
 		left <- b.endDataCentre(dataCentreName(1))
 	}()
-	workload.Run(load)
+	runLeaveLoad(load, workload, shape)
 	operations := workload.Operations()
 	return leaveBaseline{
 		failed:     float64(len(selectOperations(operations, notDone))),
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -119,7 +119,10 @@
 // Run puts the load on until ctx ends, and waits for the operations that run
 // then.
 func (w *Workload) Run(ctx context.Context) {
-	w.start = time.Now()
+	// Load of another kind that runs beside it may have begun the time.
+	if w.start.IsZero() {
+		w.start = time.Now()
+	}
 	var group sync.WaitGroup
 	for i, g := range w.Groups {
 		for j := range g.Callers {
