Keep counting failed hosts while cut off, and bound answers by progress

Cause: a part of the fleet that is cut off for more than 10 min forgot the other hosts, took itself for all and would have served revoked keys; an answer that takes longer than its deadline plus 10 s was cut although its caller read it. Change: failed hosts are forgotten by time only while this host is fresh, and by the platform's list only if it named them before; the guard of a batch restarts with each chunk.

--- a/gossiper/candidates.go
+++ b/gossiper/candidates.go
@@ -14,6 +14,7 @@
 	for _, entry := range list {
 		if entry.Name != "" {
 			c.listed[entry.Name] = true
+			c.onceListed[entry.Name] = true
 		}
 		c.addCandidate(entry)
 	}
--- a/gossiper/core.go
+++ b/gossiper/core.go
@@ -67,6 +67,8 @@
 	// byteDebt bounds the time with little news after a burst, such as the join
 	// of a host.
 	byteDebt = 1800
+	// maxDropped bounds the memory of hosts that were forgotten.
+	maxDropped = 10_000
 	// changeBytes bounds the changes in one heartbeat.
 	changeBytes = 900
 	// savingBytes is the same for a large fleet over its budget. The rounds
@@ -158,8 +160,10 @@
 	bitmapList hostList
 	// candidates are addresses from the seeds and the platform's list.
 	candidates map[string]HostEntry
-	// listed holds the names of the platform's list; nil before it was read.
-	listed map[string]bool
+	// listed holds the names of the platform's list, and onceListed those that
+	// it has had so far.
+	listed     map[string]bool
+	onceListed map[string]bool
 	// dropped holds the incarnations of failed hosts that are not known any
 	// more, so that other hosts' news of them do not bring them back.
 	dropped map[string]uint64
@@ -210,6 +214,7 @@
 	c.timed = make(map[string]bool)
 	c.gone = make(map[string]bool)
 	c.recent = make(map[string]bool)
+	c.onceListed = make(map[string]bool)
 	c.candidates = make(map[string]HostEntry)
 	c.dropped = make(map[string]uint64)
 	c.pending = make(map[uint64]contact)
--- a/gossiper/detector.go
+++ b/gossiper/detector.go
@@ -333,23 +333,30 @@
 	}
 }
 
-// expireFailed forgets hosts that have been gone for long.
+// expireFailed forgets hosts that have been gone for long. A host that is not
+// fresh may be the one that is cut off: it keeps counting the others, or a small
+// part of the fleet would take itself for all of it after a while.
 func (c *Core) expireFailed(now time.Time) {
 	for name := range c.gone {
 		m := c.members[name]
-		if now.Sub(m.changedAt) >= failedKept || c.listed != nil && !c.listed[name] {
-			delete(c.gone, name)
-			c.dropped[name] = m.Incarnation
-			delete(c.members, name)
-			c.changed = true
-			c.act(Note{Message: "host forgotten", Host: name, State: m.State, Reason: c.dropReason(name)})
+		reason := ""
+		if c.onceListed[name] && !c.listed[name] {
+			reason = "dropped from the platform's list"
+		} else if now.Sub(m.changedAt) >= failedKept {
+			if fresh, _ := c.Fresh(now); fresh {
+				reason = fmt.Sprintf("gone for %v", failedKept)
+			}
 		}
+		if reason == "" {
+			continue
+		}
+		if len(c.dropped) >= maxDropped {
+			clear(c.dropped)
+		}
+		c.dropped[name] = m.Incarnation
+		delete(c.gone, name)
+		delete(c.members, name)
+		c.changed = true
+		c.act(Note{Message: "host forgotten", Host: name, State: m.State, Reason: reason})
 	}
 }
-
-func (c *Core) dropReason(name string) string {
-	if c.listed != nil && !c.listed[name] {
-		return "not in the platform's list"
-	}
-	return fmt.Sprintf("gone for %v", failedKept)
-}
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -180,7 +180,7 @@
 		// Failed hosts count for majorities, so a host that joins learns them;
 		// later on they are hosts that were dropped here.
 		joining := now.Sub(c.started) < 2*eligibilityDelay
-		if !joining || (c.listed != nil && !c.listed[h.Name]) || c.dropped[h.Name] >= h.Incarnation {
+		if !joining || c.dropped[h.Name] >= h.Incarnation {
 			return
 		}
 	}
--- a/gossiper/revision_test.go
+++ b/gossiper/revision_test.go
@@ -23,6 +23,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				n := newNetwork(t)
 				n.startJoined(test.hosts)
--- a/messenger/answer.go
+++ b/messenger/answer.go
@@ -14,13 +14,16 @@
 	number uint64
 	// data is sent when a chunk is full or with the end of the answer.
 	data []byte
+	// onSent is called after each chunk that was sent.
+	onSent func()
 	// err is the first error of a send; the stream is of no more use then.
 	err error
 }
 
 // reset starts the answer of another batch.
-func (w *answerWriter) reset(number uint64) {
+func (w *answerWriter) reset(number uint64, onSent func()) {
 	w.number = number
+	w.onSent = onSent
 	w.data = w.data[:0]
 	w.err = nil
 }
@@ -47,6 +50,7 @@
 			return written, w.err
 		}
 		w.data = w.data[:0]
+		w.onSent()
 	}
 	return written, nil
 }
--- a/messenger/execution.go
+++ b/messenger/execution.go
@@ -13,9 +13,9 @@
 	"github.com/endiveturn/endiveturn/messenger/peerpb"
 )
 
-// executionMargin is how long after its deadline a batch may still run or send
-// its answer before the stream is given up. The holder itself ends batches at
-// their deadline; this bounds an answer that the peer does not take.
+// executionMargin is how long after its deadline a batch may still run, or a peer
+// leave a part of the answer untaken, before the stream is given up. The holder
+// itself ends batches at their deadline.
 const executionMargin = 10 * time.Second
 
 // An execution serves one Execute stream: one goroutine reads frames, another
@@ -177,11 +177,12 @@
 		x.closeIdle()
 		return x.refuse(x.number, executor.RefuseNotRun(executor.CodeQueryCanceled, "canceled before it ran"))
 	}
-	guard := time.AfterFunc(batch.Deadline+executionMargin, x.breakStream)
-	x.writer.reset(x.number)
+	patience := batch.Deadline + executionMargin
+	guard := time.AfterFunc(patience, x.breakStream)
+	x.writer.reset(x.number, func() { guard.Reset(patience) })
 	result, err := x.exchange.Run(ctx, batch, &x.writer)
-	guard.Stop()
 	x.end()
+	defer guard.Stop()
 	if x.writer.err != nil {
 		return x.writer.err
 	}
