Test heartbeats over TCP

Cause: the gossiper was tested in simulations only. Change: nine hosts over the messenger on the loopback interface find each other from one seed and mark a dead one failed.

--- /dev/null
+++ b/messenger/gossip_test.go
@@ -0,0 +1,96 @@
+package messenger
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/endiveturn/endiveturn/gossiper"
+)
+
+// A countingConn counts what passes it in both directions.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Guards against heartbeats that work in a simulation only: nine hosts over TCP
+// find each other from one seed and notice a host that dies.
+func TestGossipOverTCP(t *testing.T) {
+	const hosts = 9
+	var bytes atomic.Int64
+	var seed string
+	var gossipers []*gossiper.Gossiper
+	var stops []func()
+	var last *pair
+	for i := range hosts {
+		p := newPair(t, nil)
+		if i == 0 {
+			seed = p.address
+		}
+		last = p
+		p.client.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+			return countingConn{Conn: conn, bytes: &bytes}, err
+		}
+		g := &gossiper.Gossiper{
+			Self:  gossiper.Host{Name: fmt.Sprintf("host-%d", i), DataCentre: "dc1", PeerAddress: p.address, Incarnation: 1},
+			Seeds: []gossiper.HostEntry{{PeerAddress: seed}}, Send: p.client.Heartbeat, Probe: p.client.Probe,
+		}
+		p.server.Heartbeat = func(_ context.Context, h gossiper.Heartbeat) (gossiper.Heartbeat, error) { return g.Handle(h), nil }
+		p.server.Probe = func(ctx context.Context, target gossiper.Host) (bool, error) { return g.HandleProbe(ctx, target), nil }
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- g.Run(ctx) }()
+		stops = append(stops, func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Errorf("gossiper's Run() = %v", err)
+			}
+			p.stop()
+		})
+		gossipers = append(gossipers, g)
+	}
+	states := func(state gossiper.State) (count int) {
+		for _, g := range gossipers[:len(gossipers)-1] {
+			if h, _ := g.View().Host("host-8"); h.State == state && len(g.View().Hosts) == hosts {
+				count++
+			}
+		}
+		return count
+	}
+	eventually(t, "join", func() bool { return states(gossiper.Alive) == hosts-1 })
+	before := bytes.Load()
+	time.Sleep(time.Second)
+	// Each connection was counted at the end that dialled, for two hosts.
+	t.Logf("payload of a host: %d bytes/s", 2*(bytes.Load()-before)/hosts)
+	// The last host falls silent: nothing it sends arrives any more.
+	if err := last.client.Close(); err != nil {
+		t.Error(err)
+	}
+	last.stop()
+	start := time.Now()
+	eventually(t, "death noticed", func() bool { return states(gossiper.Failed) == hosts-1 })
+	t.Logf("failed at all hosts %v after the end of its server", time.Since(start))
+	var group sync.WaitGroup
+	for _, stop := range stops {
+		group.Go(stop)
+	}
+	group.Wait()
+}
