Work the capacity page out from measured slopes

Cause: the cost at 730 hosts has to be checked line by line, and a page that is edited by hand drifts from its figures. Change: the command capacity computes the table of docs/CAPACITY.md from docs/slopes.json, and a test compares them; gossip slopes run the cores of 60, 240 and 730 hosts in virtual time; quiet replicas hold status queries 400 ms.

--- a/measurer/slopes.go
+++ b/measurer/slopes.go
@@ -18,7 +18,7 @@
 func Slopes(ctx context.Context, logger *slog.Logger) ([]Slope, error) {
 	var all []Slope
 	for _, measure := range []func(context.Context, *slog.Logger) ([]Slope, error){
-		connectionSlopes, statementSlopes, hostSlopes, serviceSlopes, transferSlopes, configurationSlopes,
+		connectionSlopes, statementSlopes, hostSlopes, serviceSlopes, transferSlopes, gossipSlopes, configurationSlopes,
 	} {
 		slopes, err := measure(ctx, logger)
 		if err != nil {
--- a/promoter/poller.go
+++ b/promoter/poller.go
@@ -52,8 +52,9 @@
 			continue
 		}
 		sentAt := w.Now()
-		query, cancel := context.WithTimeout(ctx, pollWait+pollTimeout)
-		status, err := admin.Status(query, last.Received, last.Applied, pollWait)
+		wait := w.pollWait(member.Name)
+		query, cancel := context.WithTimeout(ctx, wait+pollTimeout)
+		status, err := admin.Status(query, last.Received, last.Applied, wait)
 		cancel()
 		if err != nil {
 			admin.Close()
@@ -70,6 +71,16 @@
 	}
 }
 
+// pollWait returns how long a database may hold a status query back.
+func (w *Watcher) pollWait(name string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.core.primary != "" && w.core.primary != name {
+		return replicaPollWait
+	}
+	return pollWait
+}
+
 // redial opens a connection, or pauses after a failure and returns nil.
 func (w *Watcher) redial(ctx context.Context, member Member) Admin {
 	dial, cancel := context.WithTimeout(ctx, pollTimeout)
--- a/promoter/watcher.go
+++ b/promoter/watcher.go
@@ -19,6 +19,9 @@
 	// changes. It is a small part of LeaseTime, since the lease counts from the
 	// sending of the query.
 	pollWait = 200 * time.Millisecond
+	// replicaPollWait is the same for replicas: the lease needs the answers of
+	// a majority only, and quiet services are most of the control traffic.
+	replicaPollWait = 400 * time.Millisecond
 	// pollTimeout is how long an answer may take beyond pollWait.
 	pollTimeout = 300 * time.Millisecond
 	// callTimeout bounds raising a term, promoting and following.
--- a/run.go
+++ b/run.go
@@ -101,6 +101,7 @@
 		{"verifier", "Make the verifier of a key from its secret on standard input", &verifierCommand{env: e}},
 		{"demo", "Show the product on stand-ins in this process", &demoCommand{env: e}},
 		{"measure", "Put load and faults on stand-ins and measure", &measureCommand{env: e}},
+		{"capacity", "Work out the capacity page from measured slopes", &capacityCommand{env: e}},
 		{"standin", "Run a stand-in of the store or of a database group", &standinCommand{env: e, Store: standinStoreCommand{env: e}, Group: standinGroupCommand{env: e}}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.short+".", c.command); err != nil {
