Take turns between equally loaded replicas

Cause: at low load every read went to the first replica by name. Change: the order in which replicas are considered rotates. Figures: 10 of 20 reads on each of two idle replicas, 0 and 20 before. Conclusion: replicas share the reads.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -94,6 +94,8 @@
 	based promotion
 	// replicas are the replicas of the view that was applied last.
 	replicas []tracker.Replica
+	// turn is the index of the replica that is considered first.
+	turn int
 }
 
 // A promotion identifies a term in which a database became primary.
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -34,6 +34,16 @@
 	if got := b.databases[1].count("SELECT"); got != 0 {
 		t.Errorf("reads on the replica that is behind = %d, want 0", got)
 	}
+	if got := b.databases[2].count("SELECT"); got != 20 {
+		t.Errorf("reads on the other replica = %d, want 20", got)
+	}
+	b.applied(10, 10, 10)
+	for range 20 {
+		mustRun(t, exchange, "SELECT", executor.ClassRead)
+	}
+	if got := b.databases[1].count("SELECT"); got != 10 {
+		t.Errorf("reads on one of two equal replicas = %d of 20, want 10", got)
+	}
 	other := b.open(t, "s2")
 	if _, result := mustRun(t, other, "SELECT", executor.ClassRead); !result.Replica {
 		t.Error("read of another session went to the primary")
--- a/holder/observe.go
+++ b/holder/observe.go
@@ -67,7 +67,7 @@
 		}
 	}
 	if view.Term == 0 || view.Primary == "" {
-		h.replicas = nil
+		h.replicas, h.turn = nil, 0
 		return
 	}
 	if now := (promotion{term: view.Term, primary: view.Primary}); now != h.based {
@@ -117,12 +117,16 @@
 	return false
 }
 
-// candidates returns the replicas in service with their loads.
+// candidates returns the replicas in service with their loads, each time in
+// another order, so that equal loads do not always favour the same one.
 func (h *Holder) candidates() []tracker.Replica {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	replicas := make([]tracker.Replica, len(h.replicas))
-	copy(replicas, h.replicas)
+	replicas := make([]tracker.Replica, 0, len(h.replicas))
+	if len(h.replicas) > 0 {
+		h.turn = (h.turn + 1) % len(h.replicas)
+		replicas = append(append(replicas, h.replicas[h.turn:]...), h.replicas[:h.turn]...)
+	}
 	for i := range replicas {
 		if d := h.databases[replicas[i].Name]; d != nil {
 			replicas[i].Load = d.queue.Load().Relative()
