Clear the linter's findings in commands and measures

Cause: the linter reported calls without a context and parameters that never vary. Change: contexts in the scripts' commands, fewer parameters.

--- a/main_test.go
+++ b/main_test.go
@@ -56,7 +56,8 @@
 func setupAddresses(env *testscript.Env) error {
 	var listeners []net.Listener
 	for i := range portsPerScript {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		var config net.ListenConfig
+		listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
 		}
@@ -148,7 +149,8 @@
 func awaitStore(ts *testscript.TestScript, _ bool, args []string) {
 	deadline := time.Now().Add(scriptTimeout)
 	for {
-		conn, err := net.DialTimeout("tcp", args[0], time.Second)
+		dialer := net.Dialer{Timeout: time.Second}
+		conn, err := dialer.DialContext(context.Background(), "tcp", args[0])
 		if err == nil {
 			conn.Close()
 			return
@@ -167,7 +169,7 @@
 	ts.Check(err)
 	log, err := os.Create(ts.MkAbs(args[0] + ".log"))
 	ts.Check(err)
-	command := exec.Command(path, args[1:]...)
+	command := exec.CommandContext(context.Background(), path, args[1:]...)
 	command.Dir, command.Stdout, command.Stderr = ts.MkAbs("."), log, log
 	ts.Check(command.Start())
 	ts.Setenv(args[0]+"_PID", strconv.Itoa(command.Process.Pid))
--- a/measurer/data_centre_leave.go
+++ b/measurer/data_centre_leave.go
@@ -78,7 +78,7 @@
 		return nil, nil, err
 	}
 	return leaveFigures(f, workload, recorder, windows, baseline),
-		[]Series{throughput("operations", workload.Operations(), 100*time.Millisecond)}, nil
+		[]Series{throughput(workload.Operations(), 100*time.Millisecond)}, nil
 }
 
 // leaveLoad is load of all customers on all services with roaming sessions.
--- a/measurer/demo.go
+++ b/measurer/demo.go
@@ -66,9 +66,9 @@
 	return fmt.Sprintf("every host serves, revision %d is in force, all %d services are held", revision, d.fleet.Shape.Services), nil
 }
 
-func (d *Demo) connect(ctx context.Context, host int, customer, route, session string) (*pgx.Conn, error) {
+func (d *Demo) connect(ctx context.Context, host int, customer, session string) (*pgx.Conn, error) {
 	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable",
-		KeyName(customer), KeySecret(customer), d.fleet.Hosts[host].CallerAddress, route))
+		KeyName(customer), KeySecret(customer), d.fleet.Hosts[host].CallerAddress, RouteName(1)))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -95,7 +95,7 @@
 
 func (d *Demo) bookAndRead(ctx context.Context) (string, error) {
 	for i := range demoHosts {
-		writer, err := d.connect(ctx, i, "customer1", "route1", "demo")
+		writer, err := d.connect(ctx, i, "customer1", "demo")
 		if err != nil {
 			return "", err
 		}
@@ -104,7 +104,7 @@
 		if err := book(ctx, writer, id); err != nil {
 			return "", err
 		}
-		reader, err := d.connect(ctx, (i+1)%demoHosts, "customer1", "route1", "demo")
+		reader, err := d.connect(ctx, (i+1)%demoHosts, "customer1", "demo")
 		if err != nil {
 			return "", err
 		}
@@ -126,7 +126,7 @@
 }
 
 func (d *Demo) withdrawKey(ctx context.Context) (string, error) {
-	conn, err := d.connect(ctx, 1, "customer2", "route1", "")
+	conn, err := d.connect(ctx, 1, "customer2", "")
 	if err != nil {
 		return "", err
 	}
@@ -145,7 +145,7 @@
 	if _, err := conn.Exec(ctx, "SELECT 1"); err == nil {
 		return "", errors.New("a connected caller was served on a withdrawn key")
 	}
-	_, err = d.connect(ctx, 0, "customer2", "route1", "")
+	_, err = d.connect(ctx, 0, "customer2", "")
 	if code := codeOf(err); code != executor.CodeInvalidAuthorization {
 		return "", errors.Errorf("new caller on a withdrawn key got %q (%v)", code, err)
 	}
@@ -161,7 +161,7 @@
 }
 
 func (d *Demo) failPrimary(ctx context.Context) (string, error) {
-	conn, err := d.connect(ctx, 0, "customer1", "route1", "demo")
+	conn, err := d.connect(ctx, 0, "customer1", "demo")
 	if err != nil {
 		return "", err
 	}
@@ -209,7 +209,7 @@
 			return set.WithDataCentre(dataCentre), nil
 		}
 	}
-	conn, err := d.connect(ctx, 0, "customer1", "route1", "demo")
+	conn, err := d.connect(ctx, 0, "customer1", "demo")
 	if err != nil {
 		return "", err
 	}
@@ -228,14 +228,14 @@
 	if now := d.fleet.lastWorkIn(taken); now.After(last) {
 		return "", errors.Errorf("data centre %s still gets work", taken)
 	}
-	_, err = d.connect(ctx, 2, "customer1", "route1", "")
+	_, err = d.connect(ctx, 2, "customer1", "")
 	if code := codeOf(err); code != executor.CodeStopping {
 		return "", errors.Errorf("host of the data centre answers %q (%v)", code, err)
 	}
 	if _, err := d.edit(ctx, setTaken(false)); err != nil {
 		return "", err
 	}
-	back, err := d.connect(ctx, 2, "customer1", "route1", "demo")
+	back, err := d.connect(ctx, 2, "customer1", "demo")
 	if err != nil {
 		return "", err
 	}
@@ -247,7 +247,7 @@
 }
 
 func (d *Demo) stopHost(ctx context.Context) (string, error) {
-	conn, err := d.connect(ctx, 0, "customer1", "route1", "demo")
+	conn, err := d.connect(ctx, 0, "customer1", "demo")
 	if err != nil {
 		return "", err
 	}
--- a/measurer/failover_gap.go
+++ b/measurer/failover_gap.go
@@ -66,7 +66,7 @@
 		NewFigure("doubled", float64(doubled), AtMost, 0),
 		NewFigure("stale_own_reads", float64(stale), AtMost, 0),
 		NewFigure("crossed_answers", float64(crossed), AtMost, 0),
-	}, []Series{throughput("operations", workload.Operations(), 100*time.Millisecond)}, nil
+	}, []Series{throughput(workload.Operations(), 100*time.Millisecond)}, nil
 }
 
 // A faultWindow is the time in which a service was without its primary.
--- a/measurer/refused_within_rate.go
+++ b/measurer/refused_within_rate.go
@@ -55,7 +55,7 @@
 		Info("greedy_admitted_per_second", admittedPerSecond(operations, CustomerName(shape.Customers), steady)),
 		NewFigure("stale_own_reads", float64(stale), AtMost, 0),
 		NewFigure("crossed_answers", float64(crossed), AtMost, 0),
-	}, []Series{throughput("operations", operations, 200*time.Millisecond)}, nil
+	}, []Series{throughput(operations, 200*time.Millisecond)}, nil
 }
 
 // limitLoad lets customers ask for a part of their rate, mostly on one service
--- a/measurer/slopes.go
+++ b/measurer/slopes.go
@@ -76,7 +76,7 @@
 func (f *Fleet) storeCalls() int64 {
 	total := int64(0)
 	for _, n := range f.Store.Calls() {
-		total += int64(n)
+		total += n
 	}
 	return total
 }
--- a/measurer/statistics.go
+++ b/measurer/statistics.go
@@ -54,8 +54,8 @@
 }
 
 // throughput returns a series of operations that were done per second.
-func throughput(name string, operations []Operation, step time.Duration) Series {
-	series := Series{Name: name, Unit: "operations/s"}
+func throughput(operations []Operation, step time.Duration) Series {
+	series := Series{Name: "operations", Unit: "operations/s"}
 	counts := map[int]int{}
 	last := 0
 	for _, o := range operations {
--- a/measurer/store_outage.go
+++ b/measurer/store_outage.go
@@ -57,7 +57,7 @@
 	o.run(ctx)
 	stop()
 	<-done
-	return o.figures(), []Series{throughput("operations", o.workload.Operations(), 200*time.Millisecond)}, nil
+	return o.figures(), []Series{throughput(o.workload.Operations(), 200*time.Millisecond)}, nil
 }
 
 // A span is a time of the load.
--- a/measurer/worst_served.go
+++ b/measurer/worst_served.go
@@ -60,7 +60,7 @@
 	quiet, loaded := crushLoads(options, shape, hosts(f))
 	runFor(ctx, quiet, phase/2)
 	runFor(ctx, loaded, phase)
-	return crushFigures(shape, quiet, loaded, phase), []Series{throughput("operations", loaded.Operations(), 200*time.Millisecond)}, nil
+	return crushFigures(shape, quiet, loaded, phase), []Series{throughput(loaded.Operations(), 200*time.Millisecond)}, nil
 }
 
 func baselineCrush(ctx context.Context, options Options, shape Shape, phase time.Duration) (crushFigure, error) {
