Do not start batches whose caller has gone

Cause: a batch that got its slot just as its deadline passed was sent and cancelled at once. Change: the wait's end is checked once more before sending.

--- a/holder/attempt.go
+++ b/holder/attempt.go
@@ -46,7 +46,7 @@
 			leave()
 		}
 	}()
-	if refusal := r.checkKey(); refusal != nil {
+	if refusal := r.recheck(); refusal != nil {
 		slot.Release()
 		return result, false, refusal
 	}
--- a/holder/exchange.go
+++ b/holder/exchange.go
@@ -161,7 +161,7 @@
 			slot.Release()
 			continue
 		}
-		if refusal := r.checkKey(); refusal != nil {
+		if refusal := r.recheck(); refusal != nil {
 			slot.Release()
 			return executor.Result{}, refusal
 		}
@@ -184,9 +184,16 @@
 	return nil
 }
 
-// checkKey refuses the batch if its key does not admit any more. It is called
-// again after the wait for a slot, which may outlast the time in which a revoked
-// key has to stop working.
+// recheck refuses the batch after the wait for a slot, which may outlast its
+// caller, or the time in which a revoked key has to stop working.
+func (r *request) recheck() *executor.Refusal {
+	if err := r.waiting.Err(); err != nil {
+		return refuseWaiting(r.waiting, err, executor.CodeTooManyQueued)
+	}
+	return r.checkKey()
+}
+
+// checkKey refuses the batch if its key does not admit any more.
 func (r *request) checkKey() *executor.Refusal {
 	if r.holder.CheckKey == nil {
 		return nil
