Renew claims when a host's incarnation changes

Cause: a host whose clock was set back before its restart raises its incarnation above that of its predecessor, and its claims then counted as those of a dead one. Change: it announces its claims again with the new incarnation. Conclusion: the tests of gossiper pass with -race.

--- a/gossiper/claims.go
+++ b/gossiper/claims.go
@@ -58,6 +58,18 @@
 	return c.flush()
 }
 
+// renewClaims announces the claims of this host again after its incarnation has
+// changed, since claims of another incarnation do not count as live.
+func (c *Core) renewClaims(before uint64, now time.Time) {
+	for _, service := range sortedKeys(c.claims) {
+		claim := c.claims[service]
+		if claim.Host == c.Self.Name && claim.Incarnation == before && !claim.Withdrawn {
+			claim.Incarnation = c.Self.Incarnation
+			c.mergeClaim(claim, now)
+		}
+	}
+}
+
 func (c *Core) mergeClaim(claim Claim, now time.Time) {
 	known := c.claims[claim.Service]
 	if claim.Service == "" || !beats(claim, known) {
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -208,7 +208,9 @@
 			return
 		}
 		// A predecessor that started with a clock ahead of this one.
+		before := c.Self.Incarnation
 		c.changeSelf(now, func(s *Host) { s.Incarnation = h.Incarnation + 1 })
+		c.renewClaims(before, now)
 		return
 	}
 	if h.Incarnation == c.Self.Incarnation && gone && h.Version >= c.Self.Version && h.State > c.Self.State {
--- a/gossiper/placement_test.go
+++ b/gossiper/placement_test.go
@@ -75,6 +75,29 @@
 	}
 }
 
+// Guards against a host that was restarted with its clock set back and is taken
+// for its dead predecessor for ever.
+func TestPredecessorFromTheFuture(t *testing.T) {
+	start := time.Now()
+	c := testCore(start, 3)
+	c.Claim(start, "s", 3)
+	dead := c.Self
+	dead.Incarnation, dead.State = 99, Failed
+	c.merge(dead, start, hostName(1))
+	if got := c.Self.Incarnation; got != 100 {
+		t.Errorf("incarnation: got %d want 100", got)
+	}
+	if got := c.View(start, nil).Claims["s"]; !got.Live || got.Incarnation != 100 {
+		t.Errorf("claim: got %+v", got)
+	}
+	living := c.Self
+	living.Incarnation, living.State = 200, Alive
+	c.merge(living, start, hostName(1))
+	if got := c.Self.Incarnation; got != 100 {
+		t.Errorf("incarnation next to a living host of the same name: got %d want 100", got)
+	}
+}
+
 // Guards against services placed on hosts that cannot serve them, and against a
 // service that nobody tries to hold.
 func TestRanking(t *testing.T) {
