Restart a host among outdated ones in the measure of revisions

Cause: the restarts so far heard hosts with the latest revision at once, so that serving by the revision of any peer would not have shown. Change: a host with the latest revision restarts while it reaches only two hosts that do not have it.

--- a/measurer/config_in_force.go
+++ b/measurer/config_in_force.go
@@ -21,6 +21,9 @@
 	inForceTarget = 3000
 	// revisionPause is the pause between publications.
 	revisionPause = 150 * time.Millisecond
+	// outdatedTime is how long a host that restarts hears outdated hosts only.
+	// It is well below the target, as these cannot learn of the revision before.
+	outdatedTime = 1200 * time.Millisecond
 	// withoutStore is how long the store is away.
 	withoutStore = 4 * time.Second
 	// withStoreAgain lets watches come back after an outage.
@@ -92,7 +95,7 @@
 func (r *revisionRun) run(ctx context.Context) error {
 	for _, phase := range []func(context.Context) error{
 		r.publishInTurn, r.publishRacing, r.publishWithLostAnswers, r.publishWithRestarts,
-		r.publishWithHostCutOff, r.outageWithRestart(storeemulator.Refuse), r.outageWithRestart(storeemulator.Hang),
+		r.publishWithHostCutOff, r.restartAmongOutdated, r.outageWithRestart(storeemulator.Refuse), r.outageWithRestart(storeemulator.Hang),
 	} {
 		if err := phase(ctx); err != nil {
 			return err
@@ -212,6 +215,26 @@
 	return nil
 }
 
+// restartAmongOutdated restarts a host that has the latest revision while it
+// reaches two hosts only, which do not have it. It must not serve by theirs.
+func (r *revisionRun) restartAmongOutdated(ctx context.Context) error {
+	f := r.fleet
+	defer f.heal()
+	chosen := r.rng.Perm(len(f.Hosts))[:3]
+	victim, outdated := f.Hosts[chosen[0]], []*FleetHost{f.Hosts[chosen[1]], f.Hosts[chosen[2]]}
+	f.cutOffGroup(outdated)
+	r.publish(ctx, 0, time.Time{})
+	pauseFor(ctx, revisionPause)
+	f.KillHost(victim)
+	f.cutOffGroup(append(outdated, victim))
+	if err := f.StartHost(ctx, victim); err != nil {
+		return err
+	}
+	pauseFor(ctx, outdatedTime)
+	f.heal()
+	return f.AwaitServing(ctx)
+}
+
 // outageWithRestart takes the store away as soon as the first host serves by a
 // new revision, often before the operator has the answer. Two other hosts are
 // killed and start again during the outage, and a second operator publishes
