--- a/measurer/config_in_force.go
+++ b/measurer/config_in_force.go
@@ -67,8 +67,7 @@
 		return nil, nil, err
 	}
 	r := &revisionRun{
-		fleet: f, rng: rand.New(rand.NewPCG(options.Seed, 0)),
-		watch: &revisionWatch{highest: map[string]uint64{}, lastWith: map[hostRevision]time.Time{}, below: map[string]bool{}},
+		fleet: f, rng: rand.New(rand.NewPCG(options.Seed, 0)), watch: newRevisionWatch(),
 	}
 	for range 2 {
 		client := &storer.Client{Addresses: []string{f.StoreAddress}, Logger: options.Logger}
--- a/measurer/revision_watch.go
+++ b/measurer/revision_watch.go
@@ -35,6 +35,10 @@
 	revision uint64
 }
 
+func newRevisionWatch() *revisionWatch {
+	return &revisionWatch{highest: map[string]uint64{}, lastWith: map[hostRevision]time.Time{}, below: map[string]bool{}}
+}
+
 // watch reads the revisions until ctx ends.
 func (w *revisionWatch) watch(ctx context.Context, f *Fleet) {
 	previous := time.Now()
--- /dev/null
+++ b/measurer/revision_watch_test.go
@@ -0,0 +1,67 @@
+package measurer
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a host that goes back unnoticed, also over a restart, and
+// against one that is counted for each sample or for another host's revision.
+func TestReversions(t *testing.T) {
+	type sample struct {
+		host     string
+		revision uint64
+	}
+	for _, c := range []struct {
+		name    string
+		samples []sample
+		want    int
+	}{
+		{"none", nil, 0},
+		{"rising", []sample{{"h1", 1}, {"h1", 1}, {"h1", 3}}, 0},
+		{"another host is behind", []sample{{"h1", 2}, {"h2", 1}, {"h2", 2}}, 0},
+		{"once for as long as it lasts", []sample{{"h1", 2}, {"h1", 1}, {"h1", 1}, {"h1", 2}}, 1},
+		{"twice", []sample{{"h1", 2}, {"h1", 1}, {"h1", 2}, {"h1", 1}}, 2},
+		{"nothing known after a restart", []sample{{"h1", 2}, {"h1", 0}}, 1},
+		{"two hosts", []sample{{"h1", 2}, {"h2", 2}, {"h1", 1}, {"h2", 1}}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newRevisionWatch()
+			for _, s := range c.samples {
+				w.observe(s.host, s.revision, time.Now())
+			}
+			if w.reversions != c.want {
+				t.Errorf("got %d reversions, want %d", w.reversions, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a revision that counts as in force while a host serves by an
+// older one, or that waits for one that has a later one.
+func TestLastBelow(t *testing.T) {
+	start := time.Now()
+	w := newRevisionWatch()
+	for i, s := range []struct {
+		host     string
+		revision uint64
+	}{{"h1", 1}, {"h2", 1}, {"h1", 2}, {"h2", 1}, {"h2", 3}, {"h1", 2}} {
+		w.observe(s.host, s.revision, start.Add(time.Duration(i)*time.Second))
+	}
+	for _, c := range []struct {
+		revision uint64
+		host     string
+		at       time.Time
+	}{
+		{1, "", time.Time{}},
+		{2, "h2", start.Add(3 * time.Second)},
+		{3, "h1", start.Add(5 * time.Second)},
+	} {
+		if host, at := w.lastBelow(c.revision); host != c.host || !at.Equal(c.at) {
+			t.Errorf("revision %d: got %q at %v, want %q at %v", c.revision, host, at, c.host, c.at)
+		}
+	}
+	if got := w.reached(3); got != 1 {
+		t.Errorf("got %d hosts with revision 3, want 1", got)
+	}
+}
