Change the fake databases of tests under their mutex

Cause: one of 20 runs with -race found the test writing a field that the fake database reads. Change: the two places take the mutex. Conclusion: the race was in the tests only.

--- a/holder/failure_test.go
+++ b/holder/failure_test.go
@@ -256,7 +256,7 @@
 	}
 	b.group.change(func(v *promoter.View) {
 		v.Term, v.Primary = term, b.databases[index].name
-		v.Start = executor.Position{Term: term, Offset: b.databases[index].applied}
+		b.databases[index].set(func() { v.Start = executor.Position{Term: term, Offset: b.databases[index].applied} })
 		for i := range v.Members {
 			v.Members[i].Status.Term, v.Members[i].Status.Primary = term, v.Primary
 			v.Members[i].Status.Role = promoter.RoleReplica
--- a/holder/flow_test.go
+++ b/holder/flow_test.go
@@ -28,7 +28,7 @@
 func TestBoundsUnderLoad(t *testing.T) {
 	b := newBench(t, nil)
 	for _, d := range b.databases {
-		d.limit = 6
+		d.set(func() { d.limit = 6 })
 	}
 	end := time.Now().Add(time.Second)
 	var group sync.WaitGroup
