Refuse late batches of unreachable databases with 57P03 throughout

Change: one function decides the code; the test of queued batches holds slots until it releases them, and the fake database refuses sessions of a past term as a database does. Conclusion: the code of the refusal no longer depends on timing.

--- a/holder/exchange.go
+++ b/holder/exchange.go
@@ -188,7 +188,7 @@
 // caller, or the time in which a revoked key has to stop working.
 func (r *request) recheck() *executor.Refusal {
 	if err := r.waiting.Err(); err != nil {
-		return refuseWaiting(r.waiting, err, executor.CodeTooManyQueued)
+		return refuseWaiting(r.waiting, err, r.lateCode())
 	}
 	return r.checkKey()
 }
--- a/holder/fake_test.go
+++ b/holder/fake_test.go
@@ -20,7 +20,7 @@
 // SLEEP waits for a cancel, LOSE commits and closes without an answer, TEAR
 // closes in the middle of an answer, BIG n returns n rows of 1 KB, PAUSE takes
 // 5 ms, LATE answers after 300 ms whatever comes, DRAG
-// sends 64 KB and works on for 20 ms.
+// sends 64 KB and works on for 20 ms, HOLD waits for its release.
 type fakeDatabase struct {
 	name     string
 	address  string
@@ -33,6 +33,8 @@
 	sessions map[*fakeSession]bool
 	// limit is the number of connections above which a startup is refused.
 	limit int
+	// release ends statements that HOLD.
+	release chan struct{}
 	// delay is the time that a commit takes.
 	delay time.Duration
 	// down refuses every startup.
@@ -52,6 +54,7 @@
 	network  net.Conn
 	backend  *pgproto3.Backend
 	id       uint32
+	term     uint64
 	cancel   chan struct{}
 	customer string
 	status   byte
@@ -72,6 +75,7 @@
 	d := &fakeDatabase{
 		name: name, replica: replica, listener: listener, address: listener.Addr().String(),
 		term: 1, limit: 100, sessions: make(map[*fakeSession]bool),
+		release: make(chan struct{}),
 	}
 	go d.accept()
 	t.Cleanup(func() {
@@ -182,6 +186,7 @@
 			code = "53300"
 		} else {
 			d.sessions[s] = true
+			s.term = d.term
 			d.maxOpen = max(d.maxOpen, len(d.sessions))
 		}
 	})
@@ -258,7 +263,9 @@
 	d.set(func() {
 		d.running++
 		d.maxRunning = max(d.maxRunning, d.running)
-		if d.refuse == "" && d.replica && strings.HasPrefix(text, "INSERT") {
+		if s.term != d.term {
+			refuse = "GT001"
+		} else if d.refuse == "" && d.replica && strings.HasPrefix(text, "INSERT") {
 			refuse = "25006"
 		} else {
 			refuse, d.refuse = d.refuse, ""
@@ -313,6 +320,8 @@
 		_ = s.backend.Flush()
 		_ = s.sendRows(64)
 		time.Sleep(20 * time.Millisecond)
+	case "HOLD":
+		<-d.release
 	case "PAUSE":
 		time.Sleep(5 * time.Millisecond)
 	case "LOSE":
--- a/holder/queue_test.go
+++ b/holder/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,27 +14,33 @@
 	"github.com/endiveturn/endiveturn/promoter"
 )
 
-// occupy fills the slots of the primary, or of the replica db2, for 300 ms and
-// returns once they are taken.
-func (b *bench) occupy(t *testing.T, class executor.Class) {
+// occupy fills the slots of the database until the returned function is called.
+func (b *bench) occupy(t *testing.T, database int, class executor.Class) (release func()) {
 	t.Helper()
 	done := make(chan struct{}, 3)
 	for i := range 3 {
 		exchange := b.open(t, string(rune('x'+i)))
 		go func() {
-			_, _, _ = run(exchange, query("LATE", class))
+			_, _, _ = run(exchange, query("HOLD", class))
 			done <- struct{}{}
 		}()
 	}
-	t.Cleanup(func() {
+	b.await(t, func() bool { return b.databases[database].count("HOLD") == 3 })
+	return sync.OnceFunc(func() {
+		close(b.databases[database].release)
 		for range 3 {
 			<-done
 		}
 	})
-	running := 0
-	for wait := 0; running < 3 && wait < 500; wait++ {
-		time.Sleep(time.Millisecond)
-		running = b.databases[0].count("LATE") + b.databases[1].count("LATE")
+}
+
+// await waits until the condition holds.
+func (b *bench) await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(3 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not reached within 3 s: %+v", b.Stats())
+		}
 	}
 }
 
@@ -45,18 +52,20 @@
 		name   string
 		class  executor.Class
 		change func(b *bench, revoked *atomic.Bool, leave context.CancelFunc)
+		// stays is set if the batch ends while the slots are still taken.
+		stays  bool
 		limit  time.Duration
 		code   string
 		runsOn int
 	}{
-		{"key revoked", executor.ClassWrite, func(_ *bench, revoked *atomic.Bool, _ context.CancelFunc) { revoked.Store(true) }, time.Second, "28000", -1},
+		{"key revoked", executor.ClassWrite, func(_ *bench, revoked *atomic.Bool, _ context.CancelFunc) { revoked.Store(true) }, false, 3 * time.Second, "28000", -1},
 		{"replica leaves", executor.ClassRead, func(b *bench, _ *atomic.Bool, _ context.CancelFunc) {
 			b.group.change(func(v *promoter.View) { v.Members[1].Leaving = true })
-		}, time.Second, "", 0},
-		{"primary replaced", executor.ClassWrite, func(b *bench, _ *atomic.Bool, _ context.CancelFunc) { b.promote(2) }, time.Second, "", 2},
-		{"caller gone", executor.ClassWrite, func(_ *bench, _ *atomic.Bool, leave context.CancelFunc) { leave() }, time.Second, "57014", -1},
-		{"deadline", executor.ClassWrite, func(*bench, *atomic.Bool, context.CancelFunc) {}, 100 * time.Millisecond, "53300", -1},
-		{"nothing", executor.ClassRead, func(*bench, *atomic.Bool, context.CancelFunc) {}, time.Second, "", 1},
+		}, false, 3 * time.Second, "", 0},
+		{"primary replaced", executor.ClassWrite, func(b *bench, _ *atomic.Bool, _ context.CancelFunc) { b.promote(2) }, false, 3 * time.Second, "", 2},
+		{"caller gone", executor.ClassWrite, func(_ *bench, _ *atomic.Bool, leave context.CancelFunc) { leave() }, true, 3 * time.Second, "57014", -1},
+		{"deadline", executor.ClassWrite, func(*bench, *atomic.Bool, context.CancelFunc) {}, true, 300 * time.Millisecond, "53300", -1},
+		{"nothing", executor.ClassRead, func(*bench, *atomic.Bool, context.CancelFunc) {}, false, 3 * time.Second, "", 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -72,7 +81,12 @@
 			if test.class == executor.ClassRead {
 				b.group.change(func(v *promoter.View) { v.Members[2].Reachable = false })
 			}
-			b.occupy(t, test.class)
+			busy := 0
+			if test.class == executor.ClassRead {
+				busy = 1
+			}
+			release := b.occupy(t, busy, test.class)
+			defer release()
 			ctx, leave := context.WithCancel(t.Context())
 			defer leave()
 			exchange := b.open(t, "queued")
@@ -83,9 +97,16 @@
 				_, err := exchange.Run(ctx, batch, &bytes.Buffer{})
 				done <- err
 			}()
-			time.Sleep(50 * time.Millisecond)
+			b.await(t, func() bool { return b.Stats().Databases[busy].Load.Queued == 1 })
 			test.change(b, &revoked, leave)
-			err := <-done
+			var err error
+			if test.stays {
+				err = <-done
+				release()
+			} else {
+				release()
+				err = <-done
+			}
 			if code, _ := refusal(err); code != test.code || (err != nil && !errors.Is(err, executor.ErrNotRun)) {
 				t.Errorf("error = %v, want SQLSTATE %q and not run", err, test.code)
 			}
--- a/holder/route.go
+++ b/holder/route.go
@@ -95,15 +95,24 @@
 		h.Counters.Queued(r.exchange.attributes.Customer, h.Now().Sub(start))
 	}
 	if errors.Is(err, scheduler.ErrTooLate) && r.excluded != "" {
-		// The time was spent on a database that could not be reached.
 		return nil, executor.RefuseNotRun(executor.CodeCannotServe, "database "+r.excluded+" cannot be reached")
 	}
 	if err != nil {
-		return nil, refuseWaiting(r.waiting, err, executor.CodeTooManyQueued)
+		return nil, refuseWaiting(r.waiting, err, r.lateCode())
 	}
 	return slot, nil
 }
 
+// lateCode returns the SQLSTATE of a batch whose deadline passed before it was
+// sent: its time was spent in the queue, or on a database that could not be
+// reached.
+func (r *request) lateCode() string {
+	if r.excluded != "" {
+		return executor.CodeCannotServe
+	}
+	return executor.CodeTooManyQueued
+}
+
 // logRoute writes the line of a routing decision. A read on the primary is worth
 // notice, since replicas are there to serve it.
 func (h *Holder) logRoute(r *request, d *database, replica bool, reason tracker.Reason) {
