Leave a holder that is cut off as soon as it has failed

Cause: a batch that waited for the answer of a cut-off holder was unknown only after its deadline, since nothing closed the connection. Change: connections to hosts that gossip marks as failed are closed once. Conclusion: the time is now that of failure detection.

--- a/server/peers.go
+++ b/server/peers.go
@@ -37,7 +37,7 @@
 		Now:      s.Now,
 		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Logger:   s.Logger,
-		OnChange: func() { s.placer.nudge() },
+		OnChange: s.membersChanged,
 	}
 	for _, address := range s.Settings.Seeds {
 		g.Seeds = append(g.Seeds, gossiper.HostEntry{PeerAddress: address})
@@ -48,6 +48,23 @@
 	return g
 }
 
+// membersChanged looks at placement again and closes the connections to hosts
+// that have failed: batches that wait for their answers end at once, and not
+// only when their deadlines have passed.
+func (s *Server) membersChanged() {
+	s.placer.nudge()
+	for _, h := range s.gossip.View().Hosts {
+		_, dropped := s.dropped.Load(h.Name)
+		switch {
+		case h.State == gossiper.Failed && !dropped:
+			s.dropped.Store(h.Name, true)
+			s.client.Drop(h.PeerAddress)
+		case h.State != gossiper.Failed && dropped:
+			s.dropped.Delete(h.Name)
+		}
+	}
+}
+
 // A wireHostEntry is a value of the platform's host list.
 type wireHostEntry struct {
 	Name       string `json:"name"`
--- a/server/server.go
+++ b/server/server.go
@@ -62,6 +62,8 @@
 	ready atomic.Bool
 	// leaving is set when a planned stop has begun.
 	leaving atomic.Bool
+	// dropped holds the names of failed hosts whose connections were closed.
+	dropped sync.Map
 	// reached caches the services that customers reach.
 	reached atomic.Pointer[reach]
 	// holderViews caches what holders need of the present set, by service.
