Keep counters and timers beside the registry

Cause: each batch looked its counters up in the registry, under its lock and by reflection, and built the arguments of a debug line that nobody read. Change: counters and timers are cached by name; the level is checked first.

--- a/server/forwarder.go
+++ b/server/forwarder.go
@@ -109,10 +109,18 @@
 			return executor.Result{}, err
 		}
 		e.exchange, e.host = exchange, t.host
+		e.logPlaced(ctx, t)
+	}
+	return e.exchange.Run(ctx, batch, w)
+}
+
+// logPlaced writes the placement decision. The level is checked first, since
+// the arguments of a line that nobody wants cost more than the decision.
+func (e *forwardExchange) logPlaced(ctx context.Context, t target) {
+	if e.forwarder.logger.Enabled(ctx, slog.LevelDebug) {
 		e.forwarder.logger.Debug("exchange placed", "service", e.attributes.Service, "customer", e.attributes.Customer,
 			"host", t.host, "reason", t.reason)
 	}
-	return e.exchange.Run(ctx, batch, w)
 }
 
 // mayRepeat reports whether the batch may be sent again. Only the first batch
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -9,12 +9,26 @@
 	"github.com/endiveturn/endiveturn/tracker"
 )
 
+// count adds one to a counter. The counters are kept beside the registry, which
+// takes a lock and looks at types on each call.
 func (s *Server) count(name string) {
-	metrics.GetOrRegisterCounter(name, s.Registry).Inc(1)
+	if c, ok := s.metrics.Load(name); ok {
+		c.(metrics.Counter).Inc(1)
+		return
+	}
+	c := metrics.GetOrRegisterCounter(name, s.Registry)
+	s.metrics.Store(name, c)
+	c.Inc(1)
 }
 
+// timer returns the timer of a name, kept as the counters are.
 func (s *Server) timer(name string) metrics.Timer {
-	return metrics.GetOrRegisterTimer(name, s.Registry)
+	if t, ok := s.metrics.Load(name); ok {
+		return t.(metrics.Timer)
+	}
+	t := metrics.GetOrRegisterTimer(name, s.Registry)
+	s.metrics.Store(name, t)
+	return t
 }
 
 func (s *Server) batchDone(duration time.Duration, outcome string) {
