Keep hosts that hear no majority from claiming services

Cause: hosts that were cut off from the others but not from the databases saw all others as failed and claimed their services; the others claimed them back. Change: a host that hears no majority of the hosts it knows claims only after 3 s, only while it is fresh, and leaves a service alone for 30 s that was taken from it. Survivors of a great failure thus serve 3 s later. Conclusion: a host in a minority takes nothing from the majority.

--- a/server/placer.go
+++ b/server/placer.go
@@ -42,6 +42,8 @@
 	// invited holds the services that their holder asked this host to take
 	// over, until when.
 	invited map[string]time.Time
+	// quorum holds claims back while this host hears too few others.
+	quorum quorum
 	// readyAt is when the host became ready, or zero.
 	readyAt time.Time
 	// stopping is set when this host hands everything over for good.
@@ -102,6 +104,7 @@
 	now := p.server.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.quorum.observe(hearsMajority(p.server.gossip.View(), p.server.Settings.Seeds), now)
 	p.forgetEnded(now)
 	for name, h := range p.holdings {
 		service, ok := set.Services[name]
@@ -134,6 +137,7 @@
 			p.notBefore[name] = now
 			if h.fenced.Load() {
 				p.notBefore[name] = now.Add(reclaimPause/2 + rand.N(reclaimPause))
+				p.quorum.lost(name, now)
 			}
 		default:
 		}
@@ -152,6 +156,9 @@
 	if now.Sub(p.readyAt) < acquaintTime && !p.server.alone() {
 		return false
 	}
+	if fresh, _ := p.server.gossip.Fresh(); !p.quorum.mayClaim(service, fresh, now) {
+		return false
+	}
 	return !p.heldElsewhere(service) && p.server.winner(service) == p.server.Settings.Host
 }
 
