--- a/measurer/planned_stop_test.go
+++ b/measurer/planned_stop_test.go
@@ -21,7 +21,7 @@
 	if entry == holder {
 		entry = f.Hosts[1]
 	}
-	conn, err := pgx.Connect(ctx, dsn(entry, "customer1", "route1"))
+	conn, err := pgx.Connect(ctx, dsn(entry, "customer2", "route1"))
 	if err != nil {
 		t.Fatalf("connect: %v", err)
 	}
@@ -33,14 +33,14 @@
 		}
 	}
 	exec("BEGIN")
-	exec("INSERT INTO bookings (id, customer, amount) VALUES ('a', 'customer1', 1)")
+	exec("INSERT INTO bookings (id, customer, amount) VALUES ('a', 'customer2', 1)")
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
 		f.StopHost(ctx, holder)
 	}()
 	time.Sleep(300 * time.Millisecond)
-	exec("INSERT INTO bookings (id, customer, amount) VALUES ('b', 'customer1', 1)")
+	exec("INSERT INTO bookings (id, customer, amount) VALUES ('b', 'customer2', 1)")
 	exec("COMMIT")
 	<-stopped
 	if got := len(f.Groups[ServiceName(1)].Content()); got != 2 {
