Let a changed service object come into force on its holder

Cause: the holder takes the settings of its service at its start, so a published change of acknowledge, deadline or replica_wait waited for the next holder; the measure acknowledgement showed the same median with both modes. Change: the placer drains and claims a service again when its object differs; the log line of a hand-over has its reason. Conclusion: every field of a service comes into force by publishing.

--- a/server/holding.go
+++ b/server/holding.go
@@ -20,6 +20,8 @@
 // A holding is one service that this host holds or is about to hold.
 type holding struct {
 	service string
+	// config is the object by which the holder was started.
+	config  configurer.Service
 	watcher *promoter.Watcher
 	holder  *holder.Holder
 	// stop ends the holding at once; done is closed when it has ended.
@@ -50,7 +52,7 @@
 // placer.
 func (s *Server) startHolding(ctx context.Context, set configurer.Set, service configurer.Service) *holding {
 	ctx, cancel := context.WithCancel(ctx)
-	h := &holding{service: service.Name, stop: cancel, done: make(chan struct{}), ableAt: s.Now()}
+	h := &holding{service: service.Name, config: service, stop: cancel, done: make(chan struct{}), ableAt: s.Now()}
 	logger := s.Logger.With("service", service.Name)
 	h.watcher = &promoter.Watcher{
 		Service:      service.Name,
--- a/server/placer.go
+++ b/server/placer.go
@@ -189,6 +189,12 @@
 	if !p.reviewAble(h, now) {
 		return
 	}
+	if h.config != service {
+		// The holder takes the service's settings at its start: it is drained
+		// and claims the service again.
+		p.startHandOver(ctx, h, service.DrainTimeout, "", "service changed")
+		return
+	}
 	winner := p.server.winner(h.service)
 	if winner == p.server.Settings.Host {
 		winner = ""
@@ -201,7 +207,18 @@
 		h.notWinner = now
 	}
 	if p.stopping || p.server.takenOut() || now.Sub(h.notWinner) > settleTime {
-		p.startHandOver(ctx, h, service.DrainTimeout, winner)
+		p.startHandOver(ctx, h, service.DrainTimeout, winner, p.handOverReason())
+	}
+}
+
+func (p *placer) handOverReason() string {
+	switch {
+	case p.stopping:
+		return "host stops"
+	case p.server.takenOut():
+		return "taken out of service"
+	default:
+		return "another host is first by rendezvous hash"
 	}
 }
 
@@ -231,11 +248,11 @@
 	return true
 }
 
-func (p *placer) startHandOver(ctx context.Context, h *holding, timeout time.Duration, winner string) {
+func (p *placer) startHandOver(ctx context.Context, h *holding, timeout time.Duration, winner, reason string) {
 	if !h.draining.CompareAndSwap(false, true) {
 		return
 	}
-	p.server.Logger.Info("handing service over", "service", h.service, "host", winner)
+	p.server.Logger.Info("handing service over", "service", h.service, "host", winner, "reason", reason)
 	go p.server.handOver(ctx, h, timeout, winner)
 }
 
