Keep a transaction of unknown outcome failed until the caller ends it

Cause: after 40003 the caller was told that no transaction is open, so the next statements of a caller that had not noticed ran outside its transaction, each committed by itself. Conclusion: no statement of a lost transaction is committed alone.

--- a/acceptor/serve.go
+++ b/acceptor/serve.go
@@ -214,7 +214,10 @@
 	case executor.RolledBack:
 		return OutcomeRolledBack, c.fail(p, answer, refusal)
 	}
-	// The transaction is gone, whatever became of it.
-	c.status = statusIdle
+	// In the middle of a transaction the transaction is gone, but the caller
+	// has not ended it: until it does, its statements must not run outside one.
+	if refusal.Code != executor.CodeStatementUnknown {
+		c.status = statusIdle
+	}
 	return OutcomeUnknown, c.fail(p, answer, refusal)
 }
