Let a host that hears the others again wait for their claims

Cause: when a cut is healed, hosts heard each other before their claims and took services that others held.

--- a/server/quorum.go
+++ b/server/quorum.go
@@ -17,6 +17,9 @@
 	// service alone that was taken from it: a host that it does not hear is
 	// alive and holds it.
 	minorityPause = 30 * time.Second
+	// rejoinWait is how long a host that hears a majority again waits for the
+	// claims of the others, which come with the heartbeats of two rounds.
+	rejoinWait = 600 * time.Millisecond
 )
 
 // A quorum keeps hosts that are cut off from the others, but not from the
@@ -26,6 +29,8 @@
 type quorum struct {
 	// lostAt is when this host ceased to hear a majority, or zero.
 	lostAt time.Time
+	// rejoinedAt is when it heard a majority again, or zero.
+	rejoinedAt time.Time
 	// taken holds when services were lost to a higher term since then.
 	taken map[string]time.Time
 }
@@ -33,8 +38,9 @@
 // observe notes whether this host hears a majority.
 func (q *quorum) observe(majority bool, now time.Time) {
 	switch {
+	case majority && !q.lostAt.IsZero():
+		q.lostAt, q.taken, q.rejoinedAt = time.Time{}, nil, now
 	case majority:
-		q.lostAt, q.taken = time.Time{}, nil
 	case q.lostAt.IsZero():
 		q.lostAt, q.taken = now, make(map[string]time.Time)
 	}
@@ -51,7 +57,7 @@
 // hears holds.
 func (q *quorum) mayClaim(service string, fresh bool, now time.Time) bool {
 	if q.lostAt.IsZero() {
-		return true
+		return q.rejoinedAt.IsZero() || now.Sub(q.rejoinedAt) >= rejoinWait
 	}
 	taken, ok := q.taken[service]
 	if ok && now.Sub(taken) < minorityPause {
