Keep the lease of a quiet service

Cause: an answer to a status query counts from its query until the next answer, twice the wait; with 400 ms for replicas and a lease of 700 ms, the lease of a quiet service ran out when both replicas answered at the same moment. Change: lease 1 s, wait of a new holder 1.2 s; the relation is written down. Figures: the new test under virtual time saw the lease missing before (it fails with 700 ms) and 0 ms of 5000 after. Conclusion: the price is a longer wait of a new holder that could not fence every database.

--- a/promoter/core.go
+++ b/promoter/core.go
@@ -12,12 +12,12 @@
 const (
 	// LeaseTime is how long an answered status query lets the holder serve,
 	// counted from when the query was sent.
-	LeaseTime = 700 * time.Millisecond
+	LeaseTime = 1000 * time.Millisecond
 	// LeaseDuration is how long a new holder waits before its first
 	// acknowledgement when it could not fence every database. It exceeds
 	// LeaseTime by a margin for a pause between the check of the lease and the
 	// read that relies on it.
-	LeaseDuration = 900 * time.Millisecond
+	LeaseDuration = 1200 * time.Millisecond
 	// FailureTimeout is how long a primary may leave status queries
 	// unanswered before another is promoted.
 	FailureTimeout = 500 * time.Millisecond
--- a/promoter/watcher.go
+++ b/promoter/watcher.go
@@ -19,8 +19,9 @@
 	// changes. It is a small part of LeaseTime, since the lease counts from the
 	// sending of the query.
 	pollWait = 200 * time.Millisecond
-	// replicaPollWait is the same for replicas: the lease needs the answers of
-	// a majority only, and quiet services are most of the control traffic.
+	// replicaPollWait is the same for replicas, longer since quiet services are
+	// most of the control traffic. An answer counts from its query until the
+	// next answer, twice this time, which has to stay below LeaseTime.
 	replicaPollWait = 400 * time.Millisecond
 	// pollTimeout is how long an answer may take beyond pollWait.
 	pollTimeout = 300 * time.Millisecond
--- a/promoter/watcher_test.go
+++ b/promoter/watcher_test.go
@@ -258,3 +258,24 @@
 		})
 	}
 }
+
+// Guards against a lease that runs out on a quiet service, whose databases hold
+// status queries back as long as they may and answer both at the same moment.
+func TestQuietServiceStaysHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGroup()
+		_, watchers, _ := start(t, g, "h1")
+		v := awaitHeld(t, watchers[0], time.Second)
+		g.write(v.Primary, v.Term)
+		lapsed := 0
+		for range 5000 {
+			time.Sleep(time.Millisecond)
+			if !watchers[0].View().Held(time.Now()) {
+				lapsed++
+			}
+		}
+		if lapsed > 0 {
+			t.Errorf("time without a lease on a quiet service: got %d ms of 5000, want 0", lapsed)
+		}
+	})
+}
