Let batches read the applied view without the holder's mutex

Cause: a read took the holder's mutex six times and the locks of draining and of the counter of running work four times; with 16 callers most of the time added was waiting for locks that a suspended caller held. Draining and the counters are atomic; begin counts before it looks at draining, so that either it or Drain sees the other. Tests pass, with -race too.

--- a/holder/counter.go
+++ b/holder/counter.go
@@ -3,23 +3,35 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
 
 // A counter counts work that is under way and lets others wait for its end.
+// Every batch adds to it, so that it takes the lock only while somebody waits.
 type counter struct {
+	n atomic.Int64
+	// waited is set while somebody waits for zero.
+	waited atomic.Bool
+
 	mu sync.Mutex
-	n  int
 	// zero is closed when n becomes 0; it is nil while nobody waits.
 	zero chan struct{}
 }
 
 func (c *counter) add(delta int) {
+	if c.n.Add(int64(delta)) == 0 && c.waited.Load() {
+		c.wake()
+	}
+}
+
+// wake lets those who wait look again.
+func (c *counter) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.n += delta
-	if c.n == 0 && c.zero != nil {
+	c.waited.Store(false)
+	if c.zero != nil {
 		close(c.zero)
 		c.zero = nil
 	}
@@ -29,15 +41,17 @@
 func (c *counter) wait(ctx context.Context) error {
 	for {
 		c.mu.Lock()
-		if c.n == 0 {
-			c.mu.Unlock()
-			return nil
-		}
 		if c.zero == nil {
 			c.zero = make(chan struct{})
 		}
 		zero := c.zero
+		// add changes n before it looks at waited, and this looks at n after it
+		// has set waited, so that one of both sees the other.
+		c.waited.Store(true)
 		c.mu.Unlock()
+		if c.n.Load() == 0 {
+			return nil
+		}
 		select {
 		case <-zero:
 		case <-ctx.Done():
@@ -46,11 +60,7 @@
 	}
 }
 
-func (c *counter) value() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.n
-}
+func (c *counter) value() int { return int(c.n.Load()) }
 
 // A gate holds back what may write while the primary is changed as planned.
 type gate struct {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -77,8 +78,11 @@
 	running  counter
 	moving   context.Context
 	move     context.CancelCauseFunc
-	openMu   sync.Mutex
-	draining bool
+	draining atomic.Bool
+	// applied is what observe, find and candidates use without mu.
+	applied atomic.Pointer[applied]
+	// turn is the number of times that candidates was called.
+	turn atomic.Uint64
 
 	mu sync.Mutex
 	// closed is set once all connections are closed for good.
@@ -94,8 +98,16 @@
 	based promotion
 	// replicas are the replicas of the view that was applied last.
 	replicas []tracker.Replica
-	// turn is the index of the replica that is considered first.
-	turn int
+}
+
+// An applied is what pools and floors follow. It is immutable and replaced under
+// the holder's mutex, so that batches need not take it.
+type applied struct {
+	configured bool
+	revision   uint64
+	seen       <-chan struct{}
+	databases  map[string]*database
+	replicas   []tracker.Replica
 }
 
 // A promotion identifies a term in which a database became primary.
@@ -180,26 +192,20 @@
 
 // startMoving makes later and waiting batches move to another host.
 func (h *Holder) startMoving() {
-	h.openMu.Lock()
-	h.draining = true
-	h.openMu.Unlock()
+	h.draining.Store(true)
 	h.move(errMoved)
 }
 
-func (h *Holder) isDraining() bool {
-	h.openMu.Lock()
-	defer h.openMu.Unlock()
-	return h.draining
-}
+func (h *Holder) isDraining() bool { return h.draining.Load() }
 
-// begin counts a batch or transaction unless the holder is draining.
+// begin counts a batch or transaction unless the holder is draining. It counts
+// first: either it sees that the holder drains, or Drain sees the batch.
 func (h *Holder) begin() bool {
-	h.openMu.Lock()
-	defer h.openMu.Unlock()
-	if h.draining {
+	h.running.add(1)
+	if h.draining.Load() {
+		h.running.add(-1)
 		return false
 	}
-	h.running.add(1)
 	return true
 }
 
--- a/holder/observe.go
+++ b/holder/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,9 +23,13 @@
 // calls it, so that none acts on a view that they have not followed.
 func (h *Holder) observe() promoter.View {
 	configuration := h.Configuration()
+	view := h.Group.View()
+	if a := h.applied.Load(); a != nil && a.configured && configuration.Revision <= a.revision && view.Changed == a.seen {
+		return view
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	view := h.Group.View()
+	view = h.Group.View()
 	changed := !h.configured || configuration.Revision > h.revision
 	if changed && !h.closed {
 		h.configure(configuration)
@@ -33,6 +38,9 @@
 		h.seen = view.Changed
 		h.follow(view)
 	}
+	h.applied.Store(&applied{
+		configured: h.configured, revision: h.revision, seen: h.seen, databases: h.databases, replicas: h.replicas,
+	})
 	return view
 }
 
@@ -67,7 +75,7 @@
 		}
 	}
 	if view.Term == 0 || view.Primary == "" {
-		h.replicas, h.turn = nil, 0
+		h.replicas = nil
 		return
 	}
 	if now := (promotion{term: view.Term, primary: view.Primary}); now != h.based {
@@ -100,35 +108,29 @@
 
 // find returns a database by name.
 func (h *Holder) find(name string) *database {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.databases[name]
+	if a := h.applied.Load(); a != nil {
+		return a.databases[name]
+	}
+	return nil
 }
 
 // serves reports whether reads may go to the replica.
 func (h *Holder) serves(name string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for i := range h.replicas {
-		if h.replicas[i].Name == name {
-			return true
-		}
-	}
-	return false
+	a := h.applied.Load()
+	return a != nil && slices.ContainsFunc(a.replicas, func(r tracker.Replica) bool { return r.Name == name })
 }
 
 // candidates returns the replicas in service with their loads, each time in
 // another order, so that equal loads do not always favour the same one.
 func (h *Holder) candidates() []tracker.Replica {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	replicas := make([]tracker.Replica, 0, len(h.replicas))
-	if len(h.replicas) > 0 {
-		h.turn = (h.turn + 1) % len(h.replicas)
-		replicas = append(append(replicas, h.replicas[h.turn:]...), h.replicas[:h.turn]...)
+	a := h.applied.Load()
+	if a == nil || len(a.replicas) == 0 {
+		return nil
 	}
+	first := int(h.turn.Add(1) % uint64(len(a.replicas)))
+	replicas := append(append(make([]tracker.Replica, 0, len(a.replicas)), a.replicas[first:]...), a.replicas[:first]...)
 	for i := range replicas {
-		if d := h.databases[replicas[i].Name]; d != nil {
+		if d := a.databases[replicas[i].Name]; d != nil {
 			replicas[i].Load = d.queue.Load().Relative()
 		}
 	}
