Derive contexts of batches from their connection

Cause: the context of each batch was registered at the acceptor's context, and each check between two requests took the acceptor's mutex, so that all callers waited for the same locks. Change: a connection has a context of its own, and draining is atomic. Tests pass, with -race too.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -98,8 +99,9 @@
 	// perCustomer counts admitted connections.
 	perCustomer map[string]int
 	// draining is set when no new connection is accepted; gone is closed when
-	// there is none left after that.
-	draining bool
+	// there is none left after that. draining is changed under mu and read
+	// without it between two requests.
+	draining atomic.Bool
 	gone     chan struct{}
 }
 
@@ -210,7 +212,7 @@
 	c := &connection{acceptor: a, conn: nc, status: statusIdle, startedAt: a.Now()}
 	c.reader.fillFrom = c.read
 	a.mu.Lock()
-	draining := a.draining
+	draining := a.draining.Load()
 	if !draining {
 		a.conns[c] = struct{}{}
 	}
@@ -267,10 +269,10 @@
 func (a *Acceptor) stopAccepting() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.draining {
+	if a.draining.Load() {
 		return
 	}
-	a.draining = true
+	a.draining.Store(true)
 	a.Listener.Close()
 	if len(a.conns) == 0 {
 		close(a.gone)
@@ -303,8 +305,4 @@
 	}
 }
 
-func (a *Acceptor) isDraining() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.draining
-}
+func (a *Acceptor) isDraining() bool { return a.draining.Load() }
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -174,6 +174,10 @@
 // serve serves batches until the connection ends.
 func (c *connection) serve(ctx context.Context) {
 	defer c.acceptor.remove(c)
+	// Batches derive their contexts from one of the connection. Deriving them from
+	// the acceptor's made all connections wait for its lock with every batch.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	err := c.serveBatches(ctx)
 	c.closeExchange()
 	reason := c.end(err)
--- a/acceptor/registry.go
+++ b/acceptor/registry.go
@@ -33,7 +33,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case a.draining:
+	case a.draining.Load():
 		return executor.RefuseNotRun(executor.CodeStopping, "host is stopping")
 	case maxPerCustomer > 0 && a.perCustomer[c.customer] >= maxPerCustomer:
 		return executor.RefuseNotRun(executor.CodeTooManyQueued, "too many connections of the customer")
@@ -66,7 +66,7 @@
 			delete(a.perCustomer, c.customer)
 		}
 	}
-	if a.draining && len(a.conns) == 0 {
+	if a.draining.Load() && len(a.conns) == 0 {
 		close(a.gone)
 	}
 }
