Read the load of a database without its queue's lock

Cause: each read asks all replicas for their load under the lock by which batches enter and leave the queue. Change: the load is published as one atomic number after each change; while the slots of a returning database ramp up it is still worked out under the lock. The queue asks for the time once per step. Tests pass, with -race too.

--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +20,12 @@
 
 	mu   sync.Mutex
 	core Core
+	// load is the present load, which each read asks of all replicas; publish
+	// replaces it after a change.
+	load atomic.Uint64
+	// ramping is set while the number of slots depends on the time, so that load
+	// does not tell it.
+	ramping atomic.Bool
 }
 
 // A Slot is the right to run one batch. Release must be called once the
@@ -45,7 +52,7 @@
 // Configure sets slots, the bound of open transactions and the shares.
 func (q *Queue) Configure(slots, maxPinned int, shares map[string]Share) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	q.core.SetSlots(slots)
 	q.core.MaxPinned = maxPinned
 	q.core.SetShares(shares)
@@ -55,28 +62,54 @@
 // Ramp starts the ramp of a database that returns to service.
 func (q *Queue) Ramp() {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	q.core.Ramp(q.Now())
+	q.ramping.Store(true)
 }
 
 // Load returns the present load.
 func (q *Queue) Load() Load {
+	if q.ramping.Load() {
+		return q.rampingLoad()
+	}
+	packed := q.load.Load()
+	part := func(i int) int { return int(uint16(packed >> (i * loadBits))) }
+	return Load{Slots: part(0), Running: part(1), Queued: part(2), Pinned: part(3)}
+}
+
+func (q *Queue) rampingLoad() Load {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return Load{Slots: q.core.Slots(q.Now()), Running: q.core.Running(), Queued: q.core.Queued(), Pinned: q.core.Pinned()}
+	now := q.Now()
+	q.ramping.Store(q.core.Ramping(now))
+	return Load{Slots: q.core.Slots(now), Running: q.core.Running(), Queued: q.core.Queued(), Pinned: q.core.Pinned()}
+}
+
+// loadBits is the size of each part of a packed load; larger numbers count as
+// the largest one.
+const loadBits = 16
+
+// unlock publishes the load and unlocks mu.
+func (q *Queue) unlock() {
+	packed := uint64(0)
+	for i, part := range [...]int{q.core.slots, q.core.Running(), q.core.Queued(), q.core.Pinned()} {
+		packed |= uint64(max(0, min(part, 1<<loadBits-1))) << (i * loadBits)
+	}
+	q.load.Store(packed)
+	q.mu.Unlock()
 }
 
 // Pin counts a transaction that keeps a connection without a slot.
 func (q *Queue) Pin() {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	q.core.Pin()
 }
 
 // Unpin ends what Pin began and lets the next transaction open.
 func (q *Queue) Unpin() {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	q.core.Unpin()
 	q.dispatch()
 }
@@ -110,12 +143,13 @@
 // a ready channel only if it must wait.
 func (q *Queue) enter(request Request) (*Slot, error) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	ticket, err := q.core.Add(request, q.Now())
+	defer q.unlock()
+	now := q.Now()
+	ticket, err := q.core.Add(request, now)
 	if err != nil {
 		return nil, err
 	}
-	q.dispatch()
+	q.dispatchAt(now)
 	if ticket.State == Expired {
 		return nil, errors.WithStack(ErrTooLate)
 	}
@@ -128,7 +162,7 @@
 // settle returns the slot of a ticket whose state has changed.
 func (q *Queue) settle(slot *Slot) (*Slot, error) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	if slot.ticket.State == Granted {
 		return slot, nil
 	}
@@ -139,7 +173,7 @@
 // uses slots that a ramp has added.
 func (q *Queue) expired(slot *Slot) bool {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.Now()
 	if slot.ticket.State == Waiting && !now.Before(slot.ticket.Deadline) {
 		q.core.Done(slot.ticket, now)
@@ -151,7 +185,7 @@
 
 func (q *Queue) patience(deadline time.Time) time.Duration {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.unlock()
 	now := q.Now()
 	left := max(0, deadline.Sub(now))
 	if q.core.Ramping(now) {
@@ -161,8 +195,10 @@
 }
 
 // dispatch wakes the batches that got a slot. The caller holds mu.
-func (q *Queue) dispatch() {
-	for _, ticket := range q.core.Dispatch(q.Now()) {
+func (q *Queue) dispatch() { q.dispatchAt(q.Now()) }
+
+func (q *Queue) dispatchAt(now time.Time) {
+	for _, ticket := range q.core.Dispatch(now) {
 		if ticket.ready != nil {
 			close(ticket.ready)
 		}
@@ -173,8 +209,9 @@
 func (s *Slot) Release() {
 	s.once.Do(func() {
 		s.queue.mu.Lock()
-		defer s.queue.mu.Unlock()
-		s.queue.core.Done(s.ticket, s.queue.Now())
-		s.queue.dispatch()
+		defer s.queue.unlock()
+		now := s.queue.Now()
+		s.queue.core.Done(s.ticket, now)
+		s.queue.dispatchAt(now)
 	})
 }
