Hand durations to timers 64 at a time

Cause: each batch updated two timers, whose locks are held for about 1 us per update; they were a third of the waits for locks of the path. Change: a recorder collects 64 durations under a short lock before it hands them to its timer, and the status hands over the rest first. Tests pass, with -race too. Conclusion: counts and quantiles in the status stay exact.

--- a/server/metrics.go
+++ b/server/metrics.go
@@ -21,14 +21,21 @@
 	c.Inc(1)
 }
 
-// timer returns the timer of a name, kept as the counters are.
-func (s *Server) timer(name string) metrics.Timer {
-	if t, ok := s.metrics.Load(name); ok {
-		return t.(metrics.Timer)
+// timer returns the recorder of a name, kept as the counters are.
+func (s *Server) timer(name string) *recorder {
+	if r, ok := s.recorders.Load(name); ok {
+		return r.(*recorder)
 	}
-	t := metrics.GetOrRegisterTimer(name, s.Registry)
-	s.metrics.Store(name, t)
-	return t
+	r, _ := s.recorders.LoadOrStore(name, &recorder{timer: metrics.GetOrRegisterTimer(name, s.Registry)})
+	return r.(*recorder)
+}
+
+// flushTimers hands over the durations that were not handed to their timers yet.
+func (s *Server) flushTimers() {
+	s.recorders.Range(func(_, value any) bool {
+		value.(*recorder).flush()
+		return true
+	})
 }
 
 func (s *Server) batchDone(duration time.Duration, outcome string) {
--- a/server/server.go
+++ b/server/server.go
@@ -64,8 +64,10 @@
 	leaving atomic.Bool
 	// dropped holds the names of failed hosts whose connections were closed.
 	dropped sync.Map
-	// metrics caches counters and timers by name.
+	// metrics caches counters by name.
 	metrics sync.Map
+	// recorders holds the recorder of each timer by its name.
+	recorders sync.Map
 	// reached caches the services that customers reach.
 	reached atomic.Pointer[reach]
 	// holderViews caches what holders need of the present set, by service.
--- a/server/status.go
+++ b/server/status.go
@@ -172,6 +172,7 @@
 // microseconds.
 func (s *Server) counters() map[string]int64 {
 	values := make(map[string]int64)
+	s.flushTimers()
 	s.Registry.Each(func(name string, metric any) {
 		switch m := metric.(type) {
 		case metrics.Counter:
