Log when slots or connections of a database are exceeded

The cause is not known, since the figure has no time. The measure now logs database and time, to be compared with the faults then. The planned stop test uses the second service.

--- a/measurer/consistency.go
+++ b/measurer/consistency.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/groupemulator"
 )
 
 const (
@@ -18,6 +20,8 @@
 	// settleTimeout bounds the time that the databases get to hold the same
 	// log after all faults have ended.
 	settleTimeout = 20 * time.Second
+	// boundsSample is how often slots and connections exceeded are looked for.
+	boundsSample = 5 * time.Millisecond
 )
 
 // measureConsistency lets sessions of all customers roam over nine hosts while
@@ -41,6 +45,7 @@
 		defer close(done)
 		check.run(load, f, options.Seed)
 	}()
+	go f.logExceeded(load)
 	faults := &faultSchedule{fleet: f, seed: options.Seed, duration: duration}
 	faults.run(load)
 	<-done
@@ -89,6 +94,24 @@
 	return slotWaits, refused
 }
 
+// logExceeded logs the time at which a database had no free slot or connection,
+// so that it can be compared with the faults at that time.
+func (f *Fleet) logExceeded(ctx context.Context) {
+	last := map[string]groupemulator.Stats{}
+	for ; ctx.Err() == nil; pauseFor(ctx, boundsSample) {
+		for _, group := range f.Groups {
+			for _, m := range group.Members {
+				stats := group.Stats(m.Name)
+				if stats.SlotWaits > last[m.Name].SlotWaits || stats.RefusedConnections > last[m.Name].RefusedConnections {
+					f.Shape.Logger.Error("bounds of a database exceeded", "database", m.Name,
+						"slot_waits", stats.SlotWaits, "refused_connections", stats.RefusedConnections)
+				}
+				last[m.Name] = stats
+			}
+		}
+	}
+}
+
 // awaitEqualLogs waits until every service is held and all its databases have
 // applied the same log.
 func (f *Fleet) awaitEqualLogs(ctx context.Context) error {
--- a/measurer/planned_stop_test.go
+++ b/measurer/planned_stop_test.go
@@ -12,16 +12,16 @@
 // callers have left, and so cuts the transactions that other hosts run there.
 func TestPlannedStopKeepsTransactions(t *testing.T) {
 	shape := Today()
-	shape.Hosts, shape.Services = 3, 1
+	shape.Hosts, shape.Services = 3, 2
 	f := newTestFleet(t, shape)
 	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 	defer cancel()
-	holder := f.HolderOf(ServiceName(1))
+	holder := f.HolderOf(ServiceName(2))
 	entry := f.Hosts[0]
 	if entry == holder {
 		entry = f.Hosts[1]
 	}
-	conn, err := pgx.Connect(ctx, dsn(entry, "customer2", "route1"))
+	conn, err := pgx.Connect(ctx, dsn(entry, "customer2", "route2"))
 	if err != nil {
 		t.Fatalf("connect: %v", err)
 	}
@@ -43,7 +43,7 @@
 	exec("INSERT INTO bookings (id, customer, amount) VALUES ('b', 'customer2', 1)")
 	exec("COMMIT")
 	<-stopped
-	if got := len(f.Groups[ServiceName(1)].Content()); got != 2 {
+	if got := len(f.Groups[ServiceName(2)].Content()); got != 2 {
 		t.Errorf("bookings after the commit: got %d, want 2", got)
 	}
 }
