--- a/promoter/fake_test.go
+++ b/promoter/fake_test.go
@@ -11,14 +11,19 @@
 
 var errFakeDown = errors.New("fake database down")
 
-// A fakeDatabase is a member of a fakeGroup. Its log holds the term of each
-// entry.
+// A fakeEntry is an entry of a log; id is 0 for the entry of a promotion.
+type fakeEntry struct {
+	term uint64
+	id   int
+}
+
+// A fakeDatabase is a member of a fakeGroup.
 type fakeDatabase struct {
 	name     string
 	term     uint64
 	promoted uint64
 	primary  string
-	log      []uint64
+	log      []fakeEntry
 	down     bool
 	// cut stops replication from and to the database.
 	cut bool
@@ -34,7 +39,7 @@
 		s.Primary = d.name
 	}
 	if len(d.log) > 0 {
-		s.LogTerm = d.log[len(d.log)-1]
+		s.LogTerm = d.log[len(d.log)-1].term
 	}
 	return s
 }
@@ -43,6 +48,7 @@
 type fakeGroup struct {
 	mu        sync.Mutex
 	databases map[string]*fakeDatabase
+	writes    int
 	// blocked holds the hosts that cannot reach any database.
 	blocked map[string]bool
 }
@@ -89,7 +95,8 @@
 	if d.down || d.term != term || d.promoted != term {
 		return 0
 	}
-	d.log = append(d.log, term)
+	g.writes++
+	d.log = append(d.log, fakeEntry{term: term, id: g.writes})
 	return uint64(len(d.log))
 }
 
@@ -185,7 +192,7 @@
 			return errors.WithStack(ErrStaleTerm)
 		}
 		d.promoted, d.primary = term, d.name
-		d.log = append(d.log, term)
+		d.log = append(d.log, fakeEntry{term: term})
 		return nil
 	})
 }
@@ -208,7 +215,7 @@
 	})
 }
 
-func commonPrefix(a, b []uint64) []uint64 {
+func commonPrefix(a, b []fakeEntry) []fakeEntry {
 	n := 0
 	for n < len(a) && n < len(b) && a[n] == b[n] {
 		n++
--- a/promoter/watcher_test.go
+++ b/promoter/watcher_test.go
@@ -138,7 +138,7 @@
 		g.mu.Lock()
 		log := g.databases[third.Primary].log
 		g.mu.Unlock()
-		if uint64(len(log)) < offset || log[offset-1] != second.Term {
+		if uint64(len(log)) < offset || log[offset-1].term != second.Term {
 			t.Errorf("log of %s: got %v, want the entry of term %d at offset %d", third.Primary, log, second.Term, offset)
 		}
 	})
