Log an older head of the store only when it stays

Cause: a watch event that came late was logged as an error that spoke of a restored backup (revision 29 with 30 present). Change: a refused head is logged when it is seen a second time in a row. Conclusion: the error is left for a store that has really gone back.

--- a/configurer/follower.go
+++ b/configurer/follower.go
@@ -56,10 +56,12 @@
 	digest   string
 	// head is the last head that was read; its revision is 0 before.
 	head Head
-	// reported is the publish id of the last head that was refused.
+	// reported is the publish id of the last refused head that was logged.
 	reported string
-	isReady  bool
-	ready    chan struct{}
+	// refused is the same for the head that was refused last.
+	refused string
+	isReady bool
+	ready   chan struct{}
 }
 
 // Set returns the set in force on this host, which has revision 0 before the
@@ -168,10 +170,14 @@
 func (f *Follower) refuse(head Head, revision uint64, reason string) {
 	id := head.PublishID + "/" + head.Digest
 	f.mu.Lock()
-	again := f.reported == id
-	f.reported = id
+	again, logged := f.refused == id, f.reported == id
+	f.refused = id
+	if again {
+		f.reported = id
+	}
 	f.mu.Unlock()
-	if !again {
+	// A single older head is an answer or an event that was late.
+	if again && !logged {
 		f.logger().Error("set of the store refused", "revision", head.Revision, "present", revision,
 			"publish_id", head.PublishID, "reason", reason)
 	}
