Wait longer for a database to end connections of a past term

The suspicion, without evidence, is a connection of a past term that was given up after 50 ms while the database still ended its statement. Change: 300 ms. Conclusion: a precaution; the case stays listed until it is explained.

--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -25,8 +25,9 @@
 	// does not confirm the end.
 	farewell = time.Second
 	// expireGrace bounds the wait for a database to end a connection of a past
-	// term; one that is cut off never does.
-	expireGrace = 50 * time.Millisecond
+	// term; one that is cut off never does. Afterwards the connection's slot is
+	// given out, so a shorter time may exceed the slots of a busy database.
+	expireGrace = 300 * time.Millisecond
 	headerSize  = 5
 )
 
