Make the context of a batch only when somebody waits on it

Change: the context of a batch is joined when it is waited on or has ended, as that of the wait already is; the watch registers at the caller's context and a timer. It waits for the end of a joined context, whose own timer may be later: without that TestBoundsUnderLoad met a cancelled batch without a cause. The tests of the holder pass, four runs with -race at once too.

--- a/holder/exchange.go
+++ b/holder/exchange.go
@@ -45,8 +45,8 @@
 	if batch.Deadline <= 0 {
 		batch.Deadline = h.Service.Deadline
 	}
-	running, cancel := context.WithTimeoutCause(ctx, batch.Deadline, errDeadline)
-	defer cancel()
+	running := &runContext{parent: ctx, deadline: time.Now().Add(batch.Deadline)}
+	defer running.release()
 	r := &request{
 		holder: h, exchange: e, batch: &batch, writer: w,
 		running: running, waiting: running, deadline: h.Now().Add(batch.Deadline),
@@ -100,7 +100,7 @@
 	writer   io.Writer
 	// running ends when the caller cancels the batch or its deadline passes;
 	// waiting also ends when the holder is drained.
-	running  context.Context
+	running  *runContext
 	waiting  context.Context
 	deadline time.Time
 	// primaryOnly is set when a replica refused the batch as a write.
--- a/holder/execute.go
+++ b/holder/execute.go
@@ -51,7 +51,7 @@
 // whether the batch ended early.
 func (r *request) watch(conn *pooler.Conn, slot *scheduler.Slot) func() bool {
 	finished := make(chan struct{})
-	stop := context.AfterFunc(r.running, func() {
+	stop := r.running.afterFunc(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelGrace)
 		defer cancel()
 		if err := conn.Cancel(ctx); err != nil {
