Use the context of a connection's batches again

Cause: each batch made a context and registered it at its connection's. Change: the context is used for the following batches until one is cancelled. Nobody cancels a run once it has ended, so a cancel still reaches only the statement that runs. Tests pass, with -race too.

--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -62,6 +62,9 @@
 	waiting bool
 	batches int
 	reader  reader
+	// runs is the context of the runs, nil before the first; cancelRuns ends it.
+	runs       context.Context
+	cancelRuns context.CancelFunc
 
 	// mu may be locked while the acceptor's is held, not the other way round.
 	mu sync.Mutex
--- a/acceptor/serve.go
+++ b/acceptor/serve.go
@@ -86,9 +86,8 @@
 		}
 		c.stopping = true
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if !c.beginRun(&run{cancel: cancel}) {
+	ctx = c.runContext(ctx)
+	if !c.beginRun(&run{cancel: c.cancelRuns}) {
 		c.endRun()
 		return errKilled
 	}
--- a/acceptor/watch.go
+++ b/acceptor/watch.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"context"
 	"os"
 	"sync/atomic"
 	"time"
@@ -75,6 +76,16 @@
 	}
 }
 
+// runContext returns the context of the next run. It is used again until a run
+// was cancelled, since making one for each batch costs several allocations; once
+// endRun has returned, nobody cancels the run any more.
+func (c *connection) runContext(ctx context.Context) context.Context {
+	if c.runs == nil || c.runs.Err() != nil {
+		c.runs, c.cancelRuns = context.WithCancel(ctx)
+	}
+	return c.runs
+}
+
 // beginRun makes a run the one that is cancelled and watched. It returns false
 // if the connection was killed.
 func (c *connection) beginRun(r *run) bool {
