End connections that leave a transaction idle

Cause: open transactions are bounded at connections less slots per database, and nothing ended one that its caller left open: one customer could keep the others from opening any. Change: after idle_transaction_timeout (30 s) without a request the connection ends with FATAL 25P03, which rolls the transaction back. Conclusion: a customer keeps a connection only while it uses it.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -26,6 +26,7 @@
 	DefaultStartupTimeout    = 10 * time.Second
 	DefaultWriteTimeout      = time.Minute
 	DefaultDeadline          = 30 * time.Second
+	DefaultIdleTransaction   = 30 * time.Second
 	DefaultMaxStatements     = 1024
 	DefaultMaxStatementBytes = 256 << 10
 	DefaultMockIterations    = 4096
@@ -73,6 +74,9 @@
 	StartupTimeout time.Duration
 	// WriteTimeout bounds how long a caller may leave an answer unread.
 	WriteTimeout time.Duration
+	// IdleTransactionTimeout bounds how long a caller may leave a transaction
+	// open without a request; then the connection ends with FATAL 25P03.
+	IdleTransactionTimeout time.Duration
 	// Logger gets one line per connection opened, closed and refused.
 	Logger *slog.Logger
 	// Now returns the time.
@@ -126,6 +130,7 @@
 		setDefault(&a.MockIterations, DefaultMockIterations)
 		setDefault(&a.StartupTimeout, DefaultStartupTimeout)
 		setDefault(&a.WriteTimeout, DefaultWriteTimeout)
+		setDefault(&a.IdleTransactionTimeout, DefaultIdleTransaction)
 		if a.Secrets == nil {
 			a.Secrets = rand.Reader
 		}
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -62,6 +63,9 @@
 	waiting bool
 	batches int
 	reader  reader
+	// idleSince is when the caller began to leave an open transaction idle, in
+	// ns of the Unix time; 0 while it does not.
+	idleSince atomic.Int64
 	// runs is the context of the runs, nil before the first; cancelRuns ends it.
 	runs       context.Context
 	cancelRuns context.CancelFunc
@@ -210,6 +214,10 @@
 // waitIdle waits for the first byte of a request. Between requests it ends the
 // connection if the host stops or the key is revoked.
 func (c *connection) waitIdle(ctx context.Context) error {
+	if c.exchange != nil {
+		c.idleSince.Store(c.acceptor.Now().UnixNano())
+		defer c.idleSince.Store(0)
+	}
 	for {
 		if err := c.checkIdle(); err != nil {
 			return err
@@ -233,6 +241,12 @@
 	if refusal := c.checkAccess(c.acceptor.Set()); refusal != nil {
 		return refusal
 	}
+	if c.idleTooLong() {
+		return &executor.Refusal{
+			Code:    executor.CodeIdleTransaction,
+			Message: "transaction was idle for too long and is rolled back", Outcome: executor.RolledBack,
+		}
+	}
 	idle := c.status == statusIdle && c.reader.buffered() == 0
 	if idle && (c.stopping || c.acceptor.isDraining()) {
 		return executor.RefuseNotRun(executor.CodeStopping, "host is stopping")
@@ -240,6 +254,14 @@
 	return nil
 }
 
+// idleTooLong reports whether the caller has left an open transaction idle for
+// longer than IdleTransactionTimeout. Such a transaction keeps one of the few
+// connections of the service from all other customers.
+func (c *connection) idleTooLong() bool {
+	since := c.idleSince.Load()
+	return since != 0 && c.acceptor.Now().UnixNano()-since >= int64(c.acceptor.IdleTransactionTimeout)
+}
+
 // closeExchange ends the exchange, which rolls an open transaction back.
 func (c *connection) closeExchange() {
 	if c.exchange == nil {
--- a/acceptor/watch.go
+++ b/acceptor/watch.go
@@ -26,7 +26,8 @@
 }
 
 // watchCallers starts to watch the callers of batches that run for longer than
-// watchInterval, until no connection is left.
+// watchInterval, and wakes connections that leave a transaction idle for too
+// long, until no connection is left.
 func (a *Acceptor) watchCallers() {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
@@ -38,6 +39,9 @@
 			a.mu.Lock()
 			for _, c := range a.byID {
 				c.watch()
+				if c.idleTooLong() {
+					c.wake()
+				}
 			}
 			a.mu.Unlock()
 		}
--- a/executor/refusal.go
+++ b/executor/refusal.go
@@ -49,6 +49,7 @@
 	CodeQueryCanceled        = "57014"
 	CodeStaleTerm            = "GT001" // from a database: the term has passed
 	CodeReadOnlyTransaction  = "25006" // from a replica that was asked to write
+	CodeIdleTransaction      = "25P03" // idle_in_transaction_session_timeout
 	CodeInFailedTransaction  = "25P02"
 	CodeUndefinedStatement   = "26000"
 	CodeInternal             = "XX000"
--- a/server/server.go
+++ b/server/server.go
@@ -217,8 +217,9 @@
 	s.acceptor = &acceptor.Acceptor{
 		Listener: s.CallerListener, Opener: s.forwarder, Set: s.Set, Admit: s.admit, HostName: s.Settings.Host,
 		TLS: tlsConfig, RequireTLS: s.Settings.RequireTLS, AllowCleartext: s.Settings.AllowCleartext,
-		MockSecret: mockSecret(s.Settings.EndpointPassword),
-		MaxMessage: s.Settings.MaxMessageBytes, Logger: s.Logger, Now: s.Now,
+		MockSecret:             mockSecret(s.Settings.EndpointPassword),
+		IdleTransactionTimeout: s.Settings.IdleTransactionTimeout,
+		MaxMessage:             s.Settings.MaxMessageBytes, Logger: s.Logger, Now: s.Now,
 		ConnectionOpened: func() { s.count("caller_connections_opened") },
 		ConnectionClosed: func() { s.count("caller_connections_closed") },
 		BatchDone:        s.batchDone,
--- a/server/settings.go
+++ b/server/settings.go
@@ -26,6 +26,7 @@
 	DefaultStopTimeout     = 30 * time.Second
 	DefaultRateWait        = 500 * time.Millisecond
 	DefaultStoreTimeout    = 2 * time.Second
+	DefaultIdleTransaction = 30 * time.Second
 	DefaultMaxMessageBytes = 1 << 20
 )
 
@@ -68,6 +69,9 @@
 	MaxMessageBytes int
 	// RateWait is how long a batch waits for a token of its customer's rate.
 	RateWait time.Duration
+	// IdleTransactionTimeout bounds how long a caller may leave a transaction
+	// open without a request.
+	IdleTransactionTimeout time.Duration
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 	// LogLevel is debug, info, warn or error.
@@ -93,6 +97,7 @@
 	AllowCleartext   bool     `json:"allow_cleartext"`
 	MaxMessageBytes  int      `json:"max_message_bytes"`
 	RateWait         string   `json:"rate_wait"`
+	IdleTransaction  string   `json:"idle_transaction_timeout"`
 	StopTimeout      string   `json:"stop_timeout"`
 	LogLevel         string   `json:"log_level"`
 }
@@ -154,24 +159,25 @@
 
 func (w *wireSettings) settings(faults *faultList) Settings {
 	s := Settings{
-		Host:             w.Host,
-		DataCentre:       w.DataCentre,
-		CallerAddress:    w.CallerAddress,
-		PeerAddress:      w.PeerAddress,
-		HTTPAddress:      w.HTTPAddress,
-		StoreAddresses:   w.StoreAddresses,
-		StoreTimeout:     faults.duration("store_timeout", w.StoreTimeout, DefaultStoreTimeout),
-		Seeds:            w.Seeds,
-		HostListPrefix:   w.HostListPrefix,
-		EndpointPassword: w.EndpointPassword,
-		AdminPassword:    w.AdminPassword,
-		TLSCertificate:   w.TLSCertificate,
-		TLSKey:           w.TLSKey,
-		RequireTLS:       w.RequireTLS,
-		AllowCleartext:   w.AllowCleartext,
-		MaxMessageBytes:  w.MaxMessageBytes,
-		RateWait:         faults.duration("rate_wait", w.RateWait, DefaultRateWait),
-		StopTimeout:      faults.duration("stop_timeout", w.StopTimeout, DefaultStopTimeout),
+		Host:                   w.Host,
+		DataCentre:             w.DataCentre,
+		CallerAddress:          w.CallerAddress,
+		PeerAddress:            w.PeerAddress,
+		HTTPAddress:            w.HTTPAddress,
+		StoreAddresses:         w.StoreAddresses,
+		StoreTimeout:           faults.duration("store_timeout", w.StoreTimeout, DefaultStoreTimeout),
+		Seeds:                  w.Seeds,
+		HostListPrefix:         w.HostListPrefix,
+		EndpointPassword:       w.EndpointPassword,
+		AdminPassword:          w.AdminPassword,
+		TLSCertificate:         w.TLSCertificate,
+		TLSKey:                 w.TLSKey,
+		RequireTLS:             w.RequireTLS,
+		AllowCleartext:         w.AllowCleartext,
+		MaxMessageBytes:        w.MaxMessageBytes,
+		RateWait:               faults.duration("rate_wait", w.RateWait, DefaultRateWait),
+		IdleTransactionTimeout: faults.duration("idle_transaction_timeout", w.IdleTransaction, DefaultIdleTransaction),
+		StopTimeout:            faults.duration("stop_timeout", w.StopTimeout, DefaultStopTimeout),
 	}
 	if s.MaxMessageBytes == 0 {
 		s.MaxMessageBytes = DefaultMaxMessageBytes
