--- /dev/null
+++ b/director/director.go
@@ -0,0 +1,191 @@
+package director
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/connector"
+	"github.com/endiveturn/endiveturn/limiter"
+)
+
+// ErrInterrupted says that a wait for a client was ended by Interrupt.
+var ErrInterrupted = errors.New("interrupted")
+
+const (
+	// connectionReserve is the part of a database's connections that hosts
+	// leave unused, for connections that the database has not yet seen close.
+	connectionReserve = 0.06
+	// drainedAge is how long after a database left the registry its pool is
+	// kept for transactions that are still open.
+	drainedAge = 30 * time.Second
+)
+
+// A Director serves the sessions of one host. Its exported fields are set
+// before first use.
+type Director struct {
+	// DataCentre is that of this host.
+	DataCentre string
+	// Dial opens a connection to a database for a customer. Errors wrap the
+	// sentinels of the connector.
+	Dial func(ctx context.Context, endpoint cataloger.Endpoint, customer string) (connector.Transport, error)
+	// Limits keeps customers within their rates.
+	Limits *limiter.Fleet
+	// Now returns the time with a monotonic reading.
+	Now func() time.Time
+	// SinceBoot returns an instant that counts suspensions of the machine.
+	SinceBoot func() time.Time
+	// Current returns the latest instant at which this host's view of the
+	// primaries is known to have been complete.
+	Current func() time.Time
+	Logger  *slog.Logger
+	Metrics *Metrics
+
+	catalog atomic.Pointer[cataloger.Catalog]
+
+	// mu guards services and sessions. It is taken before the mutex of a
+	// service, which is taken before that of a database's pool.
+	mu       sync.Mutex
+	services map[string]*service
+	sessions map[*Session]struct{}
+	stopping atomic.Bool
+	// stopAt is when open transactions are ended, in nanoseconds of Now.
+	stopAt atomic.Pointer[time.Time]
+}
+
+// Catalog returns the view in force, or nil before the first one.
+func (d *Director) Catalog() *cataloger.Catalog { return d.catalog.Load() }
+
+// SetCatalog puts a view into force.
+func (d *Director) SetCatalog(catalog *cataloger.Catalog) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.catalog.Load()
+	if old != nil && regressed(old, catalog) {
+		d.Logger.Error("configuration_not_lowered", "version", catalog.Configuration.Version, "in_force", old.Configuration.Version)
+		return
+	}
+	d.catalog.Store(catalog)
+	d.setLimits(old, catalog)
+	if d.services == nil {
+		d.services = make(map[string]*service)
+	}
+	for name := range catalog.Endpoints {
+		if d.services[name] == nil {
+			d.services[name] = &service{name: name, director: d, databases: make(map[endpointKey]*database)}
+		}
+	}
+	for _, s := range d.services {
+		s.update(catalog)
+	}
+}
+
+// regressed reports whether the configuration of next is older than the one in
+// force, which must never happen within the life of a process.
+func regressed(old, next *cataloger.Catalog) bool {
+	if old.Configuration == nil {
+		return false
+	}
+	return next.Configuration == nil || next.Configuration.Version < old.Configuration.Version
+}
+
+func (d *Director) setLimits(old, catalog *cataloger.Catalog) {
+	d.Limits.SetHosts(len(catalog.Hosts))
+	if catalog.Configuration == nil || (old != nil && old.Configuration == catalog.Configuration) {
+		return
+	}
+	bounds := make(map[string]limiter.Bound)
+	for name, customer := range catalog.Configuration.Customers {
+		bounds[name] = limiter.Bound{Rate: customer.Rate, Burst: customer.Burst}
+	}
+	d.Limits.SetBounds(bounds)
+	d.Logger.Info("configuration_in_force", "version", catalog.Configuration.Version, "revision", catalog.Revision,
+		"routes", len(catalog.Configuration.Routes), "customers", len(catalog.Configuration.Customers))
+}
+
+// connectionLimit returns how many connections to one database this host may
+// have, so that all hosts together stay below the database's limit.
+func connectionLimit(catalog *cataloger.Catalog, service string) int {
+	if catalog.Configuration == nil {
+		return 1
+	}
+	limit := float64(catalog.Configuration.Services[service].MaxConnections)
+	hosts := float64(max(1, len(catalog.Hosts)))
+	return max(1, int(limit*(1-connectionReserve)/hosts))
+}
+
+// service returns the state of a service, or nil if no database of it was ever
+// registered.
+func (d *Director) service(name string) *service {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.services[name]
+}
+
+// Tend closes connections that are not needed any more and forgets databases
+// that have left. It is called about once a second.
+func (d *Director) Tend(idle time.Duration) {
+	d.mu.Lock()
+	services := make([]*service, 0, len(d.services))
+	for _, s := range d.services {
+		services = append(services, s)
+	}
+	d.mu.Unlock()
+	for _, s := range services {
+		s.tend(idle)
+	}
+}
+
+// Stop ends sessions as soon as they are idle, and what is still open at the
+// deadline.
+func (d *Director) Stop(deadline time.Time) {
+	d.stopAt.Store(&deadline)
+	d.stopping.Store(true)
+	for _, session := range d.openSessions() {
+		session.client.Interrupt()
+	}
+}
+
+// Sessions returns the number of open sessions.
+func (d *Director) Sessions() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.sessions)
+}
+
+func (d *Director) openSessions() []*Session {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sessions := make([]*Session, 0, len(d.sessions))
+	for session := range d.sessions {
+		sessions = append(sessions, session)
+	}
+	return sessions
+}
+
+// CloseAll closes the connections of all sessions.
+func (d *Director) CloseAll() {
+	for _, session := range d.openSessions() {
+		_ = session.client.Close()
+	}
+}
+
+func (d *Director) add(session *Session) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sessions == nil {
+		d.sessions = make(map[*Session]struct{})
+	}
+	d.sessions[session] = struct{}{}
+}
+
+func (d *Director) remove(session *Session) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.sessions, session)
+}
--- /dev/null
+++ b/exchanger/exchanger.go
@@ -0,0 +1,295 @@
+package exchanger
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+const (
+	exchangeRPC = "/endiveturn.Fleet/Exchange"
+	// Interval is how often a host reports to each other host.
+	Interval = 250 * time.Millisecond
+	// callTimeout bounds one exchange. Peers answer from memory.
+	callTimeout = 600 * time.Millisecond
+	// retryPause is the time between attempts to reach a host that is away.
+	retryPause = 500 * time.Millisecond
+)
+
+// A Peer is another host and what it reported last.
+type Peer struct {
+	Report Report
+	// Heard is when the request was sent that brought the report, or when it
+	// arrived unasked.
+	Heard time.Time
+	// Refused is when the host's machine last refused a connection, which shows
+	// that its process has ended.
+	Refused time.Time
+}
+
+// An Exchanger reports to the other hosts and collects their reports. Its
+// exported fields are set before Run.
+type Exchanger struct {
+	// Host is the name of this host.
+	Host string
+	// Report returns what to tell.
+	Report func() Report
+	// Since returns the records later than a revision.
+	Since func(revision int64) []Record
+	// Received is called with each report and what came with it. For answers,
+	// sent is when the request was sent.
+	Received func(message Message, sent time.Time)
+	// Peers returns the addresses of the other hosts by name.
+	Peers func() map[string]string
+	// Seeds are addresses to try while no other host is known.
+	Seeds []string
+	// Now returns an instant that counts suspensions of the machine.
+	Now    func() time.Time
+	Logger *slog.Logger
+
+	mu    sync.Mutex
+	peers map[string]Peer
+	lines map[string]*line
+}
+
+// A line is the connection to one address.
+type line struct {
+	address string
+	name    string
+	cancel  context.CancelFunc
+	// wake asks for an exchange at once.
+	wake chan struct{}
+}
+
+// Reports returns the newest report of each host heard of.
+func (e *Exchanger) Reports() map[string]Peer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	peers := make(map[string]Peer, len(e.peers))
+	for name, peer := range e.peers {
+		peers[name] = peer
+	}
+	return peers
+}
+
+// Serve answers exchanges on the listener until ctx ends.
+func (e *Exchanger) Serve(ctx context.Context, listener net.Listener) error {
+	mux := drpcmux.New()
+	if err := mux.Register(e, description{}); err != nil {
+		return errors.Wrap(err, "register exchange")
+	}
+	return drpcserver.New(mux).Serve(ctx, listener)
+}
+
+// Run keeps a line to each other host until ctx ends.
+func (e *Exchanger) Run(ctx context.Context) error {
+	ticker := time.NewTicker(Interval)
+	defer ticker.Stop()
+	e.lines = make(map[string]*line)
+	for {
+		e.arrange(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Spread asks for an exchange with every host at once.
+func (e *Exchanger) Spread() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.lines {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// arrange opens lines to new addresses and ends those to others.
+func (e *Exchanger) arrange(ctx context.Context) {
+	wanted := e.Peers()
+	delete(wanted, e.Host)
+	if len(wanted) == 0 {
+		wanted = make(map[string]string)
+		for _, seed := range e.Seeds {
+			wanted["seed "+seed] = seed
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, l := range e.lines {
+		if wanted[name] != l.address {
+			l.cancel()
+			delete(e.lines, name)
+		}
+	}
+	for name, address := range wanted {
+		if _, ok := e.lines[name]; ok {
+			continue
+		}
+		lineCtx, cancel := context.WithCancel(ctx)
+		l := &line{address: address, name: name, cancel: cancel, wake: make(chan struct{}, 1)}
+		e.lines[name] = l
+		go e.run(lineCtx, l)
+	}
+}
+
+// run exchanges with one host until ctx ends.
+func (e *Exchanger) run(ctx context.Context, l *line) {
+	var conn *drpcconn.Conn
+	var known int64
+	reached := false
+	for ctx.Err() == nil {
+		pause := Interval
+		revision, err := e.exchange(ctx, l, &conn, known)
+		if err != nil {
+			pause = retryPause
+			known = 0
+			if conn != nil {
+				_ = conn.Close()
+				conn = nil
+			}
+		} else {
+			known = revision
+		}
+		if (err == nil) != reached && ctx.Err() == nil {
+			reached = err == nil
+			e.logReach(l, err)
+		}
+		e.sleep(ctx, l, pause)
+	}
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+func (e *Exchanger) logReach(l *line, err error) {
+	if err == nil {
+		e.Logger.Info("dependency_regained", "dependency", "host", "host", l.name, "address", l.address)
+		return
+	}
+	e.Logger.Warn("dependency_lost", "dependency", "host", "host", l.name, "address", l.address, "error", err.Error())
+}
+
+func (e *Exchanger) sleep(ctx context.Context, l *line, pause time.Duration) {
+	timer := time.NewTimer(pause*9/10 + rand.N(pause/5))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.wake:
+	case <-ctx.Done():
+	}
+}
+
+// exchange sends a report with the records that the host lacks and takes in
+// its answer. It returns the revision that the host has.
+func (e *Exchanger) exchange(ctx context.Context, l *line, conn **drpcconn.Conn, known int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if *conn == nil {
+		opened, err := e.dial(ctx, l)
+		if err != nil {
+			return 0, err
+		}
+		*conn = opened
+	}
+	request := Message{Report: e.Report()}
+	if known > 0 && known < request.Report.Revision {
+		request.Records = e.Since(known)
+	}
+	var answer Message
+	sent := e.Now()
+	if err := (*conn).Invoke(ctx, exchangeRPC, encoding{}, &request, &answer); err != nil {
+		return 0, errors.Wrap(err, "exchange")
+	}
+	e.take(answer, sent)
+	return max(answer.Report.Revision, request.Report.Revision), nil
+}
+
+func (e *Exchanger) dial(ctx context.Context, l *line) (*drpcconn.Conn, error) {
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp", l.address)
+	if err != nil {
+		if isRefused(err) {
+			e.refused(l.name)
+		}
+		return nil, errors.Wrap(err, "reach host")
+	}
+	return drpcconn.New(raw), nil
+}
+
+func (e *Exchanger) refused(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.peers == nil {
+		e.peers = make(map[string]Peer)
+	}
+	peer := e.peers[name]
+	peer.Refused = e.Now()
+	e.peers[name] = peer
+}
+
+func (e *Exchanger) take(message Message, sent time.Time) {
+	if message.Report.Host == e.Host {
+		return
+	}
+	e.mu.Lock()
+	if e.peers == nil {
+		e.peers = make(map[string]Peer)
+	}
+	peer := e.peers[message.Report.Host]
+	peer.Report = message.Report
+	if sent.After(peer.Heard) {
+		peer.Heard = sent
+	}
+	e.peers[message.Report.Host] = peer
+	e.mu.Unlock()
+	e.Received(message, sent)
+}
+
+// answer takes in a report and returns this host's, with what the other lacks.
+// The age in an unasked report was told before it arrived, so nothing is known
+// of when it was sent; only its records count as news.
+func (e *Exchanger) answer(request *Message) *Message {
+	e.take(*request, time.Time{})
+	answer := &Message{Report: e.Report()}
+	if request.Report.Revision < answer.Report.Revision {
+		answer.Records = e.Since(request.Report.Revision)
+	}
+	return answer
+}
+
+// description is the drpc service of the exchange, whose messages need no
+// generated code.
+type description struct{}
+
+// NumMethods implements drpc.Description.
+func (description) NumMethods() int { return 1 }
+
+// Method implements drpc.Description.
+func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, interface{}, bool) {
+	if n != 0 {
+		return "", nil, nil, nil, false
+	}
+	receive := func(server interface{}, _ context.Context, in1, _ interface{}) (drpc.Message, error) {
+		return server.(*Exchanger).answer(in1.(*Message)), nil
+	}
+	return exchangeRPC, encoding{}, receive, (*Exchanger).invoke, true
+}
+
+// invoke has the signature by which drpcmux tells the types of a method.
+func (e *Exchanger) invoke(_ context.Context, request *Message) (*Message, error) {
+	return e.answer(request), nil
+}
--- /dev/null
+++ b/exchanger/report.go
@@ -0,0 +1,63 @@
+// Package exchanger lets the hosts of a fleet tell each other what they see:
+// newer state of the store, the demand of customers, the health of primaries
+// and which changes of primary they have put into force.
+package exchanger
+
+import "time"
+
+// A PrimaryHealth is what one host sees of a service's primary.
+type PrimaryHealth struct {
+	// ID and Born name the primary's incarnation.
+	ID   string
+	Born int64
+	// SinceSuccess is the time since the last answer; negative if there was
+	// none.
+	SinceSuccess time.Duration
+	// SinceFailure is how long the primary has been failing for the host
+	// without an answer; 0 if it does not.
+	SinceFailure time.Duration
+}
+
+// A Usage is what a host has admitted for a customer.
+type Usage struct {
+	// Admitted counts operations since the host's start.
+	Admitted int64
+	// Demand is in operations per second, refused ones included.
+	Demand float64
+}
+
+// A Report is what a host tells another one.
+type Report struct {
+	Host        string
+	Incarnation string
+	Address     string
+	DataCentre  string
+	// Revision is the store's revision up to which the host's copy is complete.
+	Revision int64
+	// Age is how long ago the copy was known to be complete; negative if it
+	// never was.
+	Age time.Duration
+	// Stopping hosts take no new connections.
+	Stopping bool
+	// Usages are by customer.
+	Usages map[string]Usage
+	// Primaries are by service.
+	Primaries map[string]PrimaryHealth
+	// Released holds, by service, the revision of the last lead for which the
+	// host uses no other primary than the lead says.
+	Released map[string]int64
+}
+
+// A Record is a key of the store as a host knows it.
+type Record struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Deleted  bool
+}
+
+// A Message carries a report, and records that the receiver lacks.
+type Message struct {
+	Report  Report
+	Records []Record
+}
--- /dev/null
+++ b/hoster/host.go
@@ -0,0 +1,340 @@
+package hoster
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/director"
+	"github.com/endiveturn/endiveturn/exchanger"
+	"github.com/endiveturn/endiveturn/informer"
+	"github.com/endiveturn/endiveturn/limiter"
+	"github.com/endiveturn/endiveturn/overseer"
+	"github.com/endiveturn/endiveturn/reporter"
+	"github.com/endiveturn/endiveturn/storer"
+	"github.com/endiveturn/endiveturn/timekeeper"
+)
+
+const (
+	// balancerDelay is how long the balancer may send new connections after
+	// readiness was taken back.
+	balancerDelay = 2300 * time.Millisecond
+	// exitReserve is the part of the stop timeout that is left unused.
+	exitReserve = 400 * time.Millisecond
+	// heardRecently is how long a host that was heard counts as one of the
+	// fleet though the store does not list it.
+	heardRecently = 5 * time.Second
+	// tendInterval is how often connections and metrics are looked at.
+	tendInterval = time.Second
+	// idleConnection is how long a connection to a database rests before it is
+	// closed.
+	idleConnection = 20 * time.Second
+	// watchShare is the part of the age at which a view expires in which the
+	// whole fleet hears from the store; each host asks that much less often.
+	watchShare = 0.1
+	// longestWatch bounds the wait of one watch.
+	longestWatch = 10 * time.Second
+)
+
+// A Platform is what a host needs from outside.
+type Platform struct {
+	Space   storer.Space
+	Decoder Decoder
+	// StorePrefix is that of all keys that matter to the host.
+	StorePrefix string
+	// ReadinessPath is asked by the balancer.
+	ReadinessPath string
+	// Client wraps an accepted connection.
+	Client func(conn net.Conn) director.Client
+	// Databases opens connections and asks for states.
+	Databases Databases
+	// Promote asks for a promotion in the name of the host.
+	Promote func(ctx context.Context, host, service, id string, token int64) error
+}
+
+// A Host is one process of the fleet. Its exported fields are set before Run.
+type Host struct {
+	Settings Settings
+	Platform Platform
+	Logger   *slog.Logger
+	// Writer takes the lines of Logger.
+	Writer   *reporter.Writer
+	Registry gometrics.Registry
+
+	incarnation string
+	mirror      *informer.Mirror
+	director    *director.Director
+	limits      *limiter.Fleet
+	exchanger   *exchanger.Exchanger
+	overseer    *overseer.Overseer
+	changed     chan struct{}
+	stopping    atomic.Bool
+
+	mu      sync.Mutex
+	catalog *cataloger.Catalog
+}
+
+// Run serves until ctx ends and the stop that follows is done.
+func (h *Host) Run(ctx context.Context) error {
+	h.prepare()
+	client, err := net.Listen("tcp", h.Settings.ClientAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for clients")
+	}
+	peers, err := net.Listen("tcp", h.Settings.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for hosts")
+	}
+	h.Logger.Info("host_started", "host", h.Settings.Host, "incarnation", h.incarnation, "data_centre", h.Settings.DataCentre,
+		"client_address", h.Settings.ClientAddress, "peer_address", h.Settings.PeerAddress)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group run.Group
+	add := func(execute func(context.Context) error) {
+		group.Add(func() error { return execute(work) }, func(error) { cancel() })
+	}
+	follower := &informer.Follower{
+		Space: h.Platform.Space, Mirror: h.mirror, Prefix: h.Platform.StorePrefix, Wait: h.watchWait,
+		Now: timekeeper.Now, Logger: h.Logger,
+	}
+	add(follower.Run)
+	add(h.view)
+	add(h.exchanger.Run)
+	add(func(ctx context.Context) error { return h.exchanger.Serve(ctx, peers) })
+	add(h.overseer.Run)
+	add(h.tend)
+	add(func(ctx context.Context) error { return h.accept(ctx, client) })
+	add(func(ctx context.Context) error { return serveHTTP(ctx, h.Settings.ReadinessAddress, h.readiness()) })
+	if h.Settings.MetricsAddress != "" {
+		add(func(ctx context.Context) error { return serveHTTP(ctx, h.Settings.MetricsAddress, h.metrics()) })
+	}
+	group.Add(func() error { return h.awaitStop(ctx, work) }, func(error) { cancel() })
+	logs, endLogs := context.WithCancel(context.WithoutCancel(ctx))
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		// Run ends with the context, whose error says nothing.
+		_ = h.Writer.Run(logs)
+	}()
+	defer func() {
+		endLogs()
+		<-logged
+	}()
+	err = group.Run()
+	h.Logger.Info("host_stopped", "host", h.Settings.Host, "incarnation", h.incarnation)
+	if errors.Is(err, context.Canceled) || errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// errStopped ends the group after a stop that was asked for.
+var errStopped = errors.New("stopped")
+
+func (h *Host) prepare() {
+	h.incarnation = strconv.FormatInt(timekeeper.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
+	h.changed = make(chan struct{}, 1)
+	h.mirror = &informer.Mirror{Now: timekeeper.Now, Changed: h.noteChange}
+	h.limits = limiter.NewFleet(timekeeper.Now)
+	h.director = &director.Director{
+		DataCentre: h.Settings.DataCentre, Dial: h.Platform.Databases.Dial, Limits: h.limits, Now: time.Now,
+		SinceBoot: timekeeper.Now, Current: h.mirror.Current, Logger: h.Logger,
+		Metrics: &director.Metrics{Registry: h.Registry},
+	}
+	h.exchanger = &exchanger.Exchanger{
+		Host: h.Settings.Host, Report: h.report, Since: h.since, Received: h.received, Peers: h.peerAddresses,
+		Seeds: otherSeeds(h.Settings), Now: timekeeper.Now, Logger: h.Logger,
+	}
+	h.overseer = &overseer.Overseer{
+		Host: cataloger.Host{
+			Name: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
+		},
+		Space: h.Platform.Space, Mirror: h.mirror, Catalog: h.current, Members: h.members, Own: h.own,
+		Spread: h.exchanger.Spread, Status: h.Platform.Databases.Status, Demote: h.Platform.Databases.Demote,
+		Promote: func(ctx context.Context, service, id string, token int64) error {
+			return h.Platform.Promote(ctx, h.Settings.Host, service, id, token)
+		},
+		MaxViewAge: director.MaxViewAge, Now: timekeeper.Now, Logger: h.Logger,
+	}
+}
+
+func otherSeeds(s Settings) []string {
+	var seeds []string
+	for _, seed := range s.Seeds {
+		if seed != s.PeerAddress {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
+func (h *Host) noteChange() {
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+// current returns the newest catalog, or nil.
+func (h *Host) current() *cataloger.Catalog {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.catalog
+}
+
+// view makes a catalog after each change of the copy of the store.
+func (h *Host) view(ctx context.Context) error {
+	v := &viewer{decoder: h.Platform.Decoder, now: timekeeper.Now, rejected: func(key string, revision int64, err error) {
+		h.Logger.Warn("record_rejected", "key", key, "revision", revision, "error", err.Error())
+	}}
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-h.changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		records, revision := h.mirror.Records()
+		catalog, next := v.view(records, revision)
+		h.addHeard(catalog)
+		h.mu.Lock()
+		h.catalog = catalog
+		h.mu.Unlock()
+		h.director.SetCatalog(catalog)
+		wait := time.Hour
+		if !next.IsZero() {
+			wait = max(time.Millisecond, next.Sub(timekeeper.Now()))
+		}
+		timer.Reset(wait)
+	}
+}
+
+// addHeard adds hosts that are heard though the store does not list them.
+func (h *Host) addHeard(catalog *cataloger.Catalog) {
+	now := timekeeper.Now()
+	for name, peer := range h.exchanger.Reports() {
+		if _, ok := catalog.Hosts[name]; ok || peer.Heard.IsZero() || now.Sub(peer.Heard) > heardRecently {
+			continue
+		}
+		catalog.Hosts[name] = cataloger.Host{
+			Name: name, Incarnation: peer.Report.Incarnation, Address: peer.Report.Address, DataCentre: peer.Report.DataCentre,
+		}
+	}
+}
+
+// watchWait returns how long this host's watch waits, so that some host of the
+// fleet hears from the store often enough for all. It varies, since changes end
+// the waits of all hosts at once.
+func (h *Host) watchWait() time.Duration {
+	hosts := 1
+	if catalog := h.current(); catalog != nil {
+		hosts = max(1, len(catalog.Hosts))
+	}
+	interval := time.Duration(watchShare * float64(director.MaxViewAge))
+	mean := min(time.Duration(hosts)*interval, longestWatch)
+	return mean/2 + rand.N(mean)
+}
+
+// accept serves clients until ctx ends.
+func (h *Host) accept(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			h.Logger.Warn("accept_failed", "error", err.Error())
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		go h.director.Serve(ctx, h.Platform.Client(conn))
+	}
+}
+
+// tend does what has to be done about once a second.
+func (h *Host) tend(ctx context.Context) error {
+	ticker := time.NewTicker(tendInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			h.director.Tend(idleConnection)
+			h.noteChange()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// awaitStop waits for ctx and then stops in an order that cuts no request:
+// readiness goes first, sessions end as they become idle once the balancer
+// sends no new ones.
+func (h *Host) awaitStop(ctx, work context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return work.Err()
+	}
+	began := time.Now()
+	h.Logger.Info("host_stopping", "host", h.Settings.Host, "sessions", h.director.Sessions())
+	h.stopping.Store(true)
+	h.overseer.GiveUpDuty()
+	h.director.Stop(began.Add(h.Settings.StopTimeout / 2))
+	last := began.Add(h.Settings.StopTimeout - exitReserve)
+	for time.Now().Before(last) {
+		if time.Since(began) > balancerDelay && h.director.Sessions() == 0 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	h.director.CloseAll()
+	revoke, cancel := context.WithTimeout(work, exitReserve/2)
+	defer cancel()
+	h.overseer.Stop(revoke)
+	return errStopped
+}
+
+func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return errors.Wrap(server.ListenAndServe(), address)
+}
+
+// readiness answers the balancer: ready once the host knows the configuration,
+// until it stops.
+func (h *Host) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+h.Platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		catalog := h.current()
+		if h.stopping.Load() || catalog == nil || catalog.Configuration == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (h *Host) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		reporter.WriteMetrics(w, h.Registry)
+	})
+	return mux
+}
--- /dev/null
+++ b/hoster/peers.go
@@ -0,0 +1,150 @@
+package hoster
+
+import (
+	"context"
+	"time"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/connector"
+	"github.com/endiveturn/endiveturn/exchanger"
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/informer"
+	"github.com/endiveturn/endiveturn/limiter"
+	"github.com/endiveturn/endiveturn/overseer"
+	"github.com/endiveturn/endiveturn/timekeeper"
+)
+
+// Databases are the functions that reach databases.
+type Databases struct {
+	// Dial opens a connection for a customer.
+	Dial func(ctx context.Context, endpoint cataloger.Endpoint, customer string) (connector.Transport, error)
+	// Status asks a database for its state.
+	Status func(ctx context.Context, endpoint cataloger.Endpoint) (executor.DatabaseStatus, error)
+	// Demote makes a primary of a term below the given one a replica.
+	Demote func(ctx context.Context, endpoint cataloger.Endpoint, term uint64) error
+}
+
+// report returns what this host tells the others.
+func (h *Host) report() exchanger.Report {
+	_, revision, current := h.mirror.Since(1 << 62)
+	r := exchanger.Report{
+		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
+		Revision: revision, Age: -1, Stopping: h.stopping.Load(), Released: h.director.Released(),
+		Usages: make(map[string]exchanger.Usage), Primaries: make(map[string]exchanger.PrimaryHealth),
+	}
+	if !current.IsZero() {
+		r.Age = timekeeper.Now().Sub(current)
+	}
+	for name, spent := range h.limits.Spent() {
+		r.Usages[name] = exchanger.Usage(spent)
+	}
+	for service, health := range h.director.Healths() {
+		r.Primaries[service] = exchanger.PrimaryHealth{
+			ID: health.Endpoint.ID, Born: health.Endpoint.Born,
+			SinceSuccess: health.SinceSuccess, SinceFailure: health.SinceFailure,
+		}
+	}
+	return r
+}
+
+func (h *Host) since(revision int64) []exchanger.Record {
+	records, _, _ := h.mirror.Since(revision)
+	list := make([]exchanger.Record, 0, len(records))
+	for _, record := range records {
+		list = append(list, exchanger.Record(record))
+	}
+	return list
+}
+
+// received takes in a report. Only the answer to a question of this host says
+// how old the other's copy is, since the question's instant is known.
+func (h *Host) received(message exchanger.Message, sent time.Time) {
+	report := message.Report
+	spent := make(map[string]limiter.Spent, len(report.Usages))
+	for name, usage := range report.Usages {
+		spent[name] = limiter.Spent(usage)
+	}
+	h.limits.Hear(report.Host, limiter.HostReport{Incarnation: report.Incarnation, Heard: timekeeper.Now(), Spent: spent})
+	records := make([]informer.Record, 0, len(message.Records))
+	for _, record := range message.Records {
+		records = append(records, informer.Record(record))
+	}
+	own := h.mirror.Revision()
+	complete := report.Revision <= own || len(records) > 0
+	if !complete || report.Age < 0 {
+		return
+	}
+	current := time.Time{}
+	if !sent.IsZero() {
+		current = sent.Add(-report.Age)
+	}
+	if len(records) > 0 || !current.IsZero() {
+		h.mirror.Merge(records, report.Revision, current)
+	}
+}
+
+// peerAddresses returns the other hosts by name.
+func (h *Host) peerAddresses() map[string]string {
+	addresses := make(map[string]string)
+	if catalog := h.current(); catalog != nil {
+		for name, host := range catalog.Hosts {
+			addresses[name] = host.Address
+		}
+	}
+	delete(addresses, h.Settings.Host)
+	return addresses
+}
+
+// members returns the other hosts of the fleet as the overseer sees them.
+func (h *Host) members() []overseer.Member {
+	catalog := h.current()
+	if catalog == nil {
+		return nil
+	}
+	reports := h.exchanger.Reports()
+	var members []overseer.Member
+	for name, host := range catalog.Hosts {
+		if name == h.Settings.Host {
+			continue
+		}
+		peer := reports[name]
+		member := overseer.Member{Name: name, Opinions: make(map[string]overseer.HostOpinion)}
+		member.Ended = func(since time.Time) bool { return peer.Refused.After(since) }
+		if peer.Report.Incarnation == host.Incarnation || peer.Report.Incarnation != "" {
+			member.Released = peer.Report.Released
+			addOpinions(member.Opinions, peer.Report.Primaries, timekeeper.Now().Sub(peer.Heard))
+		}
+		members = append(members, member)
+	}
+	return members
+}
+
+// own returns this host as a member.
+func (h *Host) own() overseer.Member {
+	report := h.report()
+	member := overseer.Member{
+		Name: h.Settings.Host, Released: report.Released, Opinions: make(map[string]overseer.HostOpinion),
+		Ended: func(time.Time) bool { return false },
+	}
+	addOpinions(member.Opinions, report.Primaries, 0)
+	return member
+}
+
+// staleOpinion is the age after which a report says nothing about a primary.
+const staleOpinion = 2 * time.Second
+
+func addOpinions(opinions map[string]overseer.HostOpinion, primaries map[string]exchanger.PrimaryHealth, age time.Duration) {
+	if age > staleOpinion {
+		return
+	}
+	for service, p := range primaries {
+		o := overseer.Opinion{SinceSuccess: p.SinceSuccess, SinceFailure: p.SinceFailure}
+		if o.SinceSuccess >= 0 {
+			o.SinceSuccess += age
+		}
+		if o.SinceFailure > 0 {
+			o.SinceFailure += age
+		}
+		opinions[service] = overseer.HostOpinion{ID: p.ID, Born: p.Born, Opinion: o}
+	}
+}
--- /dev/null
+++ b/informer/follower.go
@@ -0,0 +1,151 @@
+package informer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/storer"
+)
+
+const (
+	// listTimeout bounds the reading of one page, which may hold a megabyte.
+	listTimeout = 3 * time.Second
+	// answerSlack is how long a watch may answer after its wait, for a slow
+	// store.
+	answerSlack = 2 * time.Second
+	// firstPause and lastPause bound the pause after a failed call; it doubles
+	// in between and is drawn at random, so that hosts do not come together.
+	firstPause = 50 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+)
+
+// A Follower keeps a Mirror up to date from the store. Its exported fields are
+// set before Run.
+type Follower struct {
+	Space  storer.Space
+	Mirror *Mirror
+	// Prefix is that of all keys to follow.
+	Prefix string
+	// Wait returns how long a watch waits for changes.
+	Wait func() time.Duration
+	// Now returns an instant that counts suspensions of the machine.
+	Now    func() time.Time
+	Logger *slog.Logger
+
+	// pause is the pause after the next failure.
+	pause time.Duration
+	// lost is set between a failed call and the next answer.
+	lost bool
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		revision, err := f.list(ctx)
+		if err == nil {
+			err = f.follow(ctx, revision)
+		}
+		f.failed(ctx, err)
+	}
+	return ctx.Err()
+}
+
+// list reads all keys. The pages are no snapshot, so the copy is complete only
+// up to the first page's revision; the watch brings what changed since.
+func (f *Follower) list(ctx context.Context) (int64, error) {
+	asked := f.Now()
+	var entries []storer.Entry
+	var revision int64
+	after := ""
+	for {
+		page, err := f.page(ctx, after)
+		if err != nil {
+			return 0, err
+		}
+		if after == "" {
+			revision = page.Revision
+		}
+		entries = append(entries, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			break
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+	f.answered()
+	f.Mirror.Replace(entries, revision, asked)
+	f.Logger.Info("store_listed", "keys", len(entries), "revision", revision)
+	return revision, nil
+}
+
+func (f *Follower) page(ctx context.Context, after string) (storer.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return f.Space.List(ctx, f.Prefix, after)
+}
+
+// follow watches from revision until the history is gone.
+func (f *Follower) follow(ctx context.Context, revision int64) error {
+	for ctx.Err() == nil {
+		wait := f.Wait()
+		asked := f.Now()
+		changes, next, err := f.watch(ctx, revision, wait)
+		if errors.Is(err, storer.ErrCompacted) {
+			return err
+		}
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.answered()
+		f.Mirror.Apply(changes, next, completeAt(asked, f.Now(), wait, len(changes)))
+		revision = max(revision, next)
+	}
+	return ctx.Err()
+}
+
+// completeAt returns the latest instant at which the answer to a watch is known
+// to have been complete. An answer without changes was given at the end of the
+// wait, though it may have been on its way for long; one with changes may have
+// been given at once.
+func completeAt(asked, answered time.Time, wait time.Duration, changes int) time.Time {
+	if changes == 0 && answered.Sub(asked) >= wait {
+		return asked.Add(wait)
+	}
+	return asked
+}
+
+func (f *Follower) watch(ctx context.Context, revision int64, wait time.Duration) ([]storer.Change, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	return f.Space.Changes(ctx, f.Prefix, revision, wait)
+}
+
+// failed logs the loss of the store once and pauses.
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil || errors.Is(err, storer.ErrCompacted) {
+		return
+	}
+	if !f.lost {
+		f.lost = true
+		f.Logger.Warn("dependency_lost", "dependency", "store", "error", err)
+	}
+	f.pause = min(max(2*f.pause, firstPause), lastPause)
+	timer := time.NewTimer(f.pause/2 + rand.N(f.pause/2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Follower) answered() {
+	f.pause = 0
+	if f.lost {
+		f.lost = false
+		f.Logger.Info("dependency_regained", "dependency", "store")
+	}
+}
--- /dev/null
+++ b/informer/mirror.go
@@ -0,0 +1,205 @@
+// Package informer keeps a local copy of the store's keys. The copy follows
+// the store's watch, takes newer state from other hosts while the store can't
+// be reached, and knows how old it may be.
+package informer
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/endiveturn/endiveturn/storer"
+)
+
+// tombstoneAge is how long deletions are remembered for other hosts, which
+// exchange state several times a second.
+const tombstoneAge = time.Minute
+
+// A Record is a key of the copy, or its deletion.
+type Record struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Deleted  bool
+}
+
+// A Mirror is the copy itself. It is safe for concurrent use.
+type Mirror struct {
+	// Now returns an instant that counts suspensions of the machine.
+	Now func() time.Time
+	// Changed is called after the copy has changed, without locks held.
+	Changed func()
+
+	mu      sync.Mutex
+	records map[string]Record
+	// deletedAt holds when a deletion was learned.
+	deletedAt map[string]time.Time
+	// revision is the store's revision up to which the copy is complete.
+	revision int64
+	// current is the latest instant at which the copy is known to have held
+	// everything that the store had confirmed.
+	current time.Time
+	// loaded is set once the copy has been complete.
+	loaded bool
+}
+
+// Revision returns the revision up to which the copy is complete.
+func (m *Mirror) Revision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// Current returns the latest instant at which the copy is known to have been
+// complete, or the zero time.
+func (m *Mirror) Current() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current
+}
+
+// Loaded reports whether the copy has ever been complete.
+func (m *Mirror) Loaded() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.loaded
+}
+
+// Replace takes in all entries of the store, read from the instant asked on,
+// the first page at revision.
+func (m *Mirror) Replace(entries []storer.Entry, revision int64, asked time.Time) {
+	m.mu.Lock()
+	if m.loaded && revision < m.revision {
+		m.mu.Unlock()
+		return
+	}
+	fresh := make(map[string]Record, len(entries))
+	for _, entry := range entries {
+		fresh[entry.Key] = Record{Key: entry.Key, Value: entry.Value, Revision: entry.ModRevision}
+	}
+	now := m.Now()
+	for key, old := range m.records {
+		if _, ok := fresh[key]; ok || old.Deleted {
+			continue
+		}
+		fresh[key] = Record{Key: key, Revision: revision, Deleted: true}
+		m.deletedTimes()[key] = now
+	}
+	m.records = fresh
+	m.advance(revision, asked)
+	m.unlockAndTell(true)
+}
+
+// Apply takes in changes that complete the copy up to revision as of the
+// instant asked.
+func (m *Mirror) Apply(changes []storer.Change, revision int64, asked time.Time) {
+	m.mu.Lock()
+	changed := false
+	for _, change := range changes {
+		record := Record{Key: change.Key, Value: change.Value, Revision: change.ModRevision, Deleted: change.Deleted}
+		changed = m.merge(record) || changed
+	}
+	m.advance(revision, asked)
+	m.unlockAndTell(changed)
+}
+
+// Merge takes in the records of another host, whose copy is complete up to
+// revision as of the instant current.
+func (m *Mirror) Merge(records []Record, revision int64, current time.Time) {
+	m.mu.Lock()
+	changed := false
+	for _, record := range records {
+		changed = m.merge(record) || changed
+	}
+	m.advance(revision, current)
+	m.unlockAndTell(changed)
+}
+
+// Wrote takes in a change of this host before the watch brings it.
+func (m *Mirror) Wrote(record Record) {
+	m.mu.Lock()
+	m.unlockAndTell(m.merge(record))
+}
+
+func (m *Mirror) merge(record Record) bool {
+	old, ok := m.records[record.Key]
+	if ok && old.Revision >= record.Revision {
+		return false
+	}
+	if m.records == nil {
+		m.records = make(map[string]Record)
+	}
+	m.records[record.Key] = record
+	if record.Deleted {
+		m.deletedTimes()[record.Key] = m.Now()
+	}
+	return true
+}
+
+func (m *Mirror) advance(revision int64, current time.Time) {
+	m.revision = max(m.revision, revision)
+	if current.After(m.current) {
+		m.current = current
+	}
+	m.loaded = true
+	now := m.Now()
+	for key, at := range m.deletedAt {
+		if now.Sub(at) > tombstoneAge {
+			delete(m.deletedAt, key)
+			if m.records[key].Deleted {
+				delete(m.records, key)
+			}
+		}
+	}
+}
+
+func (m *Mirror) deletedTimes() map[string]time.Time {
+	if m.deletedAt == nil {
+		m.deletedAt = make(map[string]time.Time)
+	}
+	return m.deletedAt
+}
+
+func (m *Mirror) unlockAndTell(changed bool) {
+	m.mu.Unlock()
+	if changed && m.Changed != nil {
+		m.Changed()
+	}
+}
+
+// Since returns the records later than revision, with the revision up to which
+// the copy is complete and the instant at which it is known to have been so.
+func (m *Mirror) Since(revision int64) ([]Record, int64, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var records []Record
+	for _, record := range m.records {
+		if record.Revision > revision {
+			records = append(records, record)
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].Revision < records[j].Revision })
+	return records, m.revision, m.current
+}
+
+// Records returns the present keys in order with the revision of the copy.
+func (m *Mirror) Records() ([]Record, int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	records := make([]Record, 0, len(m.records))
+	for _, record := range m.records {
+		if !record.Deleted {
+			records = append(records, record)
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
+	return records, m.revision
+}
+
+// Get returns a key of the copy.
+func (m *Mirror) Get(key string) (Record, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	record, ok := m.records[key]
+	return record, ok && !record.Deleted
+}
--- /dev/null
+++ b/limiter/fleet.go
@@ -0,0 +1,250 @@
+package limiter
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// silence is the age of a host's last report after which its share of the
+	// rate is taken as used up instead of what it reported.
+	silence = 1500 * time.Millisecond
+	// syncInterval is how often a host's budget is dealt anew. It is no longer
+	// than the time between two reports of a host.
+	syncInterval = 200 * time.Millisecond
+	// leastBudget is how many operations a host may admit in an interval while
+	// the customer has tokens at all, so that small customers are served on
+	// every host.
+	leastBudget = 1
+	// demandSpan is the time over which demand is averaged.
+	demandSpan = 2 * time.Second
+	// newcomerWeight is the part of the rate that is dealt evenly, for hosts
+	// whose demand has just begun.
+	newcomerWeight = 0.1
+)
+
+// A Bound is a customer's rate and burst over all hosts.
+type Bound struct {
+	// Rate is in operations per second; 0 stands for no limit.
+	Rate  float64
+	Burst float64
+}
+
+// A Spent is what one host has admitted for a customer.
+type Spent struct {
+	// Admitted counts operations since the host's start.
+	Admitted int64
+	// Demand is in operations per second, refused ones included.
+	Demand float64
+}
+
+// A HostReport is what another host last said of its admissions.
+type HostReport struct {
+	// Incarnation differs between two processes of the same host.
+	Incarnation string
+	// Heard is when the report came.
+	Heard time.Time
+	Spent map[string]Spent
+}
+
+// A Fleet keeps customers within their bounds over all hosts without a common
+// counter. Each host counts down the same bucket by its own admissions and
+// those that the others report, and between reports uses no more of its level
+// than its part of the demand. A host that falls silent is taken to use its
+// part of the rate. Exported fields are set before first use.
+type Fleet struct {
+	// Now returns an instant that counts suspensions of the machine.
+	Now func() time.Time
+
+	mu      sync.Mutex
+	buckets map[string]*fleetBucket
+	reports map[string]HostReport
+	// hosts is the number of hosts, this one included, at least 1.
+	hosts int
+	// synced is when budgets were dealt last.
+	synced time.Time
+}
+
+type fleetBucket struct {
+	bound Bound
+	// level is the number of tokens left over all hosts; negative after more
+	// was admitted than there was.
+	level float64
+	// budget is what this host may still admit before the next report.
+	budget   float64
+	admitted int64
+	// demand is this host's demand in operations per second.
+	demand  float64
+	arrived float64
+}
+
+// NewFleet returns a fleet whose buckets start empty: what was admitted before
+// is not known.
+func NewFleet(now func() time.Time) *Fleet {
+	return &Fleet{Now: now, buckets: make(map[string]*fleetBucket), reports: make(map[string]HostReport), hosts: 1, synced: now()}
+}
+
+// SetBounds replaces the bounds of all customers.
+func (f *Fleet) SetBounds(bounds map[string]Bound) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, bound := range bounds {
+		b, ok := f.buckets[name]
+		if !ok {
+			b = &fleetBucket{}
+			f.buckets[name] = b
+		}
+		b.bound = bound
+		b.level = min(b.level, bound.Burst)
+	}
+	for name := range f.buckets {
+		if _, ok := bounds[name]; !ok {
+			delete(f.buckets, name)
+		}
+	}
+}
+
+// SetHosts sets the number of hosts.
+func (f *Fleet) SetHosts(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = max(1, n)
+}
+
+// Hear takes in a report of another host and deducts what it admitted since
+// its last one.
+func (f *Fleet) Hear(host string, report HostReport) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sync(f.Now())
+	before, known := f.reports[host]
+	sameProcess := known && before.Incarnation == report.Incarnation
+	for name, spent := range report.Spent {
+		b, ok := f.buckets[name]
+		if !ok {
+			continue
+		}
+		news := spent.Admitted
+		if sameProcess {
+			news -= before.Spent[name].Admitted
+		}
+		if known || f.bornAfterSync(spent, b) {
+			b.level -= max(0, float64(news))
+		}
+	}
+	f.reports[host] = report
+}
+
+// bornAfterSync reports whether the operations that a host counts at its first
+// report can be recent. Long counts belong to a time before this host's start,
+// for which its empty bucket already accounts.
+func (f *Fleet) bornAfterSync(spent Spent, b *fleetBucket) bool {
+	return float64(spent.Admitted) <= b.bound.Burst
+}
+
+// Forget drops the report of a host that has left the fleet.
+func (f *Fleet) Forget(keep map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for host := range f.reports {
+		if !keep[host] {
+			delete(f.reports, host)
+		}
+	}
+}
+
+// Admit takes one operation of the customer out of the bucket. If it refuses,
+// it returns when the customer may try again.
+func (f *Fleet) Admit(customer string) (bool, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	if now.Sub(f.synced) >= syncInterval {
+		f.sync(now)
+	}
+	b, ok := f.buckets[customer]
+	if !ok || b.bound.Rate <= 0 {
+		return true, 0
+	}
+	b.arrived++
+	if b.budget >= 1 {
+		b.budget--
+		b.level--
+		b.admitted++
+		return true, 0
+	}
+	wait := syncInterval
+	if b.level < 0 {
+		wait += time.Duration(-b.level / b.bound.Rate * float64(time.Second))
+	}
+	return false, wait
+}
+
+// Return gives an operation back that no database ran.
+func (f *Fleet) Return(customer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b, ok := f.buckets[customer]; ok && b.bound.Rate > 0 {
+		b.budget++
+		b.level++
+		b.admitted--
+	}
+}
+
+// Spent returns what this host has admitted by customer.
+func (f *Fleet) Spent() map[string]Spent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	spent := make(map[string]Spent, len(f.buckets))
+	for name, b := range f.buckets {
+		if b.demand > 0.01 || b.admitted > 0 {
+			spent[name] = Spent{Admitted: b.admitted, Demand: b.demand}
+		}
+	}
+	return spent
+}
+
+// sync refills the buckets and deals this host its budgets.
+func (f *Fleet) sync(now time.Time) {
+	elapsed := now.Sub(f.synced).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	f.synced = now
+	for name, b := range f.buckets {
+		b.demand += (b.arrived/elapsed - b.demand) * min(1, elapsed/demandSpan.Seconds())
+		b.arrived = 0
+		share, silent := f.shares(name, b, now)
+		b.level += b.bound.Rate * elapsed * (1 - silent)
+		b.level = min(b.level, b.bound.Burst)
+		b.budget = 0
+		if b.level >= 1 {
+			b.budget = max(leastBudget, b.level*share)
+		}
+	}
+}
+
+// shares returns this host's part of the demand, and the part of the hosts
+// that are silent.
+func (f *Fleet) shares(name string, b *fleetBucket, now time.Time) (own, silent float64) {
+	total := b.demand
+	quiet := 0.0
+	heard := 1
+	for _, report := range f.reports {
+		demand := report.Spent[name].Demand
+		total += demand
+		if now.Sub(report.Heard) > silence {
+			quiet += demand
+			continue
+		}
+		heard++
+	}
+	even := 1 / float64(f.hosts)
+	missing := max(0, float64(f.hosts-heard)) * even
+	if total <= 0 {
+		return even, missing
+	}
+	own = newcomerWeight*even + (1-newcomerWeight)*b.demand/total
+	silent = newcomerWeight*missing + (1-newcomerWeight)*quiet/total
+	return own, min(1, silent)
+}
--- /dev/null
+++ b/overseer/move.go
@@ -0,0 +1,259 @@
+package overseer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+)
+
+const (
+	// probeTimeout bounds one question to a database. A new connection may
+	// queue behind running statements.
+	probeTimeout = 400 * time.Millisecond
+	// catchUpTimeout bounds how long a change waits for the new primary to
+	// receive what the former one has.
+	catchUpTimeout = 800 * time.Millisecond
+	// pollInterval is the pause between two looks at a state that is awaited.
+	pollInterval = 20 * time.Millisecond
+	// effectTimeout bounds how long a promotion may take to show.
+	effectTimeout = 5 * time.Second
+	// fenceMargin is added to the age at which hosts stop by themselves.
+	fenceMargin = 150 * time.Millisecond
+	// promoteTimeout bounds one call for a promotion.
+	promoteTimeout = 1500 * time.Millisecond
+)
+
+// errNoContender says that no database can take over now.
+var errNoContender = errors.New("no database can take over")
+
+// A move is one change of a service's primary.
+type move struct {
+	overseer *Overseer
+	service  string
+	lead     cataloger.Lead
+	former   cataloger.Endpoint
+	// registered is set if the former primary is registered.
+	registered bool
+	reason     Reason
+}
+
+func (m *move) run(ctx context.Context) {
+	o := m.overseer
+	began := o.Now()
+	o.Logger.Info("primary_change_began", "service", m.service, "from", m.lead.ID, "reason", string(m.reason), "lead_revision", m.lead.Revision)
+	err := m.change(ctx)
+	if err != nil {
+		o.Logger.Warn("primary_change_failed", "service", m.service, "reason", string(m.reason), "error", err.Error(), "took", o.Now().Sub(began))
+		pause(ctx, judgeInterval)
+		return
+	}
+	o.Logger.Info("primary_change_done", "service", m.service, "to", m.lead.ID, "reason", string(m.reason),
+		"lead_revision", m.lead.Revision, "took", o.Now().Sub(began))
+}
+
+func (m *move) change(ctx context.Context) error {
+	o := m.overseer
+	contender, err := m.elect(ctx, nil)
+	if err != nil && !m.lead.Moving {
+		return err
+	}
+	if err := m.fence(ctx); err != nil {
+		return err
+	}
+	if m.reason.Planned() {
+		contender, err = m.catchUp(ctx)
+	} else {
+		contender, err = m.elect(ctx, nil)
+	}
+	if err != nil {
+		return err
+	}
+	token, ok := o.holds()
+	if !ok {
+		return errors.New("duty lost")
+	}
+	term, err := m.promote(ctx, contender.Endpoint, token)
+	if err != nil {
+		return err
+	}
+	next := cataloger.Lead{
+		Service: m.service, ID: contender.Endpoint.ID, Born: contender.Endpoint.Born, Term: term, Revision: m.lead.Revision,
+	}
+	if m.lead, err = o.write(ctx, next); err != nil {
+		return err
+	}
+	if m.registered && m.former.ID != contender.Endpoint.ID {
+		go m.demoteFormer(ctx, term)
+	}
+	return nil
+}
+
+// fence records that the primary is being replaced and waits until no host uses
+// it any more.
+func (m *move) fence(ctx context.Context) error {
+	o := m.overseer
+	if !m.lead.Moving {
+		lead := m.lead
+		lead.Moving = true
+		if m.reason.Planned() {
+			lead.Grace = plannedGrace
+		}
+		written, err := o.write(ctx, lead)
+		if err != nil {
+			return errors.Wrap(err, "record the change")
+		}
+		m.lead = written
+	}
+	fenced := o.Now()
+	for {
+		missing := m.missing(fenced)
+		if len(missing) == 0 {
+			return nil
+		}
+		if o.Now().Sub(fenced) > o.MaxViewAge+fenceMargin {
+			o.Logger.Warn("hosts_did_not_confirm", "service", m.service, "hosts", missing, "lead_revision", m.lead.Revision)
+			return nil
+		}
+		if !pause(ctx, pollInterval) {
+			return ctx.Err()
+		}
+	}
+}
+
+// missing returns the hosts that may still use the former primary.
+func (m *move) missing(fenced time.Time) []string {
+	var missing []string
+	for _, member := range append(m.overseer.Members(), m.overseer.Own()) {
+		if member.Released[m.service] < m.lead.Revision && !member.Ended(fenced) {
+			missing = append(missing, member.Name)
+		}
+	}
+	return missing
+}
+
+// elect asks all databases that could take over and returns the one that has
+// received most.
+func (m *move) elect(ctx context.Context, excluded map[string]bool) (Contender, error) {
+	catalog := m.overseer.Catalog()
+	lead := m.lead
+	var list []cataloger.Endpoint
+	for _, endpoint := range eligible(catalog, lead) {
+		if !excluded[endpoint.ID] {
+			list = append(list, endpoint)
+		}
+	}
+	contenders := make([]Contender, len(list))
+	done := make(chan int, len(list))
+	for i, endpoint := range list {
+		go func() {
+			contenders[i] = m.ask(ctx, endpoint)
+			done <- i
+		}()
+	}
+	for range list {
+		<-done
+	}
+	best := Elect(contenders)
+	if best < 0 {
+		return Contender{}, errNoContender
+	}
+	return contenders[best], nil
+}
+
+func (m *move) ask(ctx context.Context, endpoint cataloger.Endpoint) Contender {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	status, err := m.overseer.Status(ctx, endpoint)
+	if err != nil {
+		return Contender{Endpoint: endpoint}
+	}
+	return Contender{Endpoint: endpoint, Reachable: true, Term: status.Received.Term, Offset: status.Received.Offset}
+}
+
+// catchUp waits until a database has received what the former primary has.
+func (m *move) catchUp(ctx context.Context) (Contender, error) {
+	o := m.overseer
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	former := m.ask(ctx, m.former)
+	until := o.Now().Add(catchUpTimeout)
+	for {
+		contender, err := m.elect(ctx, nil)
+		if err != nil {
+			return contender, err
+		}
+		if !former.Reachable || !ahead(former, contender) || o.Now().After(until) {
+			return contender, nil
+		}
+		pause(ctx, 2*pollInterval)
+	}
+}
+
+// promote asks the platform until the database leads, and returns its term.
+func (m *move) promote(ctx context.Context, endpoint cataloger.Endpoint, token int64) (uint64, error) {
+	o := m.overseer
+	until := o.Now().Add(effectTimeout)
+	asked := false
+	for o.Now().Before(until) {
+		if _, ok := o.holds(); !ok {
+			return 0, errors.New("duty lost")
+		}
+		if !asked {
+			err := m.promoteOnce(ctx, endpoint, token)
+			if errors.Is(err, ErrNotRunning) {
+				return 0, err
+			}
+			asked = err == nil
+		}
+		probe, cancel := context.WithTimeout(ctx, probeTimeout)
+		status, err := o.Status(probe, endpoint)
+		cancel()
+		if err == nil && status.Primary {
+			return status.Term, nil
+		}
+		if !pause(ctx, pollInterval) {
+			return 0, ctx.Err()
+		}
+	}
+	return 0, errors.New("promotion did not take effect")
+}
+
+func (m *move) promoteOnce(ctx context.Context, endpoint cataloger.Endpoint, token int64) error {
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	err := m.overseer.Promote(ctx, m.service, endpoint.ID, token)
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	m.overseer.Logger.Info("promotion_asked", "service", m.service, "database", endpoint.ID, "token", token, "error", text)
+	return err
+}
+
+// demoteFormer makes a former primary that still runs follow the new one.
+func (m *move) demoteFormer(ctx context.Context, term uint64) {
+	for range 3 {
+		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
+		err := m.overseer.Demote(attempt, m.former, term)
+		cancel()
+		if err == nil {
+			return
+		}
+		pause(ctx, time.Second)
+	}
+}
+
+// pause waits and reports whether ctx is still in force.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/overseer/overseer.go
@@ -0,0 +1,382 @@
+package overseer
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/informer"
+	"github.com/endiveturn/endiveturn/storer"
+)
+
+const (
+	// leaseTime is after how much silence a host's keys leave the store.
+	leaseTime = 2500 * time.Millisecond
+	// renewInterval leaves room for two failed renewals.
+	renewInterval = 700 * time.Millisecond
+	// storeTimeout bounds a call to the store.
+	storeTimeout = 1200 * time.Millisecond
+	// judgeInterval is how often the holder of the duty looks at the primaries.
+	judgeInterval = 100 * time.Millisecond
+)
+
+// ErrNotRunning says that a database can't be promoted because it has ended.
+var ErrNotRunning = errors.New("database is not running")
+
+// A Member is another host as far as it matters for a change of primary.
+type Member struct {
+	Name string
+	// Released holds, by service, the revision of the last lead for which the
+	// host uses no other primary.
+	Released map[string]int64
+	// Ended is set if the host's process was seen to have ended after the
+	// change began.
+	Ended func(since time.Time) bool
+	// Opinions are the host's by service and the database's ID.
+	Opinions map[string]HostOpinion
+}
+
+// A HostOpinion is an opinion with the database that it is about.
+type HostOpinion struct {
+	ID   string
+	Born int64
+	Opinion
+}
+
+// An Overseer registers its host in the store and takes part in the duty. Its
+// exported fields are set before Run.
+type Overseer struct {
+	Host   cataloger.Host
+	Space  storer.Space
+	Mirror *informer.Mirror
+	// Catalog returns the view in force, or nil.
+	Catalog func() *cataloger.Catalog
+	// Members returns the other hosts, this one's own opinions excluded.
+	Members func() []Member
+	// Own returns this host as a member.
+	Own func() Member
+	// Spread tells the other hosts at once.
+	Spread func()
+	// Status asks a database for its state.
+	Status func(ctx context.Context, endpoint cataloger.Endpoint) (executor.DatabaseStatus, error)
+	// Demote makes a former primary a replica.
+	Demote func(ctx context.Context, endpoint cataloger.Endpoint, term uint64) error
+	// Promote asks the platform for a promotion; ErrNotRunning is final.
+	Promote func(ctx context.Context, service, id string, token int64) error
+	// MaxViewAge is the age of a host's view at which it stops using primaries.
+	MaxViewAge time.Duration
+	// Now returns an instant that counts suspensions of the machine.
+	Now    func() time.Time
+	Logger *slog.Logger
+
+	mu sync.Mutex
+	// lease is the host's lease; 0 if it has none.
+	lease storer.LeaseID
+	// leaseUntil is until when the lease is known to last.
+	leaseUntil time.Time
+	// token is the fencing token of the duty, 0 while another host holds it.
+	token int64
+	// moving holds the services whose primary this host is replacing.
+	moving map[string]bool
+	// stopping hosts leave the duty to others.
+	stopping bool
+}
+
+// Run registers the host, renews its lease and carries out the duty while this
+// host holds it, until ctx ends.
+func (o *Overseer) Run(ctx context.Context) error {
+	o.moving = make(map[string]bool)
+	go o.judgeAlways(ctx)
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		o.keep(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// keep renews the lease or makes a new one.
+func (o *Overseer) keep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	asked := o.Now()
+	lease := o.currentLease()
+	if lease != 0 {
+		err := o.Space.Renew(ctx, lease)
+		if err == nil {
+			o.renewed(lease, asked)
+			return
+		}
+		if !errors.Is(err, storer.ErrLeaseExpired) {
+			o.Logger.Warn("lease_not_renewed", "lease", int64(lease), "error", err.Error())
+			return
+		}
+		o.Logger.Warn("lease_expired", "lease", int64(lease))
+	}
+	o.dropLease()
+	lease, err := o.Space.Grant(ctx, leaseTime)
+	if err != nil {
+		o.Logger.Warn("lease_not_granted", "error", err.Error())
+		return
+	}
+	o.renewed(lease, asked)
+	o.register(ctx, lease)
+}
+
+// register writes the host's key. One left by a former process of the same
+// name is replaced.
+func (o *Overseer) register(ctx context.Context, lease storer.LeaseID) {
+	key := hostsPrefix + o.Host.Name
+	known, _ := o.Mirror.Get(key)
+	expected := known.Revision
+	for range 2 {
+		revision, err := o.Space.Write(ctx, storer.Put{Key: key, Value: encodeHost(o.Host), Expected: expected, Lease: lease})
+		if err == nil {
+			o.Mirror.Wrote(informer.Record{Key: key, Value: encodeHost(o.Host), Revision: revision})
+			o.Logger.Info("host_registered", "lease", int64(lease), "revision", revision)
+			return
+		}
+		var conflict *storer.Conflict
+		if !errors.As(err, &conflict) {
+			o.Logger.Warn("host_not_registered", "error", err.Error())
+			o.dropLease()
+			return
+		}
+		expected = conflict.Now.ModRevision
+	}
+	o.dropLease()
+}
+
+func (o *Overseer) currentLease() storer.LeaseID {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lease
+}
+
+func (o *Overseer) renewed(lease storer.LeaseID, asked time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lease = lease
+	o.leaseUntil = asked.Add(leaseTime)
+}
+
+func (o *Overseer) dropLease() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lease = 0
+	o.token = 0
+}
+
+// holds returns the fencing token if this host surely holds the duty.
+func (o *Overseer) holds() (int64, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.token, o.token > 0 && o.Now().Before(o.leaseUntil)
+}
+
+// Stop gives the duty up and ends the host's lease.
+func (o *Overseer) Stop(ctx context.Context) {
+	o.mu.Lock()
+	o.stopping = true
+	lease := o.lease
+	o.lease = 0
+	o.token = 0
+	o.mu.Unlock()
+	if lease != 0 {
+		if err := o.Space.Revoke(ctx, lease); err != nil {
+			o.Logger.Warn("lease_not_revoked", "error", err.Error())
+		}
+	}
+}
+
+// GiveUpDuty lets another host take the duty while this one still serves.
+func (o *Overseer) GiveUpDuty() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stopping = true
+}
+
+func (o *Overseer) judgeAlways(ctx context.Context) {
+	ticker := time.NewTicker(judgeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if o.campaign(ctx) {
+			o.judge(ctx)
+		}
+	}
+}
+
+// campaign takes the duty if nobody holds it, and reports whether this host
+// does.
+func (o *Overseer) campaign(ctx context.Context) bool {
+	if _, ok := o.holds(); ok {
+		return true
+	}
+	record, taken := o.Mirror.Get(dutyKey)
+	o.mu.Lock()
+	lease, stopping, sure := o.lease, o.stopping, o.Now().Before(o.leaseUntil)
+	o.mu.Unlock()
+	if taken && lease != 0 && sure {
+		var duty wireDuty
+		if json.Unmarshal(record.Value, &duty) == nil && duty.Incarnation == o.Host.Incarnation {
+			o.took(record.Revision)
+			return true
+		}
+	}
+	if taken || lease == 0 || stopping || !sure || !o.Mirror.Loaded() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	value := encode(wireDuty{Host: o.Host.Name, Incarnation: o.Host.Incarnation})
+	revision, err := o.Space.Write(ctx, storer.Put{Key: dutyKey, Value: value, Lease: lease})
+	if err != nil {
+		var conflict *storer.Conflict
+		if errors.As(err, &conflict) {
+			o.Mirror.Wrote(informer.Record{Key: dutyKey, Value: conflict.Now.Value, Revision: conflict.Now.ModRevision})
+		}
+		return false
+	}
+	o.Mirror.Wrote(informer.Record{Key: dutyKey, Value: value, Revision: revision})
+	o.took(revision)
+	return true
+}
+
+func (o *Overseer) took(revision int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.token = revision
+	o.Logger.Info("duty_taken", "token", revision)
+}
+
+// judge looks at every service and replaces primaries where that is due.
+func (o *Overseer) judge(ctx context.Context) {
+	catalog := o.Catalog()
+	if catalog == nil || catalog.Configuration == nil {
+		return
+	}
+	members := append(o.Members(), o.Own())
+	for service := range catalog.Configuration.Services {
+		if len(catalog.Endpoints[service]) == 0 || !o.lock(service) {
+			continue
+		}
+		go func() {
+			defer o.unlock(service)
+			o.judgeService(ctx, catalog, service, members)
+		}()
+	}
+}
+
+func (o *Overseer) lock(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.moving[service] {
+		return false
+	}
+	o.moving[service] = true
+	return true
+}
+
+func (o *Overseer) unlock(service string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.moving, service)
+}
+
+func (o *Overseer) judgeService(ctx context.Context, catalog *cataloger.Catalog, service string, members []Member) {
+	lead, led := catalog.Leads[service]
+	if !led {
+		o.recordFirst(ctx, catalog, service)
+		return
+	}
+	situation := situationOf(catalog, lead, members)
+	reason := Judge(situation)
+	if reason == ReasonFailing && o.answers(ctx, situation.Primary) {
+		return
+	}
+	if reason == ReasonNone {
+		return
+	}
+	m := &move{overseer: o, service: service, lead: lead, former: situation.Primary, registered: situation.Registered, reason: reason}
+	m.run(ctx)
+}
+
+// situationOf collects what is known of a service.
+func situationOf(catalog *cataloger.Catalog, lead cataloger.Lead, members []Member) Situation {
+	s := Situation{Lead: lead, Hosts: len(members)}
+	s.Primary, s.Registered = catalog.Endpoint(lead.Service, lead.ID)
+	s.Registered = s.Registered && s.Primary.Born == lead.Born
+	s.Evacuated = s.Registered && catalog.Evacuated[s.Primary.DataCentre]
+	s.Candidates = len(eligible(catalog, lead))
+	for _, member := range members {
+		if o, ok := member.Opinions[lead.Service]; ok && o.ID == lead.ID && o.Born == lead.Born {
+			s.Opinions = append(s.Opinions, o.Opinion)
+		}
+	}
+	return s
+}
+
+// eligible returns the databases that could take over. A restarted primary
+// that lost its incarnation counts like any other.
+func eligible(catalog *cataloger.Catalog, lead cataloger.Lead) []cataloger.Endpoint {
+	var list []cataloger.Endpoint
+	for _, e := range catalog.Endpoints[lead.Service] {
+		same := e.ID == lead.ID && e.Born == lead.Born
+		if !same && !e.Draining && !catalog.Evacuated[e.DataCentre] {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// recordFirst records the primary that a service has when nobody ever changed
+// it. If none claims the role, the most advanced database gets it.
+func (o *Overseer) recordFirst(ctx context.Context, catalog *cataloger.Catalog, service string) {
+	endpoint, ok := catalog.PrimaryOf(service)
+	if !ok {
+		return
+	}
+	lead := cataloger.Lead{Service: service, ID: endpoint.ID, Born: endpoint.Born}
+	if _, err := o.write(ctx, lead); err != nil {
+		o.Logger.Warn("lead_not_recorded", "service", service, "error", err.Error())
+	}
+}
+
+// write records a lead under the condition that it has not changed.
+func (o *Overseer) write(ctx context.Context, lead cataloger.Lead) (cataloger.Lead, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := leadsPrefix + lead.Service
+	revision, err := o.Space.Write(ctx, storer.Put{Key: key, Value: encodeLead(lead), Expected: lead.Revision})
+	if err != nil {
+		return lead, err
+	}
+	lead.Revision = revision
+	o.Mirror.Wrote(informer.Record{Key: key, Value: encodeLead(lead), Revision: revision})
+	o.Spread()
+	return lead, nil
+}
+
+// answers reports whether a suspected primary still leads.
+func (o *Overseer) answers(ctx context.Context, primary cataloger.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	status, err := o.Status(ctx, primary)
+	o.Logger.Info("primary_probed", "service", primary.Service, "database", primary.ID, "answered", err == nil, "leads", status.Primary)
+	return err == nil && status.Primary
+}
--- a/run.go
+++ b/run.go
@@ -93,6 +93,7 @@
 		command     flags.Commander
 	}{
 		{"serve", "Run one host", &serveCommand{env: e}},
+		{"host", "Run one host on the platform", &hostCommand{env: e}},
 		{"check", "Check a folder of configuration objects", &checkCommand{env: e}},
 		{"publish", "Check and publish a folder of configuration objects", &publishCommand{env: e}},
 		{"take-out", "Take a data centre, host or database out of service", &takeOutCommand{takenOut: true, env: e}},
