Deduct each report of another host once

Cause: two hosts report to each other on two connections, so that a report can be overtaken. The older one was kept as the last, and the next report deducted operations a second time; a hot customer was refused for 18 s after its rush. The new test of the load fails on the former code.

--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -18,6 +18,9 @@
 	leastBudget = 1
 	// demandSpan is the time over which demand is averaged.
 	demandSpan = 2 * time.Second
+	// maxDebt bounds how long a customer waits after more was admitted than
+	// there was.
+	maxDebt = 2 * time.Second
 	// newcomerWeight is the part of the rate that is dealt evenly, for hosts
 	// whose demand has just begun.
 	newcomerWeight = 0.1
@@ -124,13 +127,17 @@
 		if !ok {
 			continue
 		}
-		news := spent.Admitted
+		counted := int64(0)
 		if sameProcess {
-			news -= before.Spent[name].Admitted
+			counted = before.Spent[name].Admitted
 		}
 		if known || f.bornAfterSync(spent, b) {
-			b.level -= max(0, float64(news))
+			b.level = max(b.level-max(0, float64(spent.Admitted-counted)), -b.bound.Rate*maxDebt.Seconds())
 		}
+		// A report that was overtaken must not lower the count, or the next one
+		// would be deducted twice.
+		spent.Admitted = max(spent.Admitted, counted)
+		report.Spent[name] = spent
 	}
 	f.reports[host] = report
 }
--- /dev/null
+++ b/limiter/fleet_test.go
@@ -0,0 +1,185 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+)
+
+// A fleetModel is a number of hosts with one customer whose reports reach the
+// others after a delay.
+type fleetModel struct {
+	now    time.Time
+	fleets []*Fleet
+	// late holds the reports on their way.
+	late []lateReport
+}
+
+type lateReport struct {
+	due      time.Time
+	from, to int
+	report   HostReport
+}
+
+func newFleetModel(hosts int, bound Bound) *fleetModel {
+	m := &fleetModel{now: time.Unix(1000, 0)}
+	for range hosts {
+		f := NewFleet(func() time.Time { return m.now })
+		f.SetHosts(hosts)
+		f.SetBounds(map[string]Bound{"customer": bound})
+		m.fleets = append(m.fleets, f)
+	}
+	return m
+}
+
+// step moves time on and lets each host report every interval, with delays
+// that let a later report overtake an earlier one.
+func (m *fleetModel) step(d, interval time.Duration, cut map[int]bool) {
+	m.now = m.now.Add(d)
+	ticks := int(m.now.UnixNano() / int64(d))
+	per := int(interval / d)
+	for from, f := range m.fleets {
+		if (ticks+from)%per != 0 || cut[from] {
+			continue
+		}
+		delay := time.Duration(ticks/per%2) * 400 * time.Millisecond
+		for to := range m.fleets {
+			if to != from && !cut[to] {
+				report := HostReport{Incarnation: "1", Spent: f.Spent()}
+				m.late = append(m.late, lateReport{due: m.now.Add(delay), from: from, to: to, report: report})
+			}
+		}
+	}
+	kept := m.late[:0]
+	for _, l := range m.late {
+		if m.now.Before(l.due) {
+			kept = append(kept, l)
+			continue
+		}
+		l.report.Heard = m.now
+		m.fleets[l.to].Hear(string(rune('a'+l.from)), l.report)
+	}
+	m.late = kept
+}
+
+// TestFleetKeepsBoundUnderHotCustomer guards against admitting more than rate
+// and burst over all hosts while one customer sends many times its rate, and
+// against refusing it long after it is back below its rate.
+func TestFleetKeepsBoundUnderHotCustomer(t *testing.T) {
+	const (
+		hosts    = 9
+		step     = 10 * time.Millisecond
+		window   = 5 * time.Second
+		overage  = 0.1
+		slack    = 20
+		hotBegin = 3 * time.Second
+		hotEnd   = 10 * time.Second
+		end      = 20 * time.Second
+	)
+	tests := []struct {
+		name  string
+		bound Bound
+		// usual and hot are in operations per second over all hosts.
+		usual, hot float64
+	}{
+		{name: "large", bound: Bound{Rate: 117, Burst: 117}, usual: 100, hot: 900},
+		{name: "small", bound: Bound{Rate: 20, Burst: 20}, usual: 16, hot: 160},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newFleetModel(hosts, test.bound)
+			var admitted []int
+			refusedAfter, askedAfter := 0, 0
+			owed := 0.0
+			turn := 0
+			for elapsed := time.Duration(0); elapsed < end; elapsed += step {
+				m.step(step, 250*time.Millisecond, nil)
+				rate := test.usual
+				if elapsed >= hotBegin && elapsed < hotEnd {
+					rate = test.hot
+				}
+				owed += rate * step.Seconds()
+				count := 0
+				for ; owed >= 1; owed-- {
+					turn++
+					ok, _ := m.fleets[turn*turn%hosts].Admit("customer")
+					if ok {
+						count++
+					}
+					if elapsed > hotEnd+3*time.Second {
+						askedAfter++
+						if !ok {
+							refusedAfter++
+						}
+					}
+				}
+				admitted = append(admitted, count)
+			}
+			limit := (test.bound.Rate*window.Seconds()+test.bound.Burst)*(1+overage) + slack
+			if got := maxOverWindow(admitted, int(window/step)); float64(got) > limit {
+				t.Errorf("admitted %d in %v, want at most %.0f", got, window, limit)
+			}
+			if got, want := refusedAfter, askedAfter/20; got > want {
+				t.Errorf("refused %d of %d after the rush, want at most %d", got, askedAfter, want)
+			}
+		})
+	}
+}
+
+func maxOverWindow(counts []int, window int) int {
+	most, sum := 0, 0
+	for i, c := range counts {
+		sum += c
+		if i >= window {
+			sum -= counts[i-window]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// TestFleetServesUsualLoad guards against refusing customers that stay below
+// their rate but reach hosts unevenly.
+func TestFleetServesUsualLoad(t *testing.T) {
+	m := newFleetModel(9, Bound{Rate: 20, Burst: 20})
+	refused, asked := 0, 0
+	owed := 0.0
+	for i := range 3000 {
+		m.step(10*time.Millisecond, 250*time.Millisecond, nil)
+		owed += 0.12
+		for ; owed >= 1; owed-- {
+			if i < 300 {
+				continue
+			}
+			asked++
+			if ok, _ := m.fleets[i*i%7].Admit("customer"); !ok {
+				refused++
+			}
+		}
+	}
+	if got, want := refused, asked/50; got > want {
+		t.Errorf("refused %d of %d, want at most %d", got, asked, want)
+	}
+}
+
+// TestFleetKeepsBoundWhenCut guards against a host that hears nobody using
+// more than its part of the rate.
+func TestFleetKeepsBoundWhenCut(t *testing.T) {
+	m := newFleetModel(3, Bound{Rate: 30, Burst: 30})
+	count := func(d time.Duration, cut map[int]bool) int {
+		admitted := 0
+		for range int(d / (10 * time.Millisecond)) {
+			m.step(10*time.Millisecond, 250*time.Millisecond, cut)
+			for _, f := range m.fleets {
+				if ok, _ := f.Admit("customer"); ok {
+					admitted++
+				}
+			}
+		}
+		return admitted
+	}
+	count(6*time.Second, nil)
+	got := count(5*time.Second, map[int]bool{0: true})
+	if limit := int((30*5+30)*1.1 + 20); got > limit {
+		t.Errorf("admitted %d in 5s, want at most %d", got, limit)
+	}
+}
