--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -1,51 +1,51 @@
 package exchanger
 
 import (
-	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"storj.io/drpc"
 )
 
-// errNotMessage says that a value is not a *Message.
-var errNotMessage = errors.New("not a message of the exchange")
-
-// The wire types hold durations in microseconds.
-type wirePrimary struct {
-	ID           string `json:"id"`
-	Born         int64  `json:"born"`
-	SinceSuccess int64  `json:"since_success_us"`
-	SinceFailure int64  `json:"since_failure_us"`
-}
+// Sentinel errors of the codec.
+var (
+	// errNotMessage says that a value is not a *Message.
+	errNotMessage = errors.New("not a message of the exchange")
+	// errBadMessage says that bytes can't be decoded.
+	errBadMessage = errors.New("malformed message of the exchange")
+)
 
-type wireUsage struct {
-	Admitted int64   `json:"admitted"`
-	Demand   float64 `json:"demand_per_s"`
-}
+// Field numbers of the wire form, which is that of protocol buffers. Durations
+// are in milliseconds, moved up by one so that 0 stands for unknown.
+const (
+	fieldHost = iota + 1
+	fieldIncarnation
+	fieldAddress
+	fieldDataCentre
+	fieldRevision
+	fieldAge
+	fieldStopping
+	fieldUsage
+	fieldPrimary
+	fieldReleased
+	fieldRecord
+)
 
-type wireRecord struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
-	Revision int64  `json:"revision"`
-	Deleted  bool   `json:"deleted,omitempty"`
-}
+// Field numbers of the nested messages.
+const (
+	fieldName = iota + 1
+	fieldFirst
+	fieldSecond
+	fieldThird
+	fieldFourth
+)
 
-type wireMessage struct {
-	Host        string                 `json:"host"`
-	Incarnation string                 `json:"incarnation"`
-	Address     string                 `json:"address"`
-	DataCentre  string                 `json:"data_centre"`
-	Revision    int64                  `json:"revision"`
-	Age         int64                  `json:"age_us"`
-	Stopping    bool                   `json:"stopping,omitempty"`
-	Usages      map[string]wireUsage   `json:"usages,omitempty"`
-	Primaries   map[string]wirePrimary `json:"primaries,omitempty"`
-	Released    map[string]int64       `json:"released,omitempty"`
-	Records     []wireRecord           `json:"records,omitempty"`
-}
+// demandUnit is the resolution of a demand in operations per second.
+const demandUnit = 0.1
 
-// encoding carries messages over drpc as JSON.
+// encoding carries messages over drpc.
 type encoding struct{}
 
 // Marshal implements drpc.Encoding.
@@ -54,8 +54,7 @@
 	if !ok {
 		return nil, errors.Wrapf(errNotMessage, "%T", message)
 	}
-	data, err := json.Marshal(toWire(m))
-	return data, errors.Wrap(err, "encode exchange")
+	return appendMessage(nil, m), nil
 }
 
 // Unmarshal implements drpc.Encoding.
@@ -64,55 +63,171 @@
 	if !ok {
 		return errors.Wrapf(errNotMessage, "%T", message)
 	}
-	var wire wireMessage
-	if err := json.Unmarshal(data, &wire); err != nil {
-		return errors.Wrap(err, "decode exchange")
+	decoded, err := parseMessage(data)
+	*m = decoded
+	return err
+}
+
+func appendString(b []byte, field protowire.Number, value string) []byte {
+	if value == "" {
+		return b
 	}
-	*m = fromWire(wire)
-	return nil
+	return protowire.AppendString(protowire.AppendTag(b, field, protowire.BytesType), value)
+}
+
+func appendNumber(b []byte, field protowire.Number, value uint64) []byte {
+	if value == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), value)
+}
+
+func appendNested(b []byte, field protowire.Number, nested []byte) []byte {
+	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), nested)
+}
+
+// fromDuration encodes a duration; a negative one is unknown.
+func fromDuration(d time.Duration) uint64 {
+	if d < 0 {
+		return 0
+	}
+	return uint64(d.Milliseconds()) + 1
+}
+
+func toDuration(n uint64) time.Duration {
+	if n == 0 {
+		return -1
+	}
+	return time.Duration(n-1) * time.Millisecond
 }
 
-func toWire(m *Message) wireMessage {
+func appendMessage(b []byte, m *Message) []byte {
 	r := m.Report
-	wire := wireMessage{
-		Host: r.Host, Incarnation: r.Incarnation, Address: r.Address, DataCentre: r.DataCentre,
-		Revision: r.Revision, Age: r.Age.Microseconds(), Stopping: r.Stopping, Released: r.Released,
-		Usages: make(map[string]wireUsage, len(r.Usages)), Primaries: make(map[string]wirePrimary, len(r.Primaries)),
-	}
-	for name, usage := range r.Usages {
-		wire.Usages[name] = wireUsage(usage)
-	}
-	for name, p := range r.Primaries {
-		wire.Primaries[name] = wirePrimary{
-			ID: p.ID, Born: p.Born,
-			SinceSuccess: p.SinceSuccess.Microseconds(), SinceFailure: p.SinceFailure.Microseconds(),
+	b = appendString(b, fieldHost, r.Host)
+	b = appendString(b, fieldIncarnation, r.Incarnation)
+	b = appendString(b, fieldAddress, r.Address)
+	b = appendString(b, fieldDataCentre, r.DataCentre)
+	b = appendNumber(b, fieldRevision, uint64(r.Revision))
+	b = appendNumber(b, fieldAge, fromDuration(r.Age))
+	if r.Stopping {
+		b = appendNumber(b, fieldStopping, 1)
+	}
+	var nested []byte
+	for name, u := range r.Usages {
+		nested = appendString(nested[:0], fieldName, name)
+		nested = appendNumber(nested, fieldFirst, uint64(u.Admitted))
+		nested = appendNumber(nested, fieldSecond, uint64(math.Round(u.Demand/demandUnit)))
+		b = appendNested(b, fieldUsage, nested)
+	}
+	for service, p := range r.Primaries {
+		nested = appendString(nested[:0], fieldName, service)
+		nested = appendString(nested, fieldFirst, p.ID)
+		nested = appendNumber(nested, fieldSecond, uint64(p.Born))
+		nested = appendNumber(nested, fieldThird, fromDuration(p.SinceSuccess))
+		if p.SinceFailure > 0 {
+			nested = appendNumber(nested, fieldFourth, fromDuration(p.SinceFailure))
 		}
+		b = appendNested(b, fieldPrimary, nested)
+	}
+	for service, revision := range r.Released {
+		nested = appendString(nested[:0], fieldName, service)
+		nested = appendNumber(nested, fieldFirst, uint64(revision))
+		b = appendNested(b, fieldReleased, nested)
 	}
 	for _, record := range m.Records {
-		wire.Records = append(wire.Records, wireRecord(record))
+		nested = appendString(nested[:0], fieldName, record.Key)
+		nested = appendNumber(nested, fieldFirst, uint64(record.Revision))
+		if record.Deleted {
+			nested = appendNumber(nested, fieldSecond, 1)
+		}
+		nested = appendNested(nested, fieldThird, record.Value)
+		b = appendNested(b, fieldRecord, nested)
 	}
-	return wire
+	return b
+}
+
+// A fields holds the fields of one message by number. A repeated field calls
+// nested for each value.
+type fields struct {
+	numbers map[protowire.Number]uint64
+	bytes   map[protowire.Number][]byte
 }
 
-func fromWire(wire wireMessage) Message {
+func (f fields) text(field protowire.Number) string { return string(f.bytes[field]) }
+
+// parseFields reads a message; nested is called for each field of bytes.
+func parseFields(data []byte, nested func(field protowire.Number, value []byte) error) (fields, error) {
+	f := fields{numbers: make(map[protowire.Number]uint64), bytes: make(map[protowire.Number][]byte)}
+	for len(data) > 0 {
+		field, kind, n := protowire.ConsumeTag(data)
+		if n < 0 {
+			return f, errors.Wrap(errBadMessage, protowire.ParseError(n).Error())
+		}
+		data = data[n:]
+		switch kind {
+		case protowire.VarintType:
+			f.numbers[field], n = protowire.ConsumeVarint(data)
+		case protowire.BytesType:
+			f.bytes[field], n = protowire.ConsumeBytes(data)
+		default:
+			n = protowire.ConsumeFieldValue(field, kind, data)
+		}
+		if n < 0 {
+			return f, errors.Wrap(errBadMessage, protowire.ParseError(n).Error())
+		}
+		if kind == protowire.BytesType && nested != nil {
+			if err := nested(field, f.bytes[field]); err != nil {
+				return f, err
+			}
+		}
+		data = data[n:]
+	}
+	return f, nil
+}
+
+func parseMessage(data []byte) (Message, error) {
 	m := Message{Report: Report{
-		Host: wire.Host, Incarnation: wire.Incarnation, Address: wire.Address, DataCentre: wire.DataCentre,
-		Revision: wire.Revision, Age: time.Duration(wire.Age) * time.Microsecond, Stopping: wire.Stopping,
-		Released: wire.Released,
-		Usages:   make(map[string]Usage, len(wire.Usages)), Primaries: make(map[string]PrimaryHealth, len(wire.Primaries)),
+		Usages: make(map[string]Usage), Primaries: make(map[string]PrimaryHealth), Released: make(map[string]int64),
 	}}
-	for name, usage := range wire.Usages {
-		m.Report.Usages[name] = Usage(usage)
+	f, err := parseFields(data, m.parseNested)
+	if err != nil {
+		return Message{}, err
+	}
+	r := &m.Report
+	r.Host, r.Incarnation = f.text(fieldHost), f.text(fieldIncarnation)
+	r.Address, r.DataCentre = f.text(fieldAddress), f.text(fieldDataCentre)
+	r.Revision, r.Age = int64(f.numbers[fieldRevision]), toDuration(f.numbers[fieldAge])
+	r.Stopping = f.numbers[fieldStopping] != 0
+	return m, nil
+}
+
+// parseNested takes in one value of a repeated field.
+func (m *Message) parseNested(field protowire.Number, value []byte) error {
+	if field < fieldUsage || field > fieldRecord {
+		return nil
+	}
+	f, err := parseFields(value, nil)
+	if err != nil {
+		return err
 	}
-	for name, p := range wire.Primaries {
+	name := f.text(fieldName)
+	switch field {
+	case fieldUsage:
+		m.Report.Usages[name] = Usage{
+			Admitted: int64(f.numbers[fieldFirst]), Demand: float64(f.numbers[fieldSecond]) * demandUnit,
+		}
+	case fieldPrimary:
 		m.Report.Primaries[name] = PrimaryHealth{
-			ID: p.ID, Born: p.Born,
-			SinceSuccess: time.Duration(p.SinceSuccess) * time.Microsecond,
-			SinceFailure: time.Duration(p.SinceFailure) * time.Microsecond,
+			ID: f.text(fieldFirst), Born: int64(f.numbers[fieldSecond]),
+			SinceSuccess: toDuration(f.numbers[fieldThird]), SinceFailure: max(0, toDuration(f.numbers[fieldFourth])),
 		}
+	case fieldReleased:
+		m.Report.Released[name] = int64(f.numbers[fieldFirst])
+	case fieldRecord:
+		m.Records = append(m.Records, Record{
+			Key: name, Value: append([]byte(nil), f.bytes[fieldThird]...),
+			Revision: int64(f.numbers[fieldFirst]), Deleted: f.numbers[fieldSecond] != 0,
+		})
 	}
-	for _, record := range wire.Records {
-		m.Records = append(m.Records, Record(record))
-	}
-	return m
+	return nil
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -21,6 +21,8 @@
 	Interval = 250 * time.Millisecond
 	// callTimeout bounds one exchange. Peers answer from memory.
 	callTimeout = 600 * time.Millisecond
+	// silentTime is after how long a host that should ask is asked itself.
+	silentTime = 3 * Interval
 	// retryPause is the time between attempts to reach a host that is away.
 	retryPause = 500 * time.Millisecond
 )
@@ -31,6 +33,10 @@
 	// Heard is when the request was sent that brought the report, or when it
 	// arrived unasked.
 	Heard time.Time
+	// arrived is when the last report arrived.
+	arrived time.Time
+	// answered is when this host last answered a report of the other one.
+	answered time.Time
 	// Refused is when the host's machine last refused a connection, which shows
 	// that its process has ended.
 	Refused time.Time
@@ -127,6 +133,11 @@
 			wanted["seed "+seed] = seed
 		}
 	}
+	for name := range wanted {
+		if !e.asks(name) {
+			delete(wanted, name)
+		}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for name, l := range e.lines {
@@ -146,6 +157,18 @@
 	}
 }
 
+// asks reports whether this host asks the other one, or is asked by it: one
+// exchange tells both. A host that was not heard for long is asked in any case,
+// since a path may be open in one direction only.
+func (e *Exchanger) asks(name string) bool {
+	if e.Host < name {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Now().Sub(e.peers[name].arrived) > silentTime
+}
+
 // run exchanges with one host until ctx ends.
 func (e *Exchanger) run(ctx context.Context, l *line) {
 	var conn *drpcconn.Conn
@@ -251,6 +274,7 @@
 	}
 	peer := e.peers[message.Report.Host]
 	peer.Report = message.Report
+	peer.arrived = e.Now()
 	if sent.After(peer.Heard) {
 		peer.Heard = sent
 	}
@@ -260,14 +284,25 @@
 }
 
 // answer takes in a report and returns this host's, with what the other lacks.
-// The age in an unasked report was told before it arrived, so nothing is known
-// of when it was sent; only its records count as news.
+// When the report was sent is not known, but it was after this host answered
+// the one before.
 func (e *Exchanger) answer(request *Message) *Message {
-	e.take(*request, time.Time{})
+	e.mu.Lock()
+	sent := e.peers[request.Report.Host].answered
+	if e.peers[request.Report.Host].Report.Incarnation != request.Report.Incarnation {
+		sent = time.Time{}
+	}
+	e.mu.Unlock()
+	e.take(*request, sent)
 	answer := &Message{Report: e.Report()}
 	if request.Report.Revision < answer.Report.Revision {
 		answer.Records = e.Since(request.Report.Revision)
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	peer := e.peers[request.Report.Host]
+	peer.answered = e.Now()
+	e.peers[request.Report.Host] = peer
 	return answer
 }
 
--- a/host.go
+++ b/host.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/pkg/errors"
 	gometrics "github.com/rcrowley/go-metrics"
@@ -60,5 +62,34 @@
 		Settings: settings, Platform: platform.New(settings), Logger: reporter.NewLogger(writer, level),
 		Writer: writer, Registry: gometrics.NewRegistry(),
 	}
+	stop := reloadOnHangup(host, path)
+	defer stop()
 	return host.Run(c.env.ctx)
 }
+
+// reloadOnHangup reads the settings again at each hangup signal. Settings that
+// are not valid are reported and change nothing.
+func reloadOnHangup(host *hoster.Host, path string) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-hangups:
+			case <-done:
+				return
+			}
+			settings, err := hoster.ReadSettings(path)
+			if err != nil {
+				host.Logger.Error("settings_rejected", "error", err.Error())
+				continue
+			}
+			host.Reload(settings)
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(done)
+	}
+}
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"reflect"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -223,6 +224,25 @@
 	}
 }
 
+// Reload puts changed settings into force where that is possible within the
+// life of a process: addresses stay as they were.
+func (h *Host) Reload(settings Settings) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.Settings
+	h.Settings.StopTimeout, h.Settings.ViewTimeout = settings.StopTimeout, settings.ViewTimeout
+	kept := old
+	kept.StopTimeout, kept.ViewTimeout = settings.StopTimeout, settings.ViewTimeout
+	ignored := !reflect.DeepEqual(kept, settings)
+	h.Logger.Info("settings_reloaded", "stop_timeout", settings.StopTimeout, "view_timeout", settings.ViewTimeout, "needs_restart", ignored)
+}
+
+func (h *Host) stopTimeout() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.Settings.StopTimeout
+}
+
 // addHeard adds hosts that are heard though the store does not list them.
 func (h *Host) addHeard(catalog *cataloger.Catalog) {
 	now := timekeeper.Now()
@@ -295,8 +315,9 @@
 	h.Logger.Info("host_stopping", "host", h.Settings.Host, "sessions", h.director.Sessions())
 	h.stopping.Store(true)
 	h.overseer.GiveUpDuty()
-	h.director.Stop(began.Add(h.Settings.StopTimeout / 2))
-	last := began.Add(h.Settings.StopTimeout - exitReserve)
+	stopTimeout := h.stopTimeout()
+	h.director.Stop(began.Add(stopTimeout / 2))
+	last := began.Add(stopTimeout - exitReserve)
 	for time.Now().Before(last) {
 		if time.Since(began) > balancerDelay && h.director.Sessions() == 0 {
 			break
