Give each host a home replica, let hosts vouch for each other's view

Cause: with connections spread over all replicas a host had fewer of them than customers and opened a new one for 4 of 10 requests; handshakes then filled the queue of new connections and busy databases were taken for dead ones, which replaced a working primary.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -31,6 +31,9 @@
 	// checkIdle is how long a connection rests before it is checked for a
 	// close by the database when it is used again.
 	checkIdle = 20 * time.Millisecond
+	// maxDialing bounds the connections that a pool opens at once: each takes a
+	// slot of the database, and the queue for new ones is short.
+	maxDialing = 2
 	// fullPause is how long a pool opens no connection beyond those it has
 	// after the database refused one.
 	fullPause = 300 * time.Millisecond
@@ -78,6 +81,8 @@
 	idle []*Conn
 	// open counts idle, used and dialled connections.
 	open int
+	// dialing counts the connections that are being opened.
+	dialing int
 	// limit is the number of connections that the pool may have.
 	limit int
 	// fullUntil is when the pool may open connections beyond its guaranteed
@@ -166,13 +171,13 @@
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 		return conn, nil, nil
 	}
-	if p.open < p.limit && (p.open == 0 || !p.Now().Before(p.fullUntil)) {
-		p.open++
+	if p.mayOpen() {
+		p.reserve()
 		return nil, nil, nil
 	}
-	if len(p.idle) > 0 {
+	if len(p.idle) > 0 && p.dialing < maxDialing {
 		p.dropOldest()
-		p.open++
+		p.reserve()
 		return nil, nil, nil
 	}
 	w := &waiter{customer: customer, priority: priority, granted: make(chan *Conn, 1)}
@@ -180,6 +185,17 @@
 	return nil, w, nil
 }
 
+// mayOpen reports whether there is room for another connection.
+func (p *Pool) mayOpen() bool {
+	return p.open < p.limit && p.dialing < maxDialing && (p.open == 0 || !p.Now().Before(p.fullUntil))
+}
+
+// reserve takes room for a connection that is about to be opened.
+func (p *Pool) reserve() {
+	p.open++
+	p.dialing++
+}
+
 // enqueue puts w behind the waiters of its priority.
 func (p *Pool) enqueue(w *waiter) {
 	i := len(p.waiters)
@@ -239,6 +255,9 @@
 		return conn
 	}
 	_ = conn.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing++
 	return nil
 }
 
@@ -258,9 +277,10 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	transport, err := p.Dial(ctx, customer)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
 	if err != nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
 		if errors.Is(err, ErrFull) {
 			p.fullUntil = p.Now().Add(fullPause)
 		}
@@ -268,6 +288,7 @@
 		p.grant()
 		return nil, err
 	}
+	p.grant()
 	return &Conn{Transport: transport, Customer: customer, Prepared: make(map[string]bool), Opened: p.Now()}, nil
 }
 
@@ -324,10 +345,17 @@
 
 // grant lets waiters open connections while there is room.
 func (p *Pool) grant() {
-	for len(p.waiters) > 0 && p.open < p.limit {
+	for len(p.waiters) > 0 && p.dialing < maxDialing {
+		switch {
+		case p.mayOpen():
+		case len(p.idle) > 0:
+			p.dropOldest()
+		default:
+			return
+		}
 		w := p.waiters[0]
 		p.waiters = p.waiters[1:]
-		p.open++
+		p.reserve()
 		w.granted <- nil
 	}
 }
--- a/director/attempt.go
+++ b/director/attempt.go
@@ -156,7 +156,7 @@
 	case errors.Is(err, connector.ErrQueueTimeout), errors.Is(err, connector.ErrFull), errors.Is(err, connector.ErrClosed):
 		op.service.busy(db)
 	default:
-		op.service.failed(db, err)
+		op.service.unopened(db, err)
 	}
 }
 
@@ -230,9 +230,13 @@
 	}
 	reply, err := a.conn.Receive(deadline)
 	if err != nil {
+		a.operation.ran = a.operation.ran || a.passed
 		return executor.Reply{}, err
 	}
 	a.operation.service.succeeded(a.database, a.sent, reply.Position)
+	if statement.ID != "" && !reply.Code.NotRun() {
+		a.operation.ran = true
+	}
 	return reply, nil
 }
 
--- a/director/director.go
+++ b/director/director.go
@@ -18,9 +18,6 @@
 var ErrInterrupted = errors.New("interrupted")
 
 const (
-	// connectionReserve is the part of a database's connections that hosts
-	// leave unused, for connections that the database has not yet seen close.
-	connectionReserve = 0.06
 	// drainedAge is how long after a database left the registry its pool is
 	// kept for transactions that are still open.
 	drainedAge = 30 * time.Second
@@ -29,6 +26,8 @@
 // A Director serves the sessions of one host. Its exported fields are set
 // before first use.
 type Director struct {
+	// Host is the name of this host.
+	Host string
 	// DataCentre is that of this host.
 	DataCentre string
 	// Dial opens a connection to a database for a customer. Errors wrap the
@@ -108,17 +107,6 @@
 		"routes", len(catalog.Configuration.Routes), "customers", len(catalog.Configuration.Customers))
 }
 
-// connectionLimit returns how many connections to one database this host may
-// have, so that all hosts together stay below the database's limit.
-func connectionLimit(catalog *cataloger.Catalog, service string) int {
-	if catalog.Configuration == nil {
-		return 1
-	}
-	limit := float64(catalog.Configuration.Services[service].MaxConnections)
-	hosts := float64(max(1, len(catalog.Hosts)))
-	return max(1, int(limit*(1-connectionReserve)/hosts))
-}
-
 // service returns the state of a service, or nil if no database of it was ever
 // registered.
 func (d *Director) service(name string) *service {
--- a/director/route.go
+++ b/director/route.go
@@ -31,6 +31,8 @@
 	Cold bool
 	// Local is set if the database stands in this host's data centre.
 	Local bool
+	// Home is set for the replica that this host reads from.
+	Home bool
 }
 
 // A Need says what an operation asks of a database.
@@ -52,7 +54,8 @@
 const (
 	costRemote  = 0.3
 	costConnect = 0.5
-	costPrimary = 1.0
+	costPrimary = 4.0
+	costVisitor = 3.0
 	costBusy    = 3.0
 	costBehind  = 6.0
 	costFailing = 50.0
@@ -90,8 +93,11 @@
 	if !c.Idle {
 		cost += costConnect
 	}
-	if c.Primary {
+	switch {
+	case c.Primary:
 		cost += costPrimary
+	case !c.Home:
+		cost += costVisitor
 	}
 	if c.Busy {
 		cost += costBusy
--- a/director/service.go
+++ b/director/service.go
@@ -14,11 +14,17 @@
 	// MaxViewAge is the age of a host's view of the primaries at which it
 	// stops using them. Whoever replaces a primary waits longer than this for
 	// hosts that do not confirm.
-	MaxViewAge = 2500 * time.Millisecond
+	MaxViewAge = 1500 * time.Millisecond
 	// firstFailurePause and lastFailurePause bound how long a database that
 	// failed is avoided; the pause doubles with each failure in a row.
 	firstFailurePause = 200 * time.Millisecond
 	lastFailurePause  = 1600 * time.Millisecond
+	// answeredRecently is how long after its last answer a database that opens
+	// no connection is taken to be busy rather than away.
+	answeredRecently = 700 * time.Millisecond
+	// waitTolerance is how long a database may answer nothing, though asked,
+	// before it is suspected.
+	waitTolerance = 350 * time.Millisecond
 	// busyPause is how long a database that turned a statement away is avoided.
 	busyPause = 50 * time.Millisecond
 )
@@ -43,6 +49,9 @@
 	avoidUntil   time.Time
 	busyUntil    time.Time
 	lastSuccess  time.Time
+	// waitingSince is since when the database has not answered though asked;
+	// zero while nothing is asked of it.
+	waitingSince time.Time
 	// applied is the last position that an answer named.
 	applied executor.Position
 	// running counts statements that this host has sent or queued there.
@@ -73,6 +82,8 @@
 	// changed is closed and replaced when primary changes.
 	changed chan struct{}
 	catalog *cataloger.Catalog
+	// home is the ID of the replica that this host reads from.
+	home string
 }
 
 // A use is one operation on a primary. A fenced use must not go on.
@@ -87,11 +98,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.catalog = catalog
-	limit := connectionLimit(catalog, s.name)
 	present := make(map[endpointKey]bool)
 	for _, endpoint := range catalog.Endpoints[s.name] {
 		present[keyOf(endpoint)] = true
-		s.register(endpoint).pool.SetLimit(limit)
+		s.register(endpoint)
 	}
 	now := s.director.Now()
 	for key, db := range s.databases {
@@ -103,6 +113,27 @@
 		}
 	}
 	s.setPrimary(catalog)
+	s.setShares(catalog)
+}
+
+// setShares deals the connections of the databases to the hosts. While the
+// primary is being replaced they stay as they were.
+func (s *service) setShares(catalog *cataloger.Catalog) {
+	if s.primary == nil || catalog.Configuration == nil {
+		return
+	}
+	var usable []cataloger.Endpoint
+	for _, e := range catalog.Endpoints[s.name] {
+		if !catalog.Evacuated[e.DataCentre] {
+			usable = append(usable, e)
+		}
+	}
+	limit := catalog.Configuration.Services[s.name].MaxConnections
+	shares := ShareOut(s.director.Host, catalog.HostNames(), usable, s.primary.endpoint.ID, limit)
+	s.home = shares.Home
+	for _, db := range s.databases {
+		db.pool.SetLimit(shares.Limits[db.endpoint.ID])
+	}
 }
 
 // register returns the database of an entry, with a pool if it is new.
@@ -260,6 +291,7 @@
 			Applied:  db.applied,
 			Cold:     now.Before(db.coldUntil),
 			Local:    db.endpoint.DataCentre == s.director.DataCentre,
+			Home:     db.endpoint.ID == s.home,
 		})
 		databases = append(databases, db)
 	}
@@ -277,12 +309,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	db.running++
+	if db.waitingSince.IsZero() {
+		db.waitingSince = s.director.Now()
+	}
 }
 
 func (s *service) ended(db *database) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	db.running--
+	if db.running == 0 {
+		db.waitingSince = time.Time{}
+	}
 }
 
 // succeeded notes an answer to a statement that was sent at the instant.
@@ -293,6 +331,7 @@
 	db.failingSince = time.Time{}
 	db.avoidUntil = time.Time{}
 	db.lastSuccess = s.director.Now()
+	db.waitingSince = db.lastSuccess
 	if position.IsZero() {
 		return
 	}
@@ -317,6 +356,19 @@
 	db.avoidUntil = now.Add(pause)
 }
 
+// unopened notes that no connection could be opened. A database that answers
+// on others is busy.
+func (s *service) unopened(db *database, err error) {
+	s.mu.Lock()
+	answers := s.director.Now().Sub(db.lastSuccess) < answeredRecently
+	s.mu.Unlock()
+	if answers {
+		s.busy(db)
+		return
+	}
+	s.failed(db, err)
+}
+
 func (s *service) busy(db *database) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -370,7 +422,10 @@
 		health.SinceSuccess = now.Sub(s.primary.lastSuccess)
 	}
 	if s.primary.failures > 0 {
-		health.SinceFailure = max(time.Microsecond, now.Sub(s.primary.failingSince))
+		health.SinceFailure = max(time.Millisecond, now.Sub(s.primary.failingSince))
+	}
+	if !s.primary.waitingSince.IsZero() {
+		health.SinceFailure = max(health.SinceFailure, now.Sub(s.primary.waitingSince)-waitTolerance)
 	}
 	return health, true
 }
--- a/director/session.go
+++ b/director/session.go
@@ -250,6 +250,8 @@
 	// admitted is set once the operation counts against the customer's rate.
 	admitted bool
 	attempts int
+	// ran is set once a database may have run a statement of the client.
+	ran bool
 }
 
 // admit checks route, key and rate of an operation.
@@ -280,8 +282,9 @@
 func (op *operation) done(where, reason string, reply executor.Reply) {
 	d := op.session.director
 	took := d.Now().Sub(op.began)
-	if reply.Code.Promises() && op.admitted && op.attempts == 0 {
+	if reply.Code.Promises() && op.admitted && !op.ran {
 		d.Limits.Return(op.customer)
+		op.admitted = false
 	}
 	d.Metrics.finished(op.route, reply, took)
 	d.Logger.Info("statement", "request", op.id, "session", op.session.number, "route", op.route.Name,
--- /dev/null
+++ b/director/share.go
@@ -0,0 +1,68 @@
+package director
+
+import (
+	"github.com/endiveturn/endiveturn/cataloger"
+)
+
+const (
+	// connectionReserve is the part of a database's connections that hosts
+	// leave unused, for connections that the database has not yet seen close.
+	connectionReserve = 0.06
+	// visitorConnections is how many connections a host may have to a replica
+	// that is not its home.
+	visitorConnections = 2
+)
+
+// Shares says how one host uses the databases of a service. A connection
+// speaks for one customer, so a host that spreads its reads over all replicas
+// has too few connections to each and keeps opening new ones. Each host reads
+// from one replica, its home, which then has room for connections of all its
+// customers; the others serve it only in need.
+type Shares struct {
+	// Home is the ID of the replica that the host reads from; empty if there
+	// is none.
+	Home string
+	// Limits are the numbers of connections by database ID.
+	Limits map[string]int
+}
+
+// ShareOut returns the shares of a host. All hosts that have the same view
+// come to the same result, and together stay within each database's limit.
+func ShareOut(host string, hosts []string, endpoints []cataloger.Endpoint, primary string, maxConnections int) Shares {
+	limit := float64(maxConnections) * (1 - connectionReserve)
+	shares := Shares{Limits: make(map[string]int)}
+	var replicas []cataloger.Endpoint
+	for _, e := range endpoints {
+		if e.ID != primary && !e.Draining {
+			replicas = append(replicas, e)
+		}
+	}
+	residents := make(map[string]int)
+	for i, name := range hosts {
+		if len(replicas) == 0 {
+			break
+		}
+		home := replicas[i%len(replicas)].ID
+		residents[home]++
+		if name == host {
+			shares.Home = home
+		}
+	}
+	all := max(1, len(hosts))
+	for _, e := range endpoints {
+		r := residents[e.ID]
+		switch {
+		case r == 0:
+			shares.Limits[e.ID] = max(1, int(limit)/all)
+		case e.ID == shares.Home:
+			shares.Limits[e.ID] = max(1, (int(limit)-visitors(int(limit), all)*(all-r))/r)
+		default:
+			shares.Limits[e.ID] = visitors(int(limit), all)
+		}
+	}
+	return shares
+}
+
+// visitors returns how many connections a host may have to a replica that is
+// not its home.
+func visitors(limit, hosts int) int { return max(1, min(visitorConnections, limit/hosts)) }
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -150,8 +150,8 @@
 	h.mirror = &informer.Mirror{Now: timekeeper.Now, Changed: h.noteChange}
 	h.limits = limiter.NewFleet(timekeeper.Now)
 	h.director = &director.Director{
-		DataCentre: h.Settings.DataCentre, Dial: h.Platform.Databases.Dial, Limits: h.limits, Now: time.Now,
-		SinceBoot: timekeeper.Now, Current: h.mirror.Current, Logger: h.Logger,
+		Host: h.Settings.Host, DataCentre: h.Settings.DataCentre, Dial: h.Platform.Databases.Dial, Limits: h.limits, Now: time.Now,
+		SinceBoot: timekeeper.Now, Current: h.viewCurrent, Logger: h.Logger,
 		Metrics: &director.Metrics{Registry: h.Registry},
 	}
 	h.exchanger = &exchanger.Exchanger{
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
+	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/exchanger"
 	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/informer"
@@ -148,3 +149,43 @@
 		opinions[service] = overseer.HostOpinion{ID: p.ID, Born: p.Born, Opinion: o}
 	}
 }
+
+// viewCurrent returns the latest instant at which this host's view of the
+// primaries is known to have been complete: the store confirmed it, or every
+// other host has told what it knows. Only a host of the fleet replaces
+// primaries, and it tells the others before it does.
+func (h *Host) viewCurrent() time.Time {
+	current := h.mirror.Current()
+	if timekeeper.Now().Sub(current) < director.MaxViewAge/2 {
+		return current
+	}
+	if told := h.allTold(); told.After(current) {
+		return told
+	}
+	return current
+}
+
+// allTold returns the latest instant up to which all other hosts have told
+// this one what they know, or the zero time.
+func (h *Host) allTold() time.Time {
+	catalog := h.current()
+	if catalog == nil || len(catalog.Hosts) == 0 {
+		return time.Time{}
+	}
+	reports := h.exchanger.Reports()
+	told := timekeeper.Now()
+	for name := range catalog.Hosts {
+		if name == h.Settings.Host {
+			continue
+		}
+		peer := reports[name]
+		heard := peer.Heard
+		if peer.Refused.After(heard) {
+			heard = peer.Refused
+		}
+		if heard.Before(told) {
+			told = heard
+		}
+	}
+	return told
+}
--- a/overseer/decide.go
+++ b/overseer/decide.go
@@ -12,7 +12,10 @@
 const (
 	// failingFor is how long every host must have failed to use a primary
 	// before it is probed.
-	failingFor = 250 * time.Millisecond
+	failingFor = 100 * time.Millisecond
+	// silentFor is how long a failing primary must not have answered a host at
+	// all: one that answers some of its statements is busy.
+	silentFor = 400 * time.Millisecond
 	// partlyFailingFor is how long a part of the hosts must have failed to use
 	// a primary that others reach, which may be a short disturbance.
 	partlyFailingFor = 1200 * time.Millisecond
@@ -82,7 +85,8 @@
 	}
 	failing, longFailing, answered := 0, 0, 0
 	for _, o := range s.Opinions {
-		if o.SinceFailure > 0 {
+		answers := o.SinceSuccess >= 0 && o.SinceSuccess < silentFor
+		if o.SinceFailure > 0 && !answers {
 			if o.SinceFailure >= failingFor {
 				failing++
 			}
@@ -91,7 +95,7 @@
 			}
 			continue
 		}
-		if o.SinceSuccess >= 0 && o.SinceSuccess < failingFor {
+		if answers {
 			answered++
 		}
 	}
--- a/overseer/move.go
+++ b/overseer/move.go
@@ -12,7 +12,7 @@
 const (
 	// probeTimeout bounds one question to a database. A new connection may
 	// queue behind running statements.
-	probeTimeout = 400 * time.Millisecond
+	probeTimeout = 350 * time.Millisecond
 	// catchUpTimeout bounds how long a change waits for the new primary to
 	// receive what the former one has.
 	catchUpTimeout = 800 * time.Millisecond
