--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -105,14 +105,14 @@
 	return primary, claims == 1
 }
 
-// HostNames returns the names of the hosts in order.
-func (c *Catalog) HostNames() []string {
-	names := make([]string, 0, len(c.Hosts))
-	for name := range c.Hosts {
-		names = append(names, name)
+// SortedHosts returns the hosts in the order of their names.
+func (c *Catalog) SortedHosts() []Host {
+	hosts := make([]Host, 0, len(c.Hosts))
+	for _, host := range c.Hosts {
+		hosts = append(hosts, host)
 	}
-	slices.Sort(names)
-	return names
+	slices.SortFunc(hosts, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
+	return hosts
 }
 
 // SortEndpoints orders endpoints by ID.
--- a/director/service.go
+++ b/director/service.go
@@ -129,7 +129,7 @@
 		}
 	}
 	limit := catalog.Configuration.Services[s.name].MaxConnections
-	shares := ShareOut(s.director.Host, catalog.HostNames(), usable, s.primary.endpoint.ID, limit)
+	shares := ShareOut(s.director.Host, catalog.SortedHosts(), usable, s.primary.endpoint.ID, limit)
 	s.home = shares.Home
 	for _, db := range s.databases {
 		db.pool.SetLimit(shares.Limits[db.endpoint.ID])
--- a/director/share.go
+++ b/director/share.go
@@ -28,7 +28,7 @@
 
 // ShareOut returns the shares of a host. All hosts that have the same view
 // come to the same result, and together stay within each database's limit.
-func ShareOut(host string, hosts []string, endpoints []cataloger.Endpoint, primary string, maxConnections int) Shares {
+func ShareOut(host string, hosts []cataloger.Host, endpoints []cataloger.Endpoint, primary string, maxConnections int) Shares {
 	limit := float64(maxConnections) * (1 - connectionReserve)
 	shares := Shares{Limits: make(map[string]int)}
 	var replicas []cataloger.Endpoint
@@ -37,12 +37,9 @@
 			replicas = append(replicas, e)
 		}
 	}
+	homes := assignHomes(hosts, replicas)
 	residents := make(map[string]int)
-	for i, name := range hosts {
-		if len(replicas) == 0 {
-			break
-		}
-		home := replicas[i%len(replicas)].ID
+	for name, home := range homes {
 		residents[home]++
 		if name == host {
 			shares.Home = home
@@ -63,6 +60,41 @@
 	return shares
 }
 
+// assignHomes gives each host a replica in its own data centre, if there is one
+// that not too many others have, and shares out the rest evenly. Hosts are in
+// the order of their names.
+func assignHomes(hosts []cataloger.Host, replicas []cataloger.Endpoint) map[string]string {
+	homes := make(map[string]string)
+	if len(replicas) == 0 {
+		return homes
+	}
+	residents := make(map[string]int)
+	fair := (len(hosts) + len(replicas) - 1) / len(replicas)
+	for _, h := range hosts {
+		for _, replica := range replicas {
+			if replica.DataCentre == h.DataCentre && residents[replica.ID] < fair {
+				homes[h.Name] = replica.ID
+				residents[replica.ID]++
+				break
+			}
+		}
+	}
+	for _, h := range hosts {
+		if _, ok := homes[h.Name]; ok {
+			continue
+		}
+		least := replicas[0].ID
+		for _, replica := range replicas {
+			if residents[replica.ID] < residents[least] {
+				least = replica.ID
+			}
+		}
+		homes[h.Name] = least
+		residents[least]++
+	}
+	return homes
+}
+
 // visitors returns how many connections a host may have to a replica that is
 // not its home.
 func visitors(limit, hosts int) int { return max(1, min(visitorConnections, limit/hosts)) }
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -45,6 +45,9 @@
 	// watchShare is the part of the age at which a view expires in which the
 	// whole fleet hears from the store; each host asks that much less often.
 	watchShare = 0.1
+	// vouchInterval is how often a host looks whether the others still vouch
+	// for its view.
+	vouchInterval = 200 * time.Millisecond
 	// longestWatch bounds the wait of one watch.
 	longestWatch = 10 * time.Second
 )
@@ -106,11 +109,11 @@
 	add := func(execute func(context.Context) error) {
 		group.Add(func() error { return execute(work) }, func(error) { cancel() })
 	}
-	follower := &informer.Follower{
-		Space: h.Platform.Space, Mirror: h.mirror, Prefix: h.Platform.StorePrefix, Wait: h.watchWait,
-		Now: timekeeper.Now, Logger: h.Logger,
-	}
+	follower := informer.NewFollower()
+	follower.Space, follower.Mirror, follower.Prefix = h.Platform.Space, h.mirror, h.Platform.StorePrefix
+	follower.Wait, follower.Now, follower.Logger = h.watchWait, timekeeper.Now, h.Logger
 	add(follower.Run)
+	add(func(ctx context.Context) error { return h.hurry(ctx, follower) })
 	add(h.view)
 	add(h.exchanger.Run)
 	add(func(ctx context.Context) error { return h.exchanger.Serve(ctx, peers) })
@@ -256,19 +259,46 @@
 	}
 }
 
-// watchWait returns how long this host's watch waits, so that some host of the
-// fleet hears from the store often enough for all. It varies, since changes end
-// the waits of all hosts at once.
+// watchWait returns how long this host's watch waits. While all hosts hear each
+// other they vouch for the view, and the store is asked for changes only.
+// Otherwise some host has to hear from the store often enough for all. The wait
+// varies, since changes end the waits of all hosts at once.
 func (h *Host) watchWait() time.Duration {
-	hosts := 1
-	if catalog := h.current(); catalog != nil {
-		hosts = max(1, len(catalog.Hosts))
+	mean := longestWatch
+	if !h.vouched() {
+		hosts := 1
+		if catalog := h.current(); catalog != nil {
+			hosts = max(1, len(catalog.Hosts))
+		}
+		mean = min(time.Duration(hosts)*time.Duration(watchShare*float64(director.MaxViewAge)), longestWatch)
 	}
-	interval := time.Duration(watchShare * float64(director.MaxViewAge))
-	mean := min(time.Duration(hosts)*interval, longestWatch)
 	return mean/2 + rand.N(mean)
 }
 
+// vouched reports whether all other hosts have told what they know lately.
+func (h *Host) vouched() bool {
+	return timekeeper.Now().Sub(h.allTold()) < director.MaxViewAge/2
+}
+
+// hurry ends long waits for the store when a host falls silent.
+func (h *Host) hurry(ctx context.Context, follower *informer.Follower) error {
+	ticker := time.NewTicker(vouchInterval)
+	defer ticker.Stop()
+	before := true
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		now := h.vouched()
+		if before && !now {
+			follower.Hurry()
+		}
+		before = now
+	}
+}
+
 // accept serves clients until ctx ends.
 func (h *Host) accept(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
--- a/informer/follower.go
+++ b/informer/follower.go
@@ -36,12 +36,26 @@
 	Now    func() time.Time
 	Logger *slog.Logger
 
+	// hurried asks for an end of the present wait.
+	hurried chan struct{}
 	// pause is the pause after the next failure.
 	pause time.Duration
 	// lost is set between a failed call and the next answer.
 	lost bool
 }
 
+// NewFollower returns a follower whose exported fields have to be set.
+func NewFollower() *Follower { return &Follower{hurried: make(chan struct{}, 1)} }
+
+// Hurry ends the wait of the present watch, so that the next one begins with a
+// wait that suits the present situation.
+func (f *Follower) Hurry() {
+	select {
+	case f.hurried <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -96,6 +110,9 @@
 		if errors.Is(err, storer.ErrCompacted) {
 			return err
 		}
+		if err != nil && f.Now().Sub(asked) < wait && errors.Is(err, context.Canceled) {
+			continue
+		}
 		if err != nil {
 			f.failed(ctx, err)
 			continue
@@ -121,6 +138,15 @@
 func (f *Follower) watch(ctx context.Context, revision int64, wait time.Duration) ([]storer.Change, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
+	watching := make(chan struct{})
+	defer close(watching)
+	go func() {
+		select {
+		case <-f.hurried:
+			cancel()
+		case <-watching:
+		}
+	}()
 	return f.Space.Changes(ctx, f.Prefix, revision, wait)
 }
 
