--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -73,6 +73,10 @@
 	Evacuated map[string]bool
 	// Hosts are by name.
 	Hosts map[string]Host
+	// Sharers are the hosts among which connections are shared out, in the
+	// order of their names: Hosts, and those that left a short while ago, which
+	// may still use theirs.
+	Sharers []Host
 }
 
 // Endpoint returns the registered database of that name.
@@ -105,14 +109,9 @@
 	return primary, claims == 1
 }
 
-// SortedHosts returns the hosts in the order of their names.
-func (c *Catalog) SortedHosts() []Host {
-	hosts := make([]Host, 0, len(c.Hosts))
-	for _, host := range c.Hosts {
-		hosts = append(hosts, host)
-	}
+// SortHosts orders hosts by name.
+func SortHosts(hosts []Host) {
 	slices.SortFunc(hosts, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
-	return hosts
 }
 
 // SortEndpoints orders endpoints by ID.
--- a/director/attempt.go
+++ b/director/attempt.go
@@ -16,9 +16,15 @@
 	maxAttempts = 4
 	// setupTimeout bounds what the proxy itself asks of a connection.
 	setupTimeout = 500 * time.Millisecond
-	// queueShare is the part of a statement's timeout that it may wait for a
-	// connection.
-	queueShare = 0.8
+	// primaryWaitShare is the part of a statement's timeout that it may wait for
+	// a primary while none is in force.
+	primaryWaitShare = 0.8
+	// queueShare is the part of its latency objective that an operation may
+	// wait for a connection. Under overload the ones that are served are then
+	// served in time, and the others are told at once.
+	queueShare = 0.25
+	// leastQueueTime is enough to open a connection.
+	leastQueueTime = 60 * time.Millisecond
 	// firstAttemptShare is the part of a read's timeout after which it is tried
 	// on another database.
 	firstAttemptShare = 0.5
@@ -47,6 +53,9 @@
 	conn *connector.Conn
 	// sent is when the last statement was sent, as an instant of SinceBoot.
 	sent time.Time
+	// ownFloor is set if the floor of the attempt's statements is a commit of
+	// the session itself.
+	ownFloor bool
 	// passed is set once a statement of the client was sent.
 	passed bool
 }
@@ -61,34 +70,43 @@
 	own := op.session.floors[op.route.Service]
 	if op.route.Consistency == cataloger.ReadYourWrites && need.FloorKnown && need.Floor.Before(own) {
 		need.Floor = own
+		need.OwnFloor = true
 	}
 	return need
 }
 
 // open chooses a database and takes a connection on which the session's values
 // are in force. It waits for a primary if none is in force.
-func (op *operation) open(ctx context.Context, need Need, deadline time.Time) (*attempt, error) {
+func (op *operation) open(ctx context.Context, need Need, since time.Time) (*attempt, error) {
+	deadline := op.queueDeadline()
+	primaryDeadline := since.Add(time.Duration(primaryWaitShare * float64(op.route.StatementTimeout)))
 	for {
 		candidates, databases := op.service.candidates(op.customer)
 		i := Choose(need, candidates)
 		if i < 0 || candidates[i].Primary {
 			u, changed := op.service.acquirePrimary()
 			if u == nil && i < 0 {
-				return nil, op.awaitPrimary(ctx, changed, deadline)
+				return nil, op.awaitPrimary(ctx, changed, primaryDeadline)
 			}
 			if u != nil {
-				return op.connect(ctx, u.database, u, deadline)
+				return op.connect(ctx, u.database, u, false, deadline)
 			}
 			need.Tried = with(need.Tried, candidates[i].Endpoint.ID)
 			if j := chooseReplica(need, candidates); j >= 0 {
-				return op.connect(ctx, databases[j], nil, deadline)
+				return op.connect(ctx, databases[j], nil, need.OwnFloor, deadline)
 			}
-			return nil, op.awaitPrimary(ctx, changed, deadline)
+			return nil, op.awaitPrimary(ctx, changed, primaryDeadline)
 		}
-		return op.connect(ctx, databases[i], nil, deadline)
+		return op.connect(ctx, databases[i], nil, need.OwnFloor, deadline)
 	}
 }
 
+// queueDeadline returns until when an operation may wait for a connection.
+func (op *operation) queueDeadline() time.Time {
+	share := time.Duration(queueShare * float64(op.route.TargetLatency))
+	return op.session.director.Now().Add(max(share, leastQueueTime))
+}
+
 func chooseReplica(need Need, candidates []Candidate) int {
 	replicas := make([]Candidate, len(candidates))
 	copy(replicas, candidates)
@@ -133,8 +151,8 @@
 }
 
 // connect takes a connection and installs the session's values.
-func (op *operation) connect(ctx context.Context, db *database, u *use, deadline time.Time) (*attempt, error) {
-	a := &attempt{operation: op, database: db, use: u}
+func (op *operation) connect(ctx context.Context, db *database, u *use, ownFloor bool, deadline time.Time) (*attempt, error) {
+	a := &attempt{operation: op, database: db, use: u, ownFloor: ownFloor}
 	op.service.started(db)
 	conn, err := db.pool.Get(ctx, op.customer, op.session.values, op.priority, deadline)
 	if err != nil {
@@ -234,12 +252,26 @@
 		return executor.Reply{}, err
 	}
 	a.operation.service.succeeded(a.database, a.sent, reply.Position)
+	a.noteLag(statement, reply)
 	if statement.ID != "" && !reply.Code.NotRun() {
 		a.operation.ran = true
 	}
 	return reply, nil
 }
 
+// noteLag learns from the answer to a statement with a floor.
+func (a *attempt) noteLag(statement executor.Request, reply executor.Reply) {
+	switch {
+	case statement.Floor.IsZero() || a.ownFloor:
+	case reply.Code == executor.CodeLagging:
+		a.operation.service.lags(a.database)
+		a.operation.session.director.Logger.Info("replica_lagging", "request", statement.ID, "service", a.operation.service.name,
+			"database", a.database.endpoint.ID, "floor", statement.Floor.String(), "at", reply.Position.String())
+	case reply.Code == executor.CodeNone:
+		a.operation.service.caughtUp(a.database)
+	}
+}
+
 // finish ends the attempt's hold on its database.
 func (a *attempt) finish() {
 	a.operation.service.ended(a.database)
--- a/director/route.go
+++ b/director/route.go
@@ -24,8 +24,8 @@
 	// Busy is set shortly after the database turned a statement away for lack
 	// of slots.
 	Busy bool
-	// Applied is the last position that the database is known to serve reads at.
-	Applied executor.Position
+	// Lagging is set shortly after the database lacked what a read had to see.
+	Lagging bool
 	// Cold is set while the database is slow after its start and has used up
 	// what it may be sent.
 	Cold bool
@@ -43,6 +43,9 @@
 	Consistency cataloger.Consistency
 	// Floor is the position that a replica must have reached.
 	Floor executor.Position
+	// OwnFloor is set if Floor is a commit of the session itself, which may be
+	// too recent for any replica.
+	OwnFloor bool
 	// FloorKnown is set if Floor is recent enough for the route; otherwise only
 	// the primary may serve a read.
 	FloorKnown bool
@@ -57,7 +60,7 @@
 	costPrimary = 4.0
 	costVisitor = 3.0
 	costBusy    = 3.0
-	costBehind  = 6.0
+	costLagging = 40.0
 	costFailing = 50.0
 	costTried   = 25.0
 )
@@ -102,8 +105,8 @@
 	if c.Busy {
 		cost += costBusy
 	}
-	if !c.Primary && c.Applied.Before(n.Floor) {
-		cost += costBehind
+	if c.Lagging {
+		cost += costLagging
 	}
 	if c.Failing {
 		cost += costFailing
--- a/director/service.go
+++ b/director/service.go
@@ -19,6 +19,10 @@
 	// failed is avoided; the pause doubles with each failure in a row.
 	firstFailurePause = 200 * time.Millisecond
 	lastFailurePause  = 1600 * time.Millisecond
+	// firstLagPause and lastLagPause bound how long a replica that lags is
+	// avoided.
+	firstLagPause = 50 * time.Millisecond
+	lastLagPause  = 800 * time.Millisecond
 	// answeredRecently is how long after its last answer a database that opens
 	// no connection is taken to be busy rather than away.
 	answeredRecently = 700 * time.Millisecond
@@ -52,8 +56,9 @@
 	// waitingSince is since when the database has not answered though asked;
 	// zero while nothing is asked of it.
 	waitingSince time.Time
-	// applied is the last position that an answer named.
-	applied executor.Position
+	// lagging counts answers in a row that lacked what a read had to see.
+	lagging      int
+	laggingUntil time.Time
 	// running counts statements that this host has sent or queued there.
 	running int
 	// coldUntil is when the database is no longer slow after its start.
@@ -129,7 +134,7 @@
 		}
 	}
 	limit := catalog.Configuration.Services[s.name].MaxConnections
-	shares := ShareOut(s.director.Host, catalog.SortedHosts(), usable, s.primary.endpoint.ID, limit)
+	shares := ShareOut(s.director.Host, catalog.Sharers, usable, s.primary.endpoint.ID, limit)
 	s.home = shares.Home
 	for _, db := range s.databases {
 		db.pool.SetLimit(shares.Limits[db.endpoint.ID])
@@ -288,7 +293,7 @@
 			Idle:     db.pool.Has(customer),
 			Failing:  now.Before(db.avoidUntil),
 			Busy:     now.Before(db.busyUntil),
-			Applied:  db.applied,
+			Lagging:  now.Before(db.laggingUntil),
 			Cold:     now.Before(db.coldUntil),
 			Local:    db.endpoint.DataCentre == s.director.DataCentre,
 			Home:     db.endpoint.ID == s.home,
@@ -335,7 +340,6 @@
 	if position.IsZero() {
 		return
 	}
-	db.applied = position
 	if db == s.primary {
 		s.history.Observe(sent, position)
 	}
@@ -356,6 +360,24 @@
 	db.avoidUntil = now.Add(pause)
 }
 
+// lags notes that a replica lacked what a read had to see. It is avoided for a
+// while, longer each time, so that it is asked again soon after it caught up.
+func (s *service) lags(db *database) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pause := min(firstLagPause<<min(db.lagging, 8), lastLagPause)
+	db.lagging++
+	db.laggingUntil = s.director.Now().Add(pause)
+}
+
+// caughtUp notes that a replica had what a read had to see.
+func (s *service) caughtUp(db *database) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	db.lagging = 0
+	db.laggingUntil = time.Time{}
+}
+
 // unopened notes that no connection could be opened. A database that answers
 // on others is busy.
 func (s *service) unopened(db *database, err error) {
--- a/director/single.go
+++ b/director/single.go
@@ -82,8 +82,7 @@
 func (r *singleRun) try(ctx context.Context) (executor.Reply, bool) {
 	op := r.operation
 	need := op.need(r.writes, r.tried)
-	wait := time.Duration(queueShare * float64(op.route.StatementTimeout))
-	a, err := op.open(ctx, need, op.began.Add(wait))
+	a, err := op.open(ctx, need, op.began)
 	if a != nil {
 		r.where = a.database.endpoint.ID
 		r.tried = with(r.tried, r.where)
@@ -170,6 +169,8 @@
 	case reply.Code == executor.CodeNoSuchStatement:
 		delete(a.conn.Prepared, r.statement.Name)
 		return true
+	case reply.Code == executor.CodeLagging:
+		return true
 	case reply.Code.NotRun():
 		r.pause()
 		return true
--- a/director/transaction.go
+++ b/director/transaction.go
@@ -87,11 +87,11 @@
 func (t *transaction) first(ctx context.Context, statement executor.Request, writes bool, p *prepared, deadline time.Time) executor.Reply {
 	op := t.operation
 	var tried map[string]bool
-	wait := time.Duration(queueShare * float64(op.route.StatementTimeout))
-	queueUntil := op.session.director.Now().Add(wait)
+	since := op.session.director.Now()
+	until := since.Add(time.Duration(primaryWaitShare * float64(op.route.StatementTimeout)))
 	reason := ""
 	for {
-		a, err := t.start(ctx, queueUntil, tried)
+		a, err := t.start(ctx, since, tried)
 		if err == nil {
 			t.attempt = a
 			return t.run(statement, writes, p, deadline)
@@ -102,7 +102,7 @@
 		}
 		op.attempts++
 		stop := errors.Is(err, connector.ErrQueueTimeout) || errors.Is(err, errNoPrimary)
-		if stop || op.attempts >= maxAttempts || !op.session.director.Now().Before(queueUntil) {
+		if stop || op.attempts >= maxAttempts || !op.session.director.Now().Before(until) {
 			break
 		}
 		time.Sleep(busyPauseBetween)
@@ -112,10 +112,10 @@
 }
 
 // start begins the transaction on a database.
-func (t *transaction) start(ctx context.Context, queueUntil time.Time, tried map[string]bool) (*attempt, error) {
+func (t *transaction) start(ctx context.Context, since time.Time, tried map[string]bool) (*attempt, error) {
 	op := t.operation
 	need := op.need(!t.readOnly, tried)
-	a, err := op.open(ctx, need, queueUntil)
+	a, err := op.open(ctx, need, since)
 	if err != nil {
 		return a, err
 	}
@@ -243,8 +243,7 @@
 	}
 	deadline := s.director.Now().Add(t.operation.route.StatementTimeout)
 	if t.attempt == nil {
-		wait := time.Duration(queueShare * float64(t.operation.route.StatementTimeout))
-		a, err := t.start(ctx, s.director.Now().Add(wait), nil)
+		a, err := t.start(ctx, s.director.Now(), nil)
 		if err != nil {
 			reply := s.fail(executor.CodeBusy, err.Error())
 			t.operation.done("", err.Error(), reply)
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -37,6 +37,9 @@
 	// heardRecently is how long a host that was heard counts as one of the
 	// fleet though the store does not list it.
 	heardRecently = 5 * time.Second
+	// sharesKept is how long the connections of a host that left are not dealt
+	// to others: a host that is cut off from the store may still use them.
+	sharesKept = 20 * time.Second
 	// tendInterval is how often connections and metrics are looked at.
 	tendInterval = time.Second
 	// idleConnection is how long a connection to a database rests before it is
@@ -203,6 +206,7 @@
 	v := &viewer{decoder: h.Platform.Decoder, now: timekeeper.Now, rejected: func(key string, revision int64, err error) {
 		h.Logger.Warn("record_rejected", "key", key, "revision", revision, "error", err.Error())
 	}}
+	sharers := make(sharers)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -215,6 +219,7 @@
 		records, revision := h.mirror.Records()
 		catalog, next := v.view(records, revision)
 		h.addHeard(catalog)
+		catalog.Sharers = sharers.update(catalog.Hosts, timekeeper.Now())
 		h.mu.Lock()
 		h.catalog = catalog
 		h.mu.Unlock()
@@ -259,6 +264,32 @@
 	}
 }
 
+// sharers holds when each host was last one of the fleet.
+type sharers map[string]sharer
+
+type sharer struct {
+	host cataloger.Host
+	seen time.Time
+}
+
+// update takes in the present hosts and returns all that connections are
+// shared out to.
+func (s sharers) update(hosts map[string]cataloger.Host, now time.Time) []cataloger.Host {
+	for name, host := range hosts {
+		s[name] = sharer{host: host, seen: now}
+	}
+	list := make([]cataloger.Host, 0, len(s))
+	for name, known := range s {
+		if now.Sub(known.seen) > sharesKept {
+			delete(s, name)
+			continue
+		}
+		list = append(list, known.host)
+	}
+	cataloger.SortHosts(list)
+	return list
+}
+
 // watchWait returns how long this host's watch waits. While all hosts hear each
 // other they vouch for the view, and the store is asked for changes only.
 // Otherwise some host has to hear from the store often enough for all. The wait
--- a/informer/follower.go
+++ b/informer/follower.go
@@ -157,7 +157,7 @@
 	}
 	if !f.lost {
 		f.lost = true
-		f.Logger.Warn("dependency_lost", "dependency", "store", "error", err)
+		f.Logger.Warn("dependency_lost", "dependency", "store", "error", err.Error())
 	}
 	f.pause = min(max(2*f.pause, firstPause), lastPause)
 	timer := time.NewTimer(f.pause/2 + rand.N(f.pause/2))
--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -16,6 +16,11 @@
 	// the customer has tokens at all, so that small customers are served on
 	// every host.
 	leastBudget = 1
+	// ampleLevel is the part of its burst above which a customer is well below
+	// its rate; any host may then admit ampleShare times an even part, as a host
+	// that has just started has no demand to show.
+	ampleLevel = 0.5
+	ampleShare = 1.5
 	// demandSpan is the time over which demand is averaged.
 	demandSpan = 2 * time.Second
 	// maxDebt bounds how long a customer waits after more was admitted than
@@ -225,6 +230,9 @@
 		b.level += b.bound.Rate * elapsed * (1 - silent)
 		b.level = min(b.level, b.bound.Burst)
 		b.budget = 0
+		if b.level >= b.bound.Burst*ampleLevel {
+			share = max(share, ampleShare/float64(f.hosts))
+		}
 		if b.level >= 1 {
 			b.budget = max(leastBudget, b.level*share)
 		}
