--- a/director/attempt.go
+++ b/director/attempt.go
@@ -22,9 +22,9 @@
 	// queueShare is the part of its latency objective that an operation may
 	// wait for a connection. Under overload the ones that are served are then
 	// served in time, and the others are told at once.
-	queueShare = 0.25
+	queueShare = 0.22
 	// leastQueueTime is enough to open a connection.
-	leastQueueTime = 60 * time.Millisecond
+	leastQueueTime = 45 * time.Millisecond
 	// firstAttemptShare is the part of a read's timeout after which it is tried
 	// on another database.
 	firstAttemptShare = 0.5
@@ -56,6 +56,8 @@
 	// ownFloor is set if the floor of the attempt's statements is a commit of
 	// the session itself.
 	ownFloor bool
+	// entered is set during the attempt's turn at its database.
+	entered bool
 	// passed is set once a statement of the client was sent.
 	passed bool
 }
@@ -154,6 +156,11 @@
 func (op *operation) connect(ctx context.Context, db *database, u *use, ownFloor bool, deadline time.Time) (*attempt, error) {
 	a := &attempt{operation: op, database: db, use: u, ownFloor: ownFloor}
 	op.service.started(db)
+	if err := a.enter(ctx, op.rank(false), deadline); err != nil {
+		a.finish()
+		op.connectFailed(db, err)
+		return a, err
+	}
 	conn, err := db.pool.Get(ctx, op.customer, op.session.values, op.priority, deadline)
 	if err != nil {
 		a.finish()
@@ -169,6 +176,31 @@
 	return a, nil
 }
 
+// rank returns the operation's place among others that wait.
+func (op *operation) rank(open bool) rank {
+	return rank{open: open, priority: op.priority, due: op.began.Add(op.route.TargetLatency)}
+}
+
+// enter waits for the attempt's turn at its database.
+func (a *attempt) enter(ctx context.Context, r rank, deadline time.Time) error {
+	if a.entered {
+		return nil
+	}
+	if err := a.database.gate.enter(ctx, r, deadline); err != nil {
+		return err
+	}
+	a.entered = true
+	return nil
+}
+
+// leave ends the attempt's turn at its database.
+func (a *attempt) leave() {
+	if a.entered {
+		a.entered = false
+		a.database.gate.leave()
+	}
+}
+
 func (op *operation) connectFailed(db *database, err error) {
 	switch {
 	case errors.Is(err, connector.ErrQueueTimeout), errors.Is(err, connector.ErrFull), errors.Is(err, connector.ErrClosed):
@@ -274,6 +306,7 @@
 
 // finish ends the attempt's hold on its database.
 func (a *attempt) finish() {
+	a.leave()
 	a.operation.service.ended(a.database)
 	if a.use != nil {
 		a.operation.service.release(a.use)
--- a/director/service.go
+++ b/director/service.go
@@ -44,6 +44,7 @@
 type database struct {
 	endpoint cataloger.Endpoint
 	pool     *connector.Pool
+	gate     *gate
 
 	// The fields below are guarded by the mutex of the service.
 
@@ -138,6 +139,7 @@
 	s.home = shares.Home
 	for _, db := range s.databases {
 		db.pool.SetLimit(shares.Limits[db.endpoint.ID])
+		db.gate.setLimit(shares.Statements[db.endpoint.ID])
 	}
 }
 
@@ -147,7 +149,7 @@
 		db.endpoint = endpoint
 		return db
 	}
-	db := &database{endpoint: endpoint}
+	db := &database{endpoint: endpoint, gate: &gate{}}
 	if endpoint.Cold > 0 {
 		db.coldUntil = s.director.Now().Add(endpoint.Cold)
 	}
--- a/director/share.go
+++ b/director/share.go
@@ -1,6 +1,8 @@
 package director
 
 import (
+	"math"
+
 	"github.com/endiveturn/endiveturn/cataloger"
 )
 
@@ -8,6 +10,9 @@
 	// connectionReserve is the part of a database's connections that hosts
 	// leave unused, for connections that the database has not yet seen close.
 	connectionReserve = 0.06
+	// slotOvercommit is how many statements run or wait at a database for each
+	// of its slots, beside one a host, when all hosts are busy.
+	slotOvercommit = 1.2
 	// visitorConnections is how many connections a host may have to a replica
 	// that is not its home.
 	visitorConnections = 2
@@ -24,13 +29,16 @@
 	Home string
 	// Limits are the numbers of connections by database ID.
 	Limits map[string]int
+	// Statements are the numbers of statements that the host has running at
+	// once by database ID.
+	Statements map[string]int
 }
 
 // ShareOut returns the shares of a host. All hosts that have the same view
 // come to the same result, and together stay within each database's limit.
 func ShareOut(host string, hosts []cataloger.Host, endpoints []cataloger.Endpoint, primary string, maxConnections int) Shares {
 	limit := float64(maxConnections) * (1 - connectionReserve)
-	shares := Shares{Limits: make(map[string]int)}
+	shares := Shares{Limits: make(map[string]int), Statements: make(map[string]int)}
 	var replicas []cataloger.Endpoint
 	for _, e := range endpoints {
 		if e.ID != primary && !e.Draining {
@@ -48,6 +56,11 @@
 	all := max(1, len(hosts))
 	for _, e := range endpoints {
 		r := residents[e.ID]
+		users := r
+		if r == 0 {
+			users = all
+		}
+		shares.Statements[e.ID] = 1 + int(math.Ceil(slotOvercommit*float64(max(1, e.Slots))/float64(users)))
 		switch {
 		case r == 0:
 			shares.Limits[e.ID] = max(1, int(limit)/all)
--- a/director/transaction.go
+++ b/director/transaction.go
@@ -70,7 +70,7 @@
 	if t.attempt == nil {
 		return t.first(ctx, statement, writes, p, deadline)
 	}
-	return t.run(statement, writes, p, deadline)
+	return t.run(ctx, statement, writes, p, deadline)
 }
 
 func (t *transaction) keyWithdrawn() bool {
@@ -94,7 +94,7 @@
 		a, err := t.start(ctx, since, tried)
 		if err == nil {
 			t.attempt = a
-			return t.run(statement, writes, p, deadline)
+			return t.run(ctx, statement, writes, p, deadline)
 		}
 		reason = err.Error()
 		if a != nil {
@@ -140,7 +140,7 @@
 }
 
 // run runs a statement on the transaction's connection.
-func (t *transaction) run(statement executor.Request, writes bool, p *prepared, deadline time.Time) executor.Reply {
+func (t *transaction) run(ctx context.Context, statement executor.Request, writes bool, p *prepared, deadline time.Time) executor.Reply {
 	a := t.attempt
 	where := a.database.endpoint.ID
 	a.passed = false
@@ -153,7 +153,7 @@
 		return t.fail(executor.Reply{Code: executor.CodeAborted, Text: "connection to the database was lost"}, where, err.Error())
 	}
 	t.operation.attempts++
-	reply, err := t.patiently(statement, deadline)
+	reply, err := t.patiently(ctx, statement, deadline)
 	if err != nil {
 		return t.broken(where, err)
 	}
@@ -169,9 +169,13 @@
 	return reply
 }
 
-// patiently repeats a statement that the database turned away without failing
-// the transaction.
-func (t *transaction) patiently(statement executor.Request, deadline time.Time) (executor.Reply, error) {
+// patiently waits for a turn at the database, and repeats a statement that the
+// database turned away without failing the transaction.
+func (t *transaction) patiently(ctx context.Context, statement executor.Request, deadline time.Time) (executor.Reply, error) {
+	if err := t.attempt.enter(ctx, t.operation.rank(true), deadline); err != nil {
+		return executor.Reply{}, err
+	}
+	defer t.attempt.leave()
 	for {
 		reply, err := t.attempt.exchange(statement, deadline)
 		if err != nil || reply.Code != executor.CodeBusy || reply.State != executor.StateTransaction {
@@ -251,15 +255,15 @@
 		}
 		t.attempt = a
 	}
-	return t.commit(statement, deadline)
+	return t.commit(ctx, statement, deadline)
 }
 
-func (t *transaction) commit(statement executor.Request, deadline time.Time) executor.Reply {
+func (t *transaction) commit(ctx context.Context, statement executor.Request, deadline time.Time) executor.Reply {
 	a := t.attempt
 	where := a.database.endpoint.ID
 	a.passed = false
 	t.operation.attempts++
-	reply, err := t.patiently(statement, deadline)
+	reply, err := t.patiently(ctx, statement, deadline)
 	if err != nil {
 		reply = t.commitBroken(err)
 		t.operation.done(where, err.Error(), reply)
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -31,6 +31,7 @@
 	fieldPrimary
 	fieldReleased
 	fieldRecord
+	fieldDigest
 )
 
 // Field numbers of the nested messages.
@@ -109,6 +110,7 @@
 	b = appendString(b, fieldDataCentre, r.DataCentre)
 	b = appendNumber(b, fieldRevision, uint64(r.Revision))
 	b = appendNumber(b, fieldAge, fromDuration(r.Age))
+	b = appendNumber(b, fieldDigest, r.Digest)
 	if r.Stopping {
 		b = appendNumber(b, fieldStopping, 1)
 	}
@@ -197,6 +199,7 @@
 	r.Host, r.Incarnation = f.text(fieldHost), f.text(fieldIncarnation)
 	r.Address, r.DataCentre = f.text(fieldAddress), f.text(fieldDataCentre)
 	r.Revision, r.Age = int64(f.numbers[fieldRevision]), toDuration(f.numbers[fieldAge])
+	r.Digest = f.numbers[fieldDigest]
 	r.Stopping = f.numbers[fieldStopping] != 0
 	return m, nil
 }
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -37,6 +37,9 @@
 	// Age is how long ago the copy was known to be complete; negative if it
 	// never was.
 	Age time.Duration
+	// Digest is the same for two hosts that hold the same records of operators
+	// and databases.
+	Digest uint64
 	// Stopping hosts take no new connections.
 	Stopping bool
 	// Usages are by customer.
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -51,6 +51,12 @@
 	// vouchInterval is how often a host looks whether the others still vouch
 	// for its view.
 	vouchInterval = 200 * time.Millisecond
+	// fleetListInterval is how often some host of the fleet reads all keys: a
+	// watch may pass over changes while the store discards its history.
+	fleetListInterval = time.Second
+	// differenceTime is how long two hosts may hold different records before
+	// each reads all keys again.
+	differenceTime = 500 * time.Millisecond
 	// longestWatch bounds the wait of one watch.
 	longestWatch = 10 * time.Second
 )
@@ -61,6 +67,8 @@
 	Decoder Decoder
 	// StorePrefix is that of all keys that matter to the host.
 	StorePrefix string
+	// Foreign reports whether operators or databases write a key.
+	Foreign func(key string) bool
 	// ReadinessPath is asked by the balancer.
 	ReadinessPath string
 	// Client wraps an accepted connection.
@@ -116,7 +124,7 @@
 	follower.Space, follower.Mirror, follower.Prefix = h.Platform.Space, h.mirror, h.Platform.StorePrefix
 	follower.Wait, follower.Now, follower.Logger = h.watchWait, timekeeper.Now, h.Logger
 	add(follower.Run)
-	add(func(ctx context.Context) error { return h.hurry(ctx, follower) })
+	add(func(ctx context.Context) error { return h.oversee(ctx, follower) })
 	add(h.view)
 	add(h.exchanger.Run)
 	add(func(ctx context.Context) error { return h.exchanger.Serve(ctx, peers) })
@@ -311,23 +319,61 @@
 	return timekeeper.Now().Sub(h.allTold()) < director.MaxViewAge/2
 }
 
-// hurry ends long waits for the store when a host falls silent.
-func (h *Host) hurry(ctx context.Context, follower *informer.Follower) error {
+// oversee ends long waits for the store when a host falls silent, and has all
+// keys read again from time to time and when another host holds others.
+func (h *Host) oversee(ctx context.Context, follower *informer.Follower) error {
 	ticker := time.NewTicker(vouchInterval)
 	defer ticker.Stop()
-	before := true
+	vouched := true
+	relist := timekeeper.Now().Add(h.listInterval())
+	var differs time.Time
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		now := h.vouched()
-		if before && !now {
+		now := timekeeper.Now()
+		if vouched && !h.vouched() {
 			follower.Hurry()
 		}
-		before = now
+		vouched = h.vouched()
+		switch {
+		case !h.differs():
+			differs = time.Time{}
+		case differs.IsZero():
+			differs = now
+		}
+		if now.After(relist) || (!differs.IsZero() && now.Sub(differs) > differenceTime) {
+			relist, differs = now.Add(h.listInterval()), time.Time{}
+			follower.Relist()
+		}
+	}
+}
+
+// listInterval is such that some host of the fleet reads all keys once in
+// fleetListInterval.
+func (h *Host) listInterval() time.Duration {
+	hosts := 1
+	if catalog := h.current(); catalog != nil {
+		hosts = max(1, len(catalog.Hosts))
+	}
+	mean := time.Duration(hosts) * fleetListInterval
+	return mean/2 + rand.N(mean)
+}
+
+// differs reports whether another host that was heard lately holds other
+// records, though neither lacks any by its revision.
+func (h *Host) differs() bool {
+	now := timekeeper.Now()
+	own := h.report()
+	for _, peer := range h.exchanger.Reports() {
+		recent := now.Sub(peer.Heard) < 2*exchanger.Interval
+		if recent && peer.Report.Age >= 0 && peer.Report.Digest != own.Digest {
+			return true
+		}
 	}
+	return false
 }
 
 // accept serves clients until ctx ends.
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -30,7 +30,7 @@
 	_, revision, current := h.mirror.Since(1 << 62)
 	r := exchanger.Report{
 		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
-		Revision: revision, Age: -1, Stopping: h.stopping.Load(), Released: h.director.Released(),
+		Revision: revision, Age: -1, Digest: h.mirror.Digest(h.Platform.Foreign), Stopping: h.stopping.Load(), Released: h.director.Released(),
 		Usages: make(map[string]exchanger.Usage), Primaries: make(map[string]exchanger.PrimaryHealth),
 	}
 	if !current.IsZero() {
--- a/informer/follower.go
+++ b/informer/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,9 @@
 	lastPause  = 800 * time.Millisecond
 )
 
+// errRelist ends a watch because all keys are to be read again.
+var errRelist = errors.New("all keys are read again")
+
 // A Follower keeps a Mirror up to date from the store. Its exported fields are
 // set before Run.
 type Follower struct {
@@ -38,6 +42,8 @@
 
 	// hurried asks for an end of the present wait.
 	hurried chan struct{}
+	// relist asks for all keys instead of the changes since the last answer.
+	relist atomic.Bool
 	// pause is the pause after the next failure.
 	pause time.Duration
 	// lost is set between a failed call and the next answer.
@@ -56,6 +62,13 @@
 	}
 }
 
+// Relist has all keys read again: a watch may pass over changes that are made
+// while the store discards its history.
+func (f *Follower) Relist() {
+	f.relist.Store(true)
+	f.Hurry()
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -63,6 +76,9 @@
 		if err == nil {
 			err = f.follow(ctx, revision)
 		}
+		if errors.Is(err, errRelist) {
+			continue
+		}
 		f.failed(ctx, err)
 	}
 	return ctx.Err()
@@ -71,6 +87,7 @@
 // list reads all keys. The pages are no snapshot, so the copy is complete only
 // up to the first page's revision; the watch brings what changed since.
 func (f *Follower) list(ctx context.Context) (int64, error) {
+	f.relist.Store(false)
 	asked := f.Now()
 	var entries []storer.Entry
 	var revision int64
@@ -91,7 +108,7 @@
 	}
 	f.answered()
 	f.Mirror.Replace(entries, revision, asked)
-	f.Logger.Info("store_listed", "keys", len(entries), "revision", revision)
+	f.Logger.Debug("store_listed", "keys", len(entries), "revision", revision)
 	return revision, nil
 }
 
@@ -104,6 +121,9 @@
 // follow watches from revision until the history is gone.
 func (f *Follower) follow(ctx context.Context, revision int64) error {
 	for ctx.Err() == nil {
+		if f.relist.Load() {
+			return errRelist
+		}
 		wait := f.Wait()
 		asked := f.Now()
 		changes, next, err := f.watch(ctx, revision, wait)
--- a/informer/mirror.go
+++ b/informer/mirror.go
@@ -4,6 +4,8 @@
 package informer
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"sort"
 	"sync"
 	"time"
@@ -182,6 +184,25 @@
 	return records, m.revision, m.current
 }
 
+// Digest returns a number that is the same for two copies which hold the same
+// revisions of the keys that the filter takes.
+func (m *Mirror) Digest(filter func(key string) bool) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var digest uint64
+	for key, record := range m.records {
+		if record.Deleted || !filter(key) {
+			continue
+		}
+		hash := fnv.New64a()
+		// A hash never fails to take bytes.
+		_, _ = hash.Write([]byte(key))
+		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(record.Revision)))
+		digest ^= hash.Sum64()
+	}
+	return digest
+}
+
 // Records returns the present keys in order with the revision of the copy.
 func (m *Mirror) Records() ([]Record, int64) {
 	m.mu.Lock()
