--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -120,7 +120,8 @@
 }
 
 // Hear takes in a report of another host and deducts what it admitted since
-// its last one.
+// its last one. What a host had admitted when it was first heard belongs to the
+// past, for which an empty bucket at the start accounts.
 func (f *Fleet) Hear(host string, report HostReport) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -136,7 +137,7 @@
 		if sameProcess {
 			counted = before.Spent[name].Admitted
 		}
-		if known || f.bornAfterSync(spent, b) {
+		if known {
 			b.level = max(b.level-max(0, float64(spent.Admitted-counted)), -b.bound.Rate*maxDebt.Seconds())
 		}
 		// A report that was overtaken must not lower the count, or the next one
@@ -147,13 +148,6 @@
 	f.reports[host] = report
 }
 
-// bornAfterSync reports whether the operations that a host counts at its first
-// report can be recent. Long counts belong to a time before this host's start,
-// for which its empty bucket already accounts.
-func (f *Fleet) bornAfterSync(spent Spent, b *fleetBucket) bool {
-	return float64(spent.Admitted) <= b.bound.Burst
-}
-
 // Forget drops the report of a host that has left the fleet.
 func (f *Fleet) Forget(keep map[string]bool) {
 	f.mu.Lock()
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -183,3 +183,32 @@
 		t.Errorf("admitted %d in 5s, want at most %d", got, limit)
 	}
 }
+
+// TestFleetServesAfterRestart guards against a host that refuses customers
+// after its start because it takes all that the others ever admitted as recent.
+func TestFleetServesAfterRestart(t *testing.T) {
+	m := newFleetModel(9, Bound{Rate: 40, Burst: 40})
+	for i := range 1200 {
+		m.step(10*time.Millisecond, 250*time.Millisecond, nil)
+		if i%4 == 0 {
+			m.fleets[i/4%9].Admit("customer")
+		}
+	}
+	restarted := NewFleet(func() time.Time { return m.now })
+	restarted.SetHosts(9)
+	restarted.SetBounds(map[string]Bound{"customer": {Rate: 40, Burst: 40}})
+	m.fleets[0] = restarted
+	refused, asked := 0, 0
+	for i := range 300 {
+		m.step(10*time.Millisecond, 250*time.Millisecond, nil)
+		if i >= 150 && i%36 == 0 {
+			asked++
+			if ok, _ := restarted.Admit("customer"); !ok {
+				refused++
+			}
+		}
+	}
+	if refused > 0 {
+		t.Errorf("refused %d of %d from 1.5s after the start, want 0", refused, asked)
+	}
+}
