Serve as usual until the balancer has noticed a stop

Cause: sessions were closed at SIGTERM while the balancer still sent new ones, which were closed before their first statement.

--- a/hoster/host.go
+++ b/hoster/host.go
@@ -423,10 +423,12 @@
 	h.stopping.Store(true)
 	h.overseer.GiveUpDuty()
 	stopTimeout := h.stopTimeout()
+	// Whoever comes before the balancer has noticed is served as usual.
+	time.Sleep(min(balancerDelay, stopTimeout/2))
 	h.director.Stop(began.Add(stopTimeout / 2))
 	last := began.Add(stopTimeout - exitReserve)
 	for time.Now().Before(last) {
-		if time.Since(began) > balancerDelay && h.director.Sessions() == 0 {
+		if h.director.Sessions() == 0 {
 			break
 		}
 		time.Sleep(50 * time.Millisecond)
--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -16,6 +16,10 @@
 	// the customer has tokens at all, so that small customers are served on
 	// every host.
 	leastBudget = 1
+	// firstLevel is the part of the burst that a new bucket holds. After a
+	// restart of all hosts it comes on top of what was admitted before, and stays
+	// below the tolerated overage of a tenth of five seconds of the rate.
+	firstLevel = 0.4
 	// ampleLevel is the part of its burst above which a customer is well below
 	// its rate; any host may then admit ampleShare times an even part, as a host
 	// that has just started has no demand to show.
@@ -86,8 +90,7 @@
 	arrived float64
 }
 
-// NewFleet returns a fleet whose buckets start empty: what was admitted before
-// is not known.
+// NewFleet returns a fleet without customers.
 func NewFleet(now func() time.Time) *Fleet {
 	return &Fleet{Now: now, buckets: make(map[string]*fleetBucket), reports: make(map[string]HostReport), hosts: 1, synced: now()}
 }
@@ -99,7 +102,7 @@
 	for name, bound := range bounds {
 		b, ok := f.buckets[name]
 		if !ok {
-			b = &fleetBucket{}
+			b = &fleetBucket{level: bound.Burst * firstLevel}
 			f.buckets[name] = b
 		}
 		b.bound = bound
