--- a/connector/pool.go
+++ b/connector/pool.go
@@ -34,6 +34,9 @@
 	// maxDialing bounds the connections that a pool opens at once: each takes a
 	// slot of the database, and the queue for new ones is short.
 	maxDialing = 2
+	// fullWait is the pause before a session that found a database full looks
+	// for a connection again.
+	fullWait = 15 * time.Millisecond
 	// fullPause is how long a pool opens no connection beyond those it has
 	// after the database refused one.
 	fullPause = 300 * time.Millisecond
@@ -145,7 +148,12 @@
 			}
 		}
 		if conn == nil {
-			return p.dial(ctx, customer, deadline)
+			conn, err := p.dial(ctx, customer, deadline)
+			if errors.Is(err, ErrFull) && p.Now().Add(fullWait).Before(deadline) {
+				time.Sleep(fullWait)
+				continue
+			}
+			return conn, err
 		}
 		if p.usable(conn) {
 			return conn, nil
--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -103,6 +103,7 @@
 		b, ok := f.buckets[name]
 		if !ok {
 			b = &fleetBucket{level: bound.Burst * firstLevel}
+			b.budget = max(leastBudget, b.level/float64(f.hosts))
 			f.buckets[name] = b
 		}
 		b.bound = bound
