--- a/director/service.go
+++ b/director/service.go
@@ -64,8 +64,8 @@
 	running int
 	// coldUntil is when the database is no longer slow after its start.
 	coldUntil time.Time
-	// coldSent is when cold requests were sent within the last second.
-	coldSent []time.Time
+	// coldNext is when this host may send the next request while it is slow.
+	coldNext time.Time
 	// gone is when the database left the registry; zero while it is there.
 	gone time.Time
 }
@@ -296,7 +296,7 @@
 			Failing:  now.Before(db.avoidUntil),
 			Busy:     now.Before(db.busyUntil),
 			Lagging:  now.Before(db.laggingUntil),
-			Cold:     now.Before(db.coldUntil),
+			Cold:     now.Before(db.coldUntil) && now.Before(db.coldNext),
 			Local:    db.endpoint.DataCentre == s.director.DataCentre,
 			Home:     db.endpoint.ID == s.home,
 		})
@@ -316,11 +316,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	db.running++
+	s.countCold(db)
 	if db.waitingSince.IsZero() {
 		db.waitingSince = s.director.Now()
 	}
 }
 
+// countCold spaces requests to a database that is slow after its start, so that
+// all hosts together stay within the service's rate for such databases.
+func (s *service) countCold(db *database) {
+	now := s.director.Now()
+	if !now.Before(db.coldUntil) || s.catalog.Configuration == nil {
+		return
+	}
+	rate := s.catalog.Configuration.Services[s.name].ColdRate / float64(max(1, len(s.catalog.Sharers)))
+	if rate <= 0 {
+		return
+	}
+	if db.coldNext.Before(now) {
+		db.coldNext = now
+	}
+	db.coldNext = db.coldNext.Add(time.Duration(float64(time.Second) / rate))
+}
+
 func (s *service) ended(db *database) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -108,6 +108,7 @@
 		}
 		b.bound = bound
 		b.level = min(b.level, bound.Burst)
+		b.budget = min(b.budget, max(leastBudget, b.level))
 	}
 	for name := range f.buckets {
 		if _, ok := bounds[name]; !ok {
