--- /dev/null
+++ b/hoster/settings_test.go
@@ -0,0 +1,49 @@
+package hoster
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const goodSettings = `{
+  "host": "h1", "data_centre": "dc1", "client_address": "127.0.0.1:1", "readiness_address": "127.0.0.1:2",
+  "peer_address": "127.0.0.1:3", "metrics_address": "", "store_address": "127.0.0.1:4",
+  "promotion_address": "127.0.0.1:5", "seeds": ["127.0.0.1:3"], "stop_timeout_s": 6, "view_timeout_ms": 3000, "memory_mb": 284
+}`
+
+// TestSettings guards against a host that starts with settings it can't work
+// with, or with an error that does not name the field.
+func TestSettings(t *testing.T) {
+	settings, err := ParseSettings([]byte(goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := settings.StopTimeout, 6*time.Second; got != want {
+		t.Errorf("got stop timeout %v, want %v", got, want)
+	}
+	tests := []struct {
+		name, old, new, want string
+	}{
+		{name: "no host", old: `"host": "h1"`, new: `"host": ""`, want: "host is empty"},
+		{name: "no data centre", old: `"dc1"`, new: `""`, want: "data_centre"},
+		{name: "name instead of an address", old: `"127.0.0.1:4"`, new: `"store:4"`, want: "store_address"},
+		{name: "no client address", old: `"127.0.0.1:1"`, new: `""`, want: "client_address"},
+		{name: "no time to stop", old: `"stop_timeout_s": 6`, new: `"stop_timeout_s": 0`, want: "stop_timeout_s"},
+		{name: "not JSON", old: `{`, new: `host: `, want: "invalid"},
+		{name: "wrong type", old: `"memory_mb": 284`, new: `"memory_mb": "much"`, want: "memory_mb"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := ParseSettings([]byte(strings.Replace(goodSettings, test.old, test.new, 1)))
+			if !errors.Is(err, ErrInvalidSettings) || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("got %v, want %v with %q", err, ErrInvalidSettings, test.want)
+			}
+		})
+	}
+	if _, err := ReadSettings("does/not/exist"); !errors.Is(err, ErrInvalidSettings) {
+		t.Errorf("got %v, want %v", err, ErrInvalidSettings)
+	}
+}
--- /dev/null
+++ b/informer/mirror_test.go
@@ -0,0 +1,93 @@
+package informer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/endiveturn/endiveturn/storer"
+)
+
+func newMirror(now *time.Time) *Mirror { return &Mirror{Now: func() time.Time { return *now }} }
+
+func entry(key string, revision int64) storer.Entry {
+	return storer.Entry{Key: key, Value: []byte(key), ModRevision: revision}
+}
+
+// TestMirror guards against records that go back, come back after their
+// deletion, or are lost on the way through another host.
+func TestMirror(t *testing.T) {
+	now := time.Unix(100, 0)
+	m := newMirror(&now)
+	m.Replace([]storer.Entry{entry("a", 1), entry("b", 2)}, 3, now)
+	m.Apply([]storer.Change{{Entry: entry("a", 5)}, {Entry: storer.Entry{Key: "b", ModRevision: 6}, Deleted: true}}, 6, now)
+	m.Apply([]storer.Change{{Entry: entry("b", 2)}}, 4, now)
+	m.Merge([]Record{{Key: "a", Revision: 4}, {Key: "c", Value: []byte("c"), Revision: 8}}, 8, now.Add(time.Second))
+	tests := []struct {
+		key      string
+		revision int64
+		ok       bool
+	}{
+		{key: "a", revision: 5, ok: true},
+		{key: "b", revision: 6},
+		{key: "c", revision: 8, ok: true},
+	}
+	for _, test := range tests {
+		got, ok := m.Get(test.key)
+		if got.Revision != test.revision || ok != test.ok {
+			t.Errorf("%s: got revision %d, %v, want %d, %v", test.key, got.Revision, ok, test.revision, test.ok)
+		}
+	}
+	if got, want := m.Revision(), int64(8); got != want {
+		t.Errorf("got revision %d, want %d", got, want)
+	}
+	if got, want := m.Current(), now.Add(time.Second); !got.Equal(want) {
+		t.Errorf("got current %v, want %v", got, want)
+	}
+	records, _, _ := m.Since(5)
+	if len(records) != 2 || !records[0].Deleted || records[1].Key != "c" {
+		t.Errorf("got %+v since 5, want the deletion of b and c", records)
+	}
+	// A list that was read before what is known must not undo it.
+	m.Replace([]storer.Entry{entry("a", 1)}, 2, now)
+	if _, ok := m.Get("c"); !ok {
+		t.Error("an older list removed a newer record")
+	}
+	// A newer list removes what the store no longer has.
+	m.Replace([]storer.Entry{entry("a", 5)}, 9, now)
+	if _, ok := m.Get("c"); ok {
+		t.Error("a record stays that the store no longer has")
+	}
+}
+
+// TestMirrorForgetsDeletions guards against a copy that grows with each
+// database that ever left.
+func TestMirrorForgetsDeletions(t *testing.T) {
+	now := time.Unix(100, 0)
+	m := newMirror(&now)
+	m.Replace([]storer.Entry{entry("a", 1)}, 1, now)
+	m.Apply([]storer.Change{{Entry: storer.Entry{Key: "a", ModRevision: 2}, Deleted: true}}, 2, now)
+	now = now.Add(2 * tombstoneAge)
+	m.Apply(nil, 3, now)
+	if got, _, _ := m.Since(0); len(got) != 0 {
+		t.Errorf("got %d records, want none", len(got))
+	}
+}
+
+// TestDigest guards against two copies that differ unnoticed.
+func TestDigest(t *testing.T) {
+	now := time.Unix(100, 0)
+	all := func(string) bool { return true }
+	one, other := newMirror(&now), newMirror(&now)
+	one.Replace([]storer.Entry{entry("a", 1), entry("b", 2)}, 3, now)
+	other.Replace([]storer.Entry{entry("b", 2), entry("a", 1)}, 3, now)
+	if one.Digest(all) != other.Digest(all) {
+		t.Error("equal copies have different digests")
+	}
+	other.Apply([]storer.Change{{Entry: entry("a", 4)}}, 4, now)
+	if one.Digest(all) == other.Digest(all) {
+		t.Error("copies with another revision of a key have the same digest")
+	}
+	if one.Digest(func(key string) bool { return key == "b" }) != other.Digest(func(key string) bool { return key == "b" }) {
+		t.Error("keys that the filter leaves out change the digest")
+	}
+}
--- a/overseer/move.go
+++ b/overseer/move.go
@@ -29,6 +29,9 @@
 // errNoContender says that no database can take over now.
 var errNoContender = errors.New("no database can take over")
 
+// errDutyLost says that this host may not act for the fleet any more.
+var errDutyLost = errors.New("duty lost")
+
 // A move is one change of a service's primary.
 type move struct {
 	overseer *Overseer
@@ -71,11 +74,7 @@
 	if err != nil {
 		return err
 	}
-	token, ok := o.holds()
-	if !ok {
-		return errors.New("duty lost")
-	}
-	term, err := m.promote(ctx, contender.Endpoint, token)
+	contender, term, err := m.promoteFirst(ctx, contender)
 	if err != nil {
 		return err
 	}
@@ -91,6 +90,26 @@
 	return nil
 }
 
+// promoteFirst promotes the contender, or the next best one if the platform
+// says that it is not running.
+func (m *move) promoteFirst(ctx context.Context, contender Contender) (Contender, uint64, error) {
+	excluded := make(map[string]bool)
+	for {
+		token, ok := m.overseer.holds()
+		if !ok {
+			return contender, 0, errDutyLost
+		}
+		term, err := m.promote(ctx, contender.Endpoint, token)
+		if !errors.Is(err, ErrNotRunning) {
+			return contender, term, err
+		}
+		excluded[contender.Endpoint.ID] = true
+		if contender, err = m.elect(ctx, excluded); err != nil {
+			return contender, 0, err
+		}
+	}
+}
+
 // fence records that the primary is being replaced and waits until no host uses
 // it any more.
 func (m *move) fence(ctx context.Context) error {
@@ -199,7 +218,7 @@
 	asked := false
 	for o.Now().Before(until) {
 		if _, ok := o.holds(); !ok {
-			return 0, errors.New("duty lost")
+			return 0, errDutyLost
 		}
 		if !asked {
 			err := m.promoteOnce(ctx, endpoint, token)
