--- a/director/attempt.go
+++ b/director/attempt.go
@@ -78,29 +78,24 @@
 }
 
 // open chooses a database and takes a connection on which the session's values
-// are in force. It waits for a primary if none is in force.
+// are in force. It waits for a primary if only that may serve and none is in
+// force.
 func (op *operation) open(ctx context.Context, need Need, since time.Time) (*attempt, error) {
 	deadline := op.queueDeadline()
-	primaryDeadline := since.Add(time.Duration(primaryWaitShare * float64(op.route.StatementTimeout)))
-	for {
-		candidates, databases := op.service.candidates(op.customer)
-		i := Choose(need, candidates)
-		if i < 0 || candidates[i].Primary {
-			u, changed := op.service.acquirePrimary()
-			if u == nil && i < 0 {
-				return nil, op.awaitPrimary(ctx, changed, primaryDeadline)
-			}
-			if u != nil {
-				return op.connect(ctx, u.database, u, false, deadline)
-			}
-			need.Tried = with(need.Tried, candidates[i].Endpoint.ID)
-			if j := chooseReplica(need, candidates); j >= 0 {
-				return op.connect(ctx, databases[j], nil, need.OwnFloor, deadline)
-			}
-			return nil, op.awaitPrimary(ctx, changed, primaryDeadline)
-		}
+	candidates, databases := op.service.candidates(op.customer)
+	i := Choose(need, candidates)
+	if i >= 0 && !candidates[i].Primary {
 		return op.connect(ctx, databases[i], nil, need.OwnFloor, deadline)
 	}
+	u, changed := op.service.acquirePrimary()
+	if u != nil {
+		return op.connect(ctx, u.database, u, false, deadline)
+	}
+	if j := chooseReplica(need, candidates); j >= 0 {
+		return op.connect(ctx, databases[j], nil, need.OwnFloor, deadline)
+	}
+	wait := time.Duration(primaryWaitShare * float64(op.route.StatementTimeout))
+	return nil, op.awaitPrimary(ctx, changed, since.Add(wait))
 }
 
 // queueDeadline returns until when an operation may wait for a connection.
@@ -109,15 +104,14 @@
 	return op.session.director.Now().Add(max(share, leastQueueTime))
 }
 
+// chooseReplica returns the index of the best candidate but the primary, or -1.
 func chooseReplica(need Need, candidates []Candidate) int {
-	replicas := make([]Candidate, len(candidates))
-	copy(replicas, candidates)
 	best := -1
-	for i := range replicas {
-		if replicas[i].Primary || !need.allows(replicas[i]) {
+	for i, c := range candidates {
+		if c.Primary || !need.allows(c) {
 			continue
 		}
-		if best < 0 || need.cost(replicas[i]) < need.cost(replicas[best]) {
+		if best < 0 || need.cost(c) < need.cost(candidates[best]) {
 			best = i
 		}
 	}
--- a/director/gate.go
+++ b/director/gate.go
@@ -97,13 +97,6 @@
 	}
 }
 
-// load returns the statements that run or wait.
-func (g *gate) load() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.running + len(g.queue)
-}
-
 // A gateQueue is a heap of waiters by rank.
 type gateQueue []*gateWaiter
 
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -104,11 +104,12 @@
 // Run serves until ctx ends and the stop that follows is done.
 func (h *Host) Run(ctx context.Context) error {
 	h.prepare()
-	client, err := net.Listen("tcp", h.Settings.ClientAddress)
+	var listen net.ListenConfig
+	client, err := listen.Listen(ctx, "tcp", h.Settings.ClientAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
-	peers, err := net.Listen("tcp", h.Settings.PeerAddress)
+	peers, err := listen.Listen(ctx, "tcp", h.Settings.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for hosts")
 	}
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+// Steps of time and the interval between reports in the model.
+const (
+	modelStep     = 10 * time.Millisecond
+	modelInterval = 250 * time.Millisecond
+)
+
 // A fleetModel is a number of hosts with one customer whose reports reach the
 // others after a delay.
 type fleetModel struct {
@@ -31,12 +37,12 @@
 	return m
 }
 
-// step moves time on and lets each host report every interval, with delays
+// step moves time on and lets each host that is not cut off report, with delays
 // that let a later report overtake an earlier one.
-func (m *fleetModel) step(d, interval time.Duration, cut map[int]bool) {
-	m.now = m.now.Add(d)
-	ticks := int(m.now.UnixNano() / int64(d))
-	per := int(interval / d)
+func (m *fleetModel) step(cut map[int]bool) {
+	m.now = m.now.Add(modelStep)
+	ticks := int(m.now.UnixNano() / int64(modelStep))
+	per := int(modelInterval / modelStep)
 	for from, f := range m.fleets {
 		if (ticks+from)%per != 0 || cut[from] {
 			continue
@@ -67,7 +73,6 @@
 func TestFleetKeepsBoundUnderHotCustomer(t *testing.T) {
 	const (
 		hosts    = 9
-		step     = 10 * time.Millisecond
 		window   = 5 * time.Second
 		overage  = 0.1
 		slack    = 20
@@ -91,13 +96,13 @@
 			refusedAfter, askedAfter := 0, 0
 			owed := 0.0
 			turn := 0
-			for elapsed := time.Duration(0); elapsed < end; elapsed += step {
-				m.step(step, 250*time.Millisecond, nil)
+			for elapsed := time.Duration(0); elapsed < end; elapsed += modelStep {
+				m.step(nil)
 				rate := test.usual
 				if elapsed >= hotBegin && elapsed < hotEnd {
 					rate = test.hot
 				}
-				owed += rate * step.Seconds()
+				owed += rate * modelStep.Seconds()
 				count := 0
 				for ; owed >= 1; owed-- {
 					turn++
@@ -115,7 +120,7 @@
 				admitted = append(admitted, count)
 			}
 			limit := (test.bound.Rate*window.Seconds()+test.bound.Burst)*(1+overage) + slack
-			if got := maxOverWindow(admitted, int(window/step)); float64(got) > limit {
+			if got := maxOverWindow(admitted, int(window/modelStep)); float64(got) > limit {
 				t.Errorf("admitted %d in %v, want at most %.0f", got, window, limit)
 			}
 			if got, want := refusedAfter, askedAfter/20; got > want {
@@ -144,7 +149,7 @@
 	refused, asked := 0, 0
 	owed := 0.0
 	for i := range 3000 {
-		m.step(10*time.Millisecond, 250*time.Millisecond, nil)
+		m.step(nil)
 		owed += 0.12
 		for ; owed >= 1; owed-- {
 			if i < 300 {
@@ -168,7 +173,7 @@
 	count := func(d time.Duration, cut map[int]bool) int {
 		admitted := 0
 		for range int(d / (10 * time.Millisecond)) {
-			m.step(10*time.Millisecond, 250*time.Millisecond, cut)
+			m.step(cut)
 			for _, f := range m.fleets {
 				if ok, _ := f.Admit("customer"); ok {
 					admitted++
@@ -189,7 +194,7 @@
 func TestFleetServesAfterRestart(t *testing.T) {
 	m := newFleetModel(9, Bound{Rate: 40, Burst: 40})
 	for i := range 1200 {
-		m.step(10*time.Millisecond, 250*time.Millisecond, nil)
+		m.step(nil)
 		if i%4 == 0 {
 			m.fleets[i/4%9].Admit("customer")
 		}
@@ -200,7 +205,7 @@
 	m.fleets[0] = restarted
 	refused, asked := 0, 0
 	for i := range 300 {
-		m.step(10*time.Millisecond, 250*time.Millisecond, nil)
+		m.step(nil)
 		if i >= 150 && i%36 == 0 {
 			asked++
 			if ok, _ := restarted.Admit("customer"); !ok {
--- a/overseer/move.go
+++ b/overseer/move.go
@@ -59,13 +59,15 @@
 
 func (m *move) change(ctx context.Context) error {
 	o := m.overseer
-	contender, err := m.elect(ctx, nil)
-	if err != nil && !m.lead.Moving {
+	// Without a contender the service keeps its primary, however bad it is.
+	if _, err := m.elect(ctx, nil); err != nil && !m.lead.Moving {
 		return err
 	}
 	if err := m.fence(ctx); err != nil {
 		return err
 	}
+	var contender Contender
+	var err error
 	if m.reason.Planned() {
 		contender, err = m.catchUp(ctx)
 	} else {
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -210,9 +210,9 @@
 }
 
 // opinion lets a host report on the primary.
-func opinion(name string, o Opinion, released func() int64) Member {
+func opinion(o Opinion, released func() int64) Member {
 	return Member{
-		Name: name, Released: map[string]int64{service: released()}, Ended: func(time.Time) bool { return false },
+		Name: "h2", Released: map[string]int64{service: released()}, Ended: func(time.Time) bool { return false },
 		Opinions: map[string]HostOpinion{service: {ID: "p", Opinion: o}},
 	}
 }
@@ -243,7 +243,7 @@
 		began := time.Now()
 		w.change(func() {
 			delete(w.statuses, "p")
-			w.members = []Member{opinion("h2", deadOpinion, func() int64 { return 1 << 40 })}
+			w.members = []Member{opinion(deadOpinion, func() int64 { return 1 << 40 })}
 		})
 		time.Sleep(time.Second)
 		synctest.Wait()
@@ -284,7 +284,7 @@
 				began := time.Now()
 				w.change(func() {
 					delete(w.statuses, "p")
-					silent := opinion("h2", deadOpinion, func() int64 { return 0 })
+					silent := opinion(deadOpinion, func() int64 { return 0 })
 					silent.Ended = func(time.Time) bool { return test.ended }
 					w.members = []Member{silent}
 				})
@@ -308,7 +308,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		w.start()
-		w.change(func() { w.members = []Member{opinion("h2", deadOpinion, func() int64 { return 1 << 40 })} })
+		w.change(func() { w.members = []Member{opinion(deadOpinion, func() int64 { return 1 << 40 })} })
 		time.Sleep(900 * time.Millisecond)
 		synctest.Wait()
 		if got := len(w.promotions()); got != 0 {
@@ -357,7 +357,7 @@
 		w.change(func() {
 			w.storeLost = true
 			delete(w.statuses, "p")
-			w.members = []Member{opinion("h2", deadOpinion, func() int64 { return 1 << 40 })}
+			w.members = []Member{opinion(deadOpinion, func() int64 { return 1 << 40 })}
 		})
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
@@ -402,7 +402,7 @@
 		w.change(func() {
 			delete(w.statuses, "p")
 			w.notRunning["b"] = true
-			w.members = []Member{opinion("h2", deadOpinion, func() int64 { return 1 << 40 })}
+			w.members = []Member{opinion(deadOpinion, func() int64 { return 1 << 40 })}
 		})
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
