Wait for connections that open in the background in TestSwitches

Cause: the test slept 5 ms where the pool opens a connection in the background; a slow open made one more connection change its customer. The bound of 3 stays. The pool now breaks ties by idle time instead of map order.

--- a/pooler/pick.go
+++ b/pooler/pick.go
@@ -23,16 +23,17 @@
 	return p.removeIdle(0)
 }
 
-// richest returns the customer with most idle connections; connections that
-// nobody used come first.
+// richest returns the customer with most idle connections, and among equals the
+// one whose connection has been idle longest. Connections that nobody used come
+// first.
 func (p *Pool) richest() string {
 	if p.idleOf[""] > 0 {
 		return ""
 	}
 	best := ""
-	for customer, n := range p.idleOf {
-		if n > p.idleOf[best] {
-			best = customer
+	for _, conn := range p.idle {
+		if p.idleOf[conn.customer] > p.idleOf[best] {
+			best = conn.customer
 		}
 	}
 	return best
--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -296,6 +296,7 @@
 	pool.Configure(8, 0)
 	serve("large", 5)
 	pool.Warm(t.Context())
+	settle(t, pool)
 	before := pool.Stats().Switches
 	for range 10 {
 		for _, customer := range []string{"small1", "small2"} {
@@ -303,13 +304,24 @@
 		}
 		serve("large", 5)
 		pool.Warm(t.Context())
-		time.Sleep(5 * time.Millisecond)
+		settle(t, pool)
 	}
 	if got := pool.Stats().Switches - before; got > 3 {
 		t.Errorf("connections that changed their customer = %d, want at most 3", got)
 	}
 }
 
+// settle waits until every connection that the pool counts is open and idle.
+func settle(t *testing.T, pool *Pool) {
+	t.Helper()
+	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(time.Millisecond) {
+		if stats := pool.Stats(); stats.Open == stats.Idle {
+			return
+		}
+	}
+	t.Fatalf("connections are still being opened: %+v", pool.Stats())
+}
+
 // TestStatements guards against prepared statements without bound, missing ones,
 // and ones that are prepared twice.
 func TestStatements(t *testing.T) {
