Count what databases ran, split what is left by refill

The counts that hosts report fell when operations were given back, which hid later ones; reads that were repeated after a lost answer were not counted; a hot customer's bucket was dealt by a level that lacked what others admitted meanwhile. Tests of the three fail on the former code. A host now stops using primaries after 1 s without a current view, its lease ends after 1.8 s, it is not ready while isolated, and a primary that answers is probed twice a second at most.

--- a/director/attempt.go
+++ b/director/attempt.go
@@ -274,13 +274,15 @@
 	}
 	reply, err := a.conn.Receive(deadline)
 	if err != nil {
-		a.operation.ran = a.operation.ran || a.passed
+		if a.passed {
+			a.operation.used()
+		}
 		return executor.Reply{}, err
 	}
 	a.operation.service.succeeded(a.database, a.sent, reply.Position)
 	a.noteLag(statement, reply)
 	if statement.ID != "" && !reply.Code.NotRun() {
-		a.operation.ran = true
+		a.operation.used()
 	}
 	return reply, nil
 }
--- a/director/service.go
+++ b/director/service.go
@@ -14,7 +14,7 @@
 	// MaxViewAge is the age of a host's view of the primaries at which it
 	// stops using them. Whoever replaces a primary waits longer than this for
 	// hosts that do not confirm.
-	MaxViewAge = 1500 * time.Millisecond
+	MaxViewAge = time.Second
 	// firstFailurePause and lastFailurePause bound how long a database that
 	// failed is avoided; the pause doubles with each failure in a row.
 	firstFailurePause = 200 * time.Millisecond
--- a/director/session.go
+++ b/director/session.go
@@ -278,6 +278,25 @@
 	return op, executor.CodeNone, ""
 }
 
+// admitAgain takes another token for an operation that is to be repeated after a
+// database may have run it: databases count both runs.
+func (op *operation) admitAgain() bool {
+	if !op.ran {
+		return true
+	}
+	ok, _ := op.session.director.Limits.Admit(op.customer)
+	op.ran = op.ran && !ok
+	return ok
+}
+
+// used notes that a database may have run a statement of the operation.
+func (op *operation) used() {
+	if !op.ran {
+		op.ran = true
+		op.session.director.Limits.Use(op.customer)
+	}
+}
+
 // done logs the end of an operation or of a statement of one.
 func (op *operation) done(where, reason string, reply executor.Reply) {
 	d := op.session.director
--- a/director/session_test.go
+++ b/director/session_test.go
@@ -244,6 +244,28 @@
 	}
 }
 
+// TestRepeatedReadsCount guards against reads that databases run more often than
+// the customer's rate allows, because the proxy repeats those whose answer was
+// lost.
+func TestRepeatedReadsCount(t *testing.T) {
+	f := newFixture(cataloger.Primary)
+	f.put(func(c *cataloger.Catalog) {
+		next := *c.Configuration
+		next.Version = 2
+		next.Customers = map[string]cataloger.Customer{"c": {Name: "c", Keys: []string{"key"}, Rate: 1, Burst: 2}}
+		next = next.WithKeysIndexed()
+		c.Configuration = &next
+	})
+	f.primary.setLose(executor.VerbRead)
+	got := run(f.session(), executor.VerbRead, "a")
+	if got.Code != executor.CodeRunFailed {
+		t.Errorf("got %v, want %v", got.Code, executor.CodeRunFailed)
+	}
+	if runs := len(f.primary.statements()); runs > 2 {
+		t.Errorf("the primary ran the read %d times at a burst of 2", runs)
+	}
+}
+
 // TestConfigurationNeverGoesBack guards against an older version that comes
 // from another host.
 func TestConfigurationNeverGoesBack(t *testing.T) {
--- a/director/single.go
+++ b/director/single.go
@@ -67,7 +67,7 @@
 func (r *singleRun) run(ctx context.Context) executor.Reply {
 	for {
 		reply, again := r.try(ctx)
-		if !again || r.operation.attempts >= maxAttempts || !r.timeLeft() {
+		if !again || r.operation.attempts >= maxAttempts || !r.timeLeft() || !r.operation.admitAgain() {
 			return reply
 		}
 	}
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -117,7 +117,7 @@
 	var nested []byte
 	for name, u := range r.Usages {
 		nested = appendString(nested[:0], fieldName, name)
-		nested = appendNumber(nested, fieldFirst, uint64(u.Admitted))
+		nested = appendNumber(nested, fieldFirst, uint64(u.Used))
 		nested = appendNumber(nested, fieldSecond, uint64(math.Round(u.Demand/demandUnit)))
 		b = appendNested(b, fieldUsage, nested)
 	}
@@ -217,7 +217,7 @@
 	switch field {
 	case fieldUsage:
 		m.Report.Usages[name] = Usage{
-			Admitted: int64(f.numbers[fieldFirst]), Demand: float64(f.numbers[fieldSecond]) * demandUnit,
+			Used: int64(f.numbers[fieldFirst]), Demand: float64(f.numbers[fieldSecond]) * demandUnit,
 		}
 	case fieldPrimary:
 		m.Report.Primaries[name] = PrimaryHealth{
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -18,10 +18,10 @@
 	SinceFailure time.Duration
 }
 
-// A Usage is what a host has admitted for a customer.
+// A Usage is what a host has used of a customer's rate.
 type Usage struct {
-	// Admitted counts operations since the host's start.
-	Admitted int64
+	// Used counts operations since the host's start that databases may have run.
+	Used int64
 	// Demand is in operations per second, refused ones included.
 	Demand float64
 }
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -48,15 +48,22 @@
 	// watchShare is the part of the age at which a view expires in which the
 	// whole fleet hears from the store; each host asks that much less often.
 	watchShare = 0.1
+	// vouchAge is the age of the oldest report up to which the hosts vouch for
+	// each other's view: three exchanges, of which the asked side knows only
+	// when the one before was answered. It leaves time to ask the store.
+	vouchAge = 3 * exchanger.Interval
 	// vouchInterval is how often a host looks whether the others still vouch
 	// for its view.
-	vouchInterval = 200 * time.Millisecond
+	vouchInterval = 100 * time.Millisecond
 	// fleetListInterval is how often some host of the fleet reads all keys: a
 	// watch may pass over changes while the store discards its history.
 	fleetListInterval = time.Second
 	// differenceTime is how long two hosts may hold different records before
 	// each reads all keys again.
 	differenceTime = 500 * time.Millisecond
+	// isolationTolerance is how long a host may be without a current view before
+	// it reports that it is not ready.
+	isolationTolerance = 500 * time.Millisecond
 	// longestWatch bounds the wait of one watch.
 	longestWatch = 10 * time.Second
 )
@@ -317,11 +324,11 @@
 
 // vouched reports whether all other hosts have told what they know lately.
 func (h *Host) vouched() bool {
-	return timekeeper.Now().Sub(h.allTold()) < director.MaxViewAge/2
+	return timekeeper.Now().Sub(h.allTold()) < vouchAge
 }
 
-// oversee ends long waits for the store when a host falls silent, and has all
-// keys read again from time to time and when another host holds others.
+// oversee has all keys read again when a host falls silent, which tells at once
+// how old the view is, when another host holds others, and from time to time.
 func (h *Host) oversee(ctx context.Context, follower *informer.Follower) error {
 	ticker := time.NewTicker(vouchInterval)
 	defer ticker.Stop()
@@ -336,7 +343,7 @@
 		}
 		now := timekeeper.Now()
 		if vouched && !h.vouched() {
-			follower.Hurry()
+			follower.Relist()
 		}
 		vouched = h.vouched()
 		switch {
@@ -448,13 +455,19 @@
 	return errors.Wrap(server.ListenAndServe(), address)
 }
 
-// readiness answers the balancer: ready once the host knows the configuration,
-// until it stops.
+// isolated reports whether the host has been without a current view for long: it
+// reaches neither the store nor the other hosts, which serve its clients better.
+func (h *Host) isolated() bool {
+	return timekeeper.Now().Sub(h.viewCurrent()) > director.MaxViewAge+isolationTolerance
+}
+
+// readiness answers the balancer: ready while the host knows the configuration
+// and has a current view, until it stops.
 func (h *Host) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+h.Platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
 		catalog := h.current()
-		if h.stopping.Load() || catalog == nil || catalog.Configuration == nil {
+		if h.stopping.Load() || catalog == nil || catalog.Configuration == nil || h.isolated() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -156,7 +156,7 @@
 // primaries, and it tells the others before it does.
 func (h *Host) viewCurrent() time.Time {
 	current := h.mirror.Current()
-	if timekeeper.Now().Sub(current) < director.MaxViewAge/2 {
+	if timekeeper.Now().Sub(current) < director.MaxViewAge/4 {
 		return current
 	}
 	if told := h.allTold(); told.After(current) {
--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -19,12 +19,18 @@
 	// firstLevel is the part of the burst that a new bucket holds. After a
 	// restart of all hosts it comes on top of what was admitted before, and stays
 	// below the tolerated overage of a tenth of five seconds of the rate.
-	firstLevel = 0.4
+	firstLevel = 0.2
 	// ampleLevel is the part of its burst above which a customer is well below
 	// its rate; any host may then admit ampleShare times an even part, as a host
 	// that has just started has no demand to show.
 	ampleLevel = 0.5
 	ampleShare = 1.5
+	// levelGain is the part of the level by which the refill is corrected in an
+	// interval while there is little left.
+	levelGain = 0.1
+	// scarceShare bounds what a host saves up while there is little left, as a
+	// part of its part of the burst.
+	scarceShare = 0.3
 	// demandSpan is the time over which demand is averaged.
 	demandSpan = 2 * time.Second
 	// maxDebt bounds how long a customer waits after more was admitted than
@@ -44,8 +50,8 @@
 
 // A Spent is what one host has admitted for a customer.
 type Spent struct {
-	// Admitted counts operations since the host's start.
-	Admitted int64
+	// Used counts operations since the host's start that databases may have run.
+	Used int64
 	// Demand is in operations per second, refused ones included.
 	Demand float64
 }
@@ -83,8 +89,9 @@
 	// was admitted than there was.
 	level float64
 	// budget is what this host may still admit before the next report.
-	budget   float64
-	admitted int64
+	budget float64
+	// used counts the operations that databases may have run; it never falls.
+	used int64
 	// demand is this host's demand in operations per second.
 	demand  float64
 	arrived float64
@@ -140,14 +147,14 @@
 		}
 		counted := int64(0)
 		if sameProcess {
-			counted = before.Spent[name].Admitted
+			counted = before.Spent[name].Used
 		}
 		if known {
-			b.level = max(b.level-max(0, float64(spent.Admitted-counted)), -b.bound.Rate*maxDebt.Seconds())
+			b.level = max(b.level-max(0, float64(spent.Used-counted)), -b.bound.Rate*maxDebt.Seconds())
 		}
 		// A report that was overtaken must not lower the count, or the next one
 		// would be deducted twice.
-		spent.Admitted = max(spent.Admitted, counted)
+		spent.Used = max(spent.Used, counted)
 		report.Spent[name] = spent
 	}
 	f.reports[host] = report
@@ -181,7 +188,6 @@
 	if b.budget >= 1 {
 		b.budget--
 		b.level--
-		b.admitted++
 		return true, 0
 	}
 	wait := syncInterval
@@ -191,14 +197,23 @@
 	return false, wait
 }
 
-// Return gives an operation back that no database ran.
+// Use counts an admitted operation that a database has run or may have run. Only
+// those are reported to other hosts, so that their number never falls.
+func (f *Fleet) Use(customer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b, ok := f.buckets[customer]; ok {
+		b.used++
+	}
+}
+
+// Return gives back an admitted operation that no database ran.
 func (f *Fleet) Return(customer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if b, ok := f.buckets[customer]; ok && b.bound.Rate > 0 {
 		b.budget++
 		b.level++
-		b.admitted--
 	}
 }
 
@@ -208,8 +223,8 @@
 	defer f.mu.Unlock()
 	spent := make(map[string]Spent, len(f.buckets))
 	for name, b := range f.buckets {
-		if b.demand > 0.01 || b.admitted > 0 {
-			spent[name] = Spent{Admitted: b.admitted, Demand: b.demand}
+		if b.demand > 0.01 || b.used > 0 {
+			spent[name] = Spent{Used: b.used, Demand: b.demand}
 		}
 	}
 	return spent
@@ -229,13 +244,22 @@
 		b.level += b.bound.Rate * elapsed * (1 - silent)
 		b.level = min(b.level, b.bound.Burst)
 		b.budget = 0
-		if b.level >= b.bound.Burst*ampleLevel {
-			share = max(share, ampleShare/float64(f.hosts))
-		}
-		if b.level >= 1 {
-			b.budget = max(leastBudget, b.level*share)
-		}
+		b.deal(share, elapsed, f.hosts)
+	}
+}
+
+// deal gives this host its budget for the next interval. While there is ample,
+// that is its part of the level. Otherwise what the others admit meanwhile
+// counts, so it is its part of the refill, corrected slowly by the level.
+func (b *fleetBucket) deal(share, elapsed float64, hosts int) {
+	if b.level >= b.bound.Burst*ampleLevel {
+		share = max(share, ampleShare/float64(hosts))
+		b.budget = max(leastBudget, b.level*share)
+		return
 	}
+	credit := (b.bound.Rate*elapsed + b.level*levelGain) * share
+	most := max(leastBudget, b.bound.Burst*share*scarceShare)
+	b.budget = max(0, min(b.budget+credit, most))
 }
 
 // shares returns this host's part of the demand, and the part of the hosts
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -17,11 +17,16 @@
 
 const (
 	// leaseTime is after how much silence a host's keys leave the store.
-	leaseTime = 2500 * time.Millisecond
-	// renewInterval leaves room for two failed renewals.
-	renewInterval = 700 * time.Millisecond
+	leaseTime = 1800 * time.Millisecond
+	// renewInterval leaves room for two failed renewals, of which renewTimeout
+	// bounds each.
+	renewInterval = 450 * time.Millisecond
+	renewTimeout  = 500 * time.Millisecond
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 1200 * time.Millisecond
+	// probeInterval is the least time between two probes of a primary that
+	// answers.
+	probeInterval = 500 * time.Millisecond
 	// judgeInterval is how often the holder of the duty looks at the primaries.
 	judgeInterval = 100 * time.Millisecond
 )
@@ -84,6 +89,8 @@
 	token int64
 	// moving holds the services whose primary this host is replacing.
 	moving map[string]bool
+	// probed holds when a suspected primary last answered a probe, by service.
+	probed map[string]time.Time
 	// stopping hosts leave the duty to others.
 	stopping bool
 }
@@ -91,7 +98,7 @@
 // Run registers the host, renews its lease and carries out the duty while this
 // host holds it, until ctx ends.
 func (o *Overseer) Run(ctx context.Context) error {
-	o.moving = make(map[string]bool)
+	o.moving, o.probed = make(map[string]bool), make(map[string]time.Time)
 	go o.judgeAlways(ctx)
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
@@ -112,7 +119,7 @@
 	asked := o.Now()
 	lease := o.currentLease()
 	if lease != 0 {
-		err := o.Space.Renew(ctx, lease)
+		err := o.renew(ctx, lease)
 		if err == nil {
 			o.renewed(lease, asked)
 			return
@@ -133,6 +140,12 @@
 	o.register(ctx, lease)
 }
 
+func (o *Overseer) renew(ctx context.Context, lease storer.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	return o.Space.Renew(ctx, lease)
+}
+
 // register writes the host's key. One left by a former process of the same
 // name is replaced.
 func (o *Overseer) register(ctx context.Context, lease storer.LeaseID) {
@@ -306,10 +319,7 @@
 	}
 	situation := situationOf(catalog, lead, members)
 	reason := Judge(situation)
-	if reason == ReasonFailing && o.answers(ctx, situation.Primary) {
-		return
-	}
-	if reason == ReasonNone {
+	if reason == ReasonNone || (reason == ReasonFailing && o.answers(ctx, situation.Primary)) {
 		return
 	}
 	m := &move{overseer: o, service: service, lead: lead, former: situation.Primary, registered: situation.Registered, reason: reason}
@@ -372,11 +382,24 @@
 	return lead, nil
 }
 
-// answers reports whether a suspected primary still leads.
+// answers reports whether a suspected primary still leads. One that answered
+// lately is not asked again.
 func (o *Overseer) answers(ctx context.Context, primary cataloger.Endpoint) bool {
+	o.mu.Lock()
+	recent := o.Now().Sub(o.probed[primary.Service]) < probeInterval
+	o.mu.Unlock()
+	if recent {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	status, err := o.Status(ctx, primary)
+	leads := err == nil && status.Primary
 	o.Logger.Info("primary_probed", "service", primary.Service, "database", primary.ID, "answered", err == nil, "leads", status.Primary)
-	return err == nil && status.Primary
+	if leads {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.probed[primary.Service] = o.Now()
+	}
+	return leads
 }
