--- a/director/service.go
+++ b/director/service.go
@@ -213,13 +213,17 @@
 }
 
 // acquirePrimary registers a use of the primary, or returns nil with a channel
-// that tells of a change.
+// that tells of a change. There is no channel while the view is not current:
+// when it will be is not known.
 func (s *service) acquirePrimary() (*use, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.primary == nil || !s.viewIsCurrent() {
+	if s.primary == nil {
 		return nil, s.changed
 	}
+	if !s.viewIsCurrent() {
+		return nil, nil
+	}
 	u := &use{database: s.primary}
 	if s.uses == nil {
 		s.uses = make(map[*use]struct{})
