--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -27,6 +27,8 @@
 	// probeInterval is the least time between two probes of a primary that
 	// answers.
 	probeInterval = 500 * time.Millisecond
+	// cutPersists is how long a primary must be reported as cut from many hosts.
+	cutPersists = 700 * time.Millisecond
 	// judgeInterval is how often the holder of the duty looks at the primaries.
 	judgeInterval = 100 * time.Millisecond
 )
@@ -91,6 +93,8 @@
 	moving map[string]bool
 	// probed holds when a suspected primary last answered a probe, by service.
 	probed map[string]time.Time
+	// cutSince is since when a primary has been cut from many hosts, by service.
+	cutSince map[string]time.Time
 	// stopping hosts leave the duty to others.
 	stopping bool
 }
@@ -98,7 +102,7 @@
 // Run registers the host, renews its lease and carries out the duty while this
 // host holds it, until ctx ends.
 func (o *Overseer) Run(ctx context.Context) error {
-	o.moving, o.probed = make(map[string]bool), make(map[string]time.Time)
+	o.moving, o.probed, o.cutSince = make(map[string]bool), make(map[string]time.Time), make(map[string]time.Time)
 	go o.judgeAlways(ctx)
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
@@ -319,13 +323,34 @@
 	}
 	situation := situationOf(catalog, lead, members)
 	reason := Judge(situation)
-	if reason == ReasonNone || (reason == ReasonFailing && o.answers(ctx, situation.Primary)) {
+	persists := o.persists(service, reason)
+	switch {
+	case reason == ReasonNone:
+		return
+	case reason == ReasonCut && !persists:
+		return
+	case reason == ReasonFailing && o.answers(ctx, situation.Primary):
 		return
 	}
 	m := &move{overseer: o, service: service, lead: lead, former: situation.Primary, registered: situation.Registered, reason: reason}
 	m.run(ctx)
 }
 
+// persists reports whether a primary has been cut from hosts for long in a row.
+// Hosts that return from a cut of their own report failures that are over.
+func (o *Overseer) persists(service string, reason Reason) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if reason != ReasonCut {
+		delete(o.cutSince, service)
+		return false
+	}
+	if _, ok := o.cutSince[service]; !ok {
+		o.cutSince[service] = o.Now()
+	}
+	return o.Now().Sub(o.cutSince[service]) >= cutPersists
+}
+
 // situationOf collects what is known of a service.
 func situationOf(catalog *cataloger.Catalog, lead cataloger.Lead, members []Member) Situation {
 	s := Situation{Lead: lead, Hosts: len(members)}
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -317,6 +317,38 @@
 	})
 }
 
+// TestCutMustPersist guards against replacing a primary on the word of hosts
+// that were cut off themselves and have just returned.
+func TestCutMustPersist(t *testing.T) {
+	tests := []struct {
+		name string
+		// reported is how long the hosts report that they can't reach it.
+		reported time.Duration
+		want     int
+	}{
+		{name: "hosts return", reported: 300 * time.Millisecond},
+		{name: "primary is cut off", reported: 3 * time.Second, want: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				w.start()
+				cut := opinion(Opinion{SinceSuccess: 6 * time.Second, SinceFailure: 5 * time.Second}, func() int64 { return 1 << 40 })
+				fine := opinion(Opinion{SinceSuccess: 10 * time.Millisecond}, func() int64 { return 1 << 40 })
+				w.change(func() { w.members = []Member{cut, fine} })
+				time.Sleep(test.reported)
+				w.change(func() { w.members = []Member{fine, fine} })
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+				if got := len(w.promotions()); got != test.want {
+					t.Errorf("got %d promotions, want %d", got, test.want)
+				}
+			})
+		})
+	}
+}
+
 // TestPlannedChange guards against commits that are lost when a working
 // primary leaves: the new one has received everything first.
 func TestPlannedChange(t *testing.T) {
