--- a/director/attempt.go
+++ b/director/attempt.go
@@ -82,6 +82,7 @@
 // force.
 func (op *operation) open(ctx context.Context, need Need, since time.Time) (*attempt, error) {
 	deadline := op.queueDeadline()
+	op.floor = need.Floor
 	candidates, databases := op.service.candidates(op.customer)
 	i := Choose(need, candidates)
 	if i >= 0 && !candidates[i].Primary {
--- a/director/director.go
+++ b/director/director.go
@@ -129,6 +129,23 @@
 	}
 }
 
+// A Load is the use of the connections to a service's databases.
+type Load struct {
+	Used    int
+	Waiting int
+}
+
+// Loads returns the loads by service.
+func (d *Director) Loads() map[string]Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	loads := make(map[string]Load)
+	for name, s := range d.services {
+		loads[name] = s.load()
+	}
+	return loads
+}
+
 // Stop ends sessions as soon as they are idle, and what is still open at the
 // deadline.
 func (d *Director) Stop(deadline time.Time) {
--- a/director/service.go
+++ b/director/service.go
@@ -434,6 +434,24 @@
 	}
 }
 
+func (s *service) load() Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var load Load
+	for _, db := range s.databases {
+		used, waiting := db.pool.InUse()
+		load.Used += used
+		load.Waiting += waiting
+	}
+	return load
+}
+
+func (s *service) leadRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lead.Revision
+}
+
 // A Health is what this host sees of a service's primary.
 type Health struct {
 	Endpoint cataloger.Endpoint
--- a/director/session.go
+++ b/director/session.go
@@ -250,6 +250,10 @@
 	// admitted is set once the operation counts against the customer's rate.
 	admitted bool
 	attempts int
+	// floor is the position that the last attempt's database had to have.
+	floor executor.Position
+	// lead is the revision of the lead by which the last attempt chose.
+	lead int64
 	// ran is set once a database may have run a statement of the client.
 	ran bool
 }
@@ -301,12 +305,16 @@
 func (op *operation) done(where, reason string, reply executor.Reply) {
 	d := op.session.director
 	took := d.Now().Sub(op.began)
+	if op.service != nil {
+		op.lead = op.service.leadRevision()
+	}
 	if reply.Code.Promises() && op.admitted && !op.ran {
 		d.Limits.Return(op.customer)
 		op.admitted = false
 	}
 	d.Metrics.finished(op.route, reply, took)
 	d.Logger.Info("statement", "request", op.id, "session", op.session.number, "route", op.route.Name,
-		"customer", op.customer, "version", op.version, "database", where, "reason", reason, "attempts", op.attempts,
+		"customer", op.customer, "version", op.version, "lead", op.lead, "view_age", d.SinceBoot().Sub(d.Current()),
+		"floor", op.floor.String(), "database", where, "reason", reason, "attempts", op.attempts,
 		"code", reply.Code.String(), "detail", reply.Text, "state", string(reply.State), "took", took)
 }
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -411,12 +411,32 @@
 		case <-ticker.C:
 			h.director.Tend(idleConnection)
 			h.noteChange()
+			h.gauge()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// gauge updates the metrics that state what the host believes.
+func (h *Host) gauge() {
+	set := func(name string, value int64) { gometrics.GetOrRegisterGauge(name, h.Registry).Update(value) }
+	set("sessions", int64(h.director.Sessions()))
+	set("log_lines_dropped", h.Writer.Dropped())
+	set("view_age_ms", timekeeper.Now().Sub(h.viewCurrent()).Milliseconds())
+	set("store_revision", h.mirror.Revision())
+	if catalog := h.current(); catalog != nil {
+		set("hosts", int64(len(catalog.Hosts)))
+		if catalog.Configuration != nil {
+			set("configuration_version", int64(catalog.Configuration.Version))
+		}
+	}
+	for name, load := range h.director.Loads() {
+		set("connections_used."+name, int64(load.Used))
+		set("connections_waited_for."+name, int64(load.Waiting))
+	}
+}
+
 // awaitStop waits for ctx and then stops in an order that cuts no request:
 // readiness goes first, sessions end as they become idle once the balancer
 // sends no new ones.
