--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -32,6 +32,7 @@
 	fieldReleased
 	fieldRecord
 	fieldDigest
+	fieldUptime
 )
 
 // Field numbers of the nested messages.
@@ -111,6 +112,7 @@
 	b = appendNumber(b, fieldRevision, uint64(r.Revision))
 	b = appendNumber(b, fieldAge, fromDuration(r.Age))
 	b = appendNumber(b, fieldDigest, r.Digest)
+	b = appendNumber(b, fieldUptime, fromDuration(r.Uptime))
 	if r.Stopping {
 		b = appendNumber(b, fieldStopping, 1)
 	}
@@ -199,6 +201,7 @@
 	r.Host, r.Incarnation = f.text(fieldHost), f.text(fieldIncarnation)
 	r.Address, r.DataCentre = f.text(fieldAddress), f.text(fieldDataCentre)
 	r.Revision, r.Age = int64(f.numbers[fieldRevision]), toDuration(f.numbers[fieldAge])
+	r.Uptime = max(0, toDuration(f.numbers[fieldUptime]))
 	r.Digest = f.numbers[fieldDigest]
 	r.Stopping = f.numbers[fieldStopping] != 0
 	return m, nil
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -40,6 +40,8 @@
 	// Digest is the same for two hosts that hold the same records of operators
 	// and databases.
 	Digest uint64
+	// Uptime is how long the host's process has run.
+	Uptime time.Duration
 	// Stopping hosts take no new connections.
 	Stopping bool
 	// Usages are by customer.
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -96,6 +96,7 @@
 	Registry gometrics.Registry
 
 	incarnation string
+	started     time.Time
 	mirror      *informer.Mirror
 	director    *director.Director
 	limits      *limiter.Fleet
@@ -168,6 +169,7 @@
 
 func (h *Host) prepare() {
 	h.incarnation = strconv.FormatInt(timekeeper.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
+	h.started = timekeeper.Now()
 	h.changed = make(chan struct{}, 1)
 	h.mirror = &informer.Mirror{Now: timekeeper.Now, Changed: h.noteChange}
 	h.limits = limiter.NewFleet(timekeeper.Now)
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -30,7 +30,8 @@
 	_, revision, current := h.mirror.Since(1 << 62)
 	r := exchanger.Report{
 		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
-		Revision: revision, Age: -1, Digest: h.mirror.Digest(h.Platform.Foreign), Stopping: h.stopping.Load(), Released: h.director.Released(),
+		Revision: revision, Age: -1, Uptime: timekeeper.Now().Sub(h.started),
+		Digest: h.mirror.Digest(h.Platform.Foreign), Stopping: h.stopping.Load(), Released: h.director.Released(),
 		Usages: make(map[string]exchanger.Usage), Primaries: make(map[string]exchanger.PrimaryHealth),
 	}
 	if !current.IsZero() {
@@ -65,7 +66,7 @@
 	for name, usage := range report.Usages {
 		spent[name] = limiter.Spent(usage)
 	}
-	h.limits.Hear(report.Host, limiter.HostReport{Incarnation: report.Incarnation, Heard: timekeeper.Now(), Spent: spent})
+	h.limits.Hear(report.Host, limiter.HostReport{Incarnation: report.Incarnation, Heard: timekeeper.Now(), Uptime: report.Uptime, Spent: spent})
 	records := make([]informer.Record, 0, len(message.Records))
 	for _, record := range message.Records {
 		records = append(records, informer.Record(record))
--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -9,6 +9,8 @@
 	// silence is the age of a host's last report after which its share of the
 	// rate is taken as used up instead of what it reported.
 	silence = 1500 * time.Millisecond
+	// youngProcess is up to which uptime all that a process admitted is recent.
+	youngProcess = 2 * time.Second
 	// syncInterval is how often a host's budget is dealt anew. It is no longer
 	// than the time between two reports of a host.
 	syncInterval = 200 * time.Millisecond
@@ -18,19 +20,20 @@
 	leastBudget = 1
 	// firstLevel is the part of the burst that a new bucket holds. After a
 	// restart of all hosts it comes on top of what was admitted before, and stays
-	// below the tolerated overage of a tenth of five seconds of the rate.
-	firstLevel = 0.2
+	// below the tolerated overage of a tenth of five seconds of the rate and of
+	// the burst.
+	firstLevel = 0.4
 	// ampleLevel is the part of its burst above which a customer is well below
 	// its rate; any host may then admit ampleShare times an even part, as a host
 	// that has just started has no demand to show.
-	ampleLevel = 0.5
+	ampleLevel = 0.35
 	ampleShare = 1.5
 	// levelGain is the part of the level by which the refill is corrected in an
 	// interval while there is little left.
 	levelGain = 0.1
 	// scarceShare bounds what a host saves up while there is little left, as a
 	// part of its part of the burst.
-	scarceShare = 0.3
+	scarceShare = 0.5
 	// demandSpan is the time over which demand is averaged.
 	demandSpan = 2 * time.Second
 	// maxDebt bounds how long a customer waits after more was admitted than
@@ -62,7 +65,9 @@
 	Incarnation string
 	// Heard is when the report came.
 	Heard time.Time
-	Spent map[string]Spent
+	// Uptime is how long the host's process had run.
+	Uptime time.Duration
+	Spent  map[string]Spent
 }
 
 // A Fleet keeps customers within their bounds over all hosts without a common
@@ -132,8 +137,8 @@
 }
 
 // Hear takes in a report of another host and deducts what it admitted since
-// its last one. What a host had admitted when it was first heard belongs to the
-// past, for which an empty bucket at the start accounts.
+// its last one. What an old process had admitted when it was first heard belongs
+// to the past, for which a nearly empty bucket at the start accounts.
 func (f *Fleet) Hear(host string, report HostReport) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -149,7 +154,7 @@
 		if sameProcess {
 			counted = before.Spent[name].Used
 		}
-		if known {
+		if known || report.Uptime < youngProcess {
 			b.level = max(b.level-max(0, float64(spent.Used-counted)), -b.bound.Rate*maxDebt.Seconds())
 		}
 		// A report that was overtaken must not lower the count, or the next one
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -20,6 +20,8 @@
 	fleets []*Fleet
 	// life counts the restarts of all hosts.
 	life int
+	// born is when each host's process started.
+	born []time.Time
 	// late holds the reports on their way.
 	late []lateReport
 }
@@ -38,13 +40,14 @@
 
 // restart replaces all hosts by new processes.
 func (m *fleetModel) restart(bound Bound) {
-	m.fleets, m.late = nil, nil
+	m.fleets, m.late, m.born = nil, nil, nil
 	m.life++
 	for range m.hosts {
 		f := NewFleet(func() time.Time { return m.now })
 		f.SetHosts(m.hosts)
 		f.SetBounds(map[string]Bound{"customer": bound})
 		m.fleets = append(m.fleets, f)
+		m.born = append(m.born, m.now)
 	}
 }
 
@@ -61,7 +64,7 @@
 		delay := time.Duration(ticks/per%2) * 400 * time.Millisecond
 		for to := range m.fleets {
 			if to != from && !cut[to] {
-				report := HostReport{Incarnation: fmt.Sprint(m.life), Spent: f.Spent()}
+				report := HostReport{Incarnation: fmt.Sprint(m.life), Uptime: m.now.Sub(m.born[from]), Spent: f.Spent()}
 				m.late = append(m.late, lateReport{due: m.now.Add(delay), from: from, to: to, report: report})
 			}
 		}
@@ -258,7 +261,7 @@
 	restarted := NewFleet(func() time.Time { return m.now })
 	restarted.SetHosts(9)
 	restarted.SetBounds(map[string]Bound{"customer": {Rate: 40, Burst: 40}})
-	m.fleets[0] = restarted
+	m.fleets[0], m.born[0] = restarted, m.now
 	refused, asked := 0, 0
 	for i := range 300 {
 		m.step(nil)
