Let the holder of the duty speak for all in large fleets

Cause: exchanges between all pairs cost 275 processor seconds and 0.48 GB in 24 s with 88 hosts, and each change of the store woke every host.

--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -33,6 +33,7 @@
 	fieldRecord
 	fieldDigest
 	fieldUptime
+	fieldHosts
 )
 
 // Field numbers of the nested messages.
@@ -112,6 +113,7 @@
 	b = appendNumber(b, fieldRevision, uint64(r.Revision))
 	b = appendNumber(b, fieldAge, fromDuration(r.Age))
 	b = appendNumber(b, fieldDigest, r.Digest)
+	b = appendNumber(b, fieldHosts, uint64(max(0, r.Hosts)))
 	b = appendNumber(b, fieldUptime, fromDuration(r.Uptime))
 	if r.Stopping {
 		b = appendNumber(b, fieldStopping, 1)
@@ -202,6 +204,7 @@
 	r.Address, r.DataCentre = f.text(fieldAddress), f.text(fieldDataCentre)
 	r.Revision, r.Age = int64(f.numbers[fieldRevision]), toDuration(f.numbers[fieldAge])
 	r.Uptime = max(0, toDuration(f.numbers[fieldUptime]))
+	r.Hosts = int(f.numbers[fieldHosts])
 	r.Digest = f.numbers[fieldDigest]
 	r.Stopping = f.numbers[fieldStopping] != 0
 	return m, nil
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -47,16 +47,19 @@
 type Exchanger struct {
 	// Host is the name of this host.
 	Host string
-	// Report returns what to tell.
-	Report func() Report
+	// Report returns what to tell a host; the name is empty if it is not known.
+	Report func(receiver string) Report
 	// Since returns the records later than a revision.
 	Since func(revision int64) []Record
 	// Received is called with each report and what came with it. For answers,
 	// sent is when the request was sent.
 	Received func(message Message, sent time.Time)
-	// Peers returns the addresses of the other hosts by name.
+	// Peers returns the addresses of the hosts to exchange with by name. It is
+	// empty while no host is known, not even this one.
 	Peers func() map[string]string
-	// Seeds are addresses to try while no other host is known.
+	// Asks reports whether this host has to ask the named one in any case.
+	Asks func(name string) bool
+	// Seeds are addresses to try while no host is known.
 	Seeds []string
 	// Now returns an instant that counts suspensions of the machine.
 	Now    func() time.Time
@@ -126,8 +129,9 @@
 // arrange opens lines to new addresses and ends those to others.
 func (e *Exchanger) arrange(ctx context.Context) {
 	wanted := e.Peers()
+	known := len(wanted) > 0
 	delete(wanted, e.Host)
-	if len(wanted) == 0 {
+	if !known {
 		wanted = make(map[string]string)
 		for _, seed := range e.Seeds {
 			wanted["seed "+seed] = seed
@@ -161,7 +165,7 @@
 // exchange tells both. A host that was not heard for long is asked in any case,
 // since a path may be open in one direction only.
 func (e *Exchanger) asks(name string) bool {
-	if e.Host < name {
+	if e.Host < name || e.Asks(name) {
 		return true
 	}
 	e.mu.Lock()
@@ -228,7 +232,7 @@
 		}
 		*conn = opened
 	}
-	request := Message{Report: e.Report()}
+	request := Message{Report: e.Report(l.name)}
 	if known > 0 && known < request.Report.Revision {
 		request.Records = e.Since(known)
 	}
@@ -294,7 +298,7 @@
 	}
 	e.mu.Unlock()
 	e.take(*request, sent)
-	answer := &Message{Report: e.Report()}
+	answer := &Message{Report: e.Report(request.Report.Host)}
 	if request.Report.Revision < answer.Report.Revision {
 		answer.Records = e.Since(request.Report.Revision)
 	}
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -44,6 +44,8 @@
 	Uptime time.Duration
 	// Stopping hosts take no new connections.
 	Stopping bool
+	// Hosts is the number of hosts for which Usages speak, 0 for one.
+	Hosts int
 	// Usages are by customer.
 	Usages map[string]Usage
 	// Primaries are by service.
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -48,6 +48,10 @@
 	// watchShare is the part of the age at which a view expires in which the
 	// whole fleet hears from the store; each host asks that much less often.
 	watchShare = 0.1
+	// leastSettle, settlePerHost and mostSettle bound the pause after a change.
+	leastSettle   = 50 * time.Millisecond
+	settlePerHost = 5 * time.Millisecond
+	mostSettle    = 400 * time.Millisecond
 	// vouchAge is the age of the oldest report up to which the hosts vouch for
 	// each other's view: three exchanges, of which the asked side knows only
 	// when the one before was answered. It leaves time to ask the store.
@@ -132,6 +136,7 @@
 	follower := informer.NewFollower()
 	follower.Space, follower.Mirror, follower.Prefix = h.Platform.Space, h.mirror, h.Platform.StorePrefix
 	follower.Wait, follower.Now, follower.Logger = h.watchWait, timekeeper.Now, h.Logger
+	follower.Idle, follower.Settle = h.told, h.settle
 	add(follower.Run)
 	add(func(ctx context.Context) error { return h.oversee(ctx, follower) })
 	add(h.view)
@@ -179,7 +184,7 @@
 		Metrics: &director.Metrics{Registry: h.Registry},
 	}
 	h.exchanger = &exchanger.Exchanger{
-		Host: h.Settings.Host, Report: h.report, Since: h.since, Received: h.received, Peers: h.peerAddresses,
+		Host: h.Settings.Host, Report: h.report, Since: h.since, Received: h.received, Peers: h.peerAddresses, Asks: h.asks,
 		Seeds: otherSeeds(h.Settings), Now: timekeeper.Now, Logger: h.Logger,
 	}
 	h.overseer = &overseer.Overseer{
@@ -225,6 +230,7 @@
 		h.Logger.Warn("record_rejected", "key", key, "revision", revision, "error", err.Error())
 	}}
 	sharers := make(sharers)
+	leads := int64(0)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -242,6 +248,10 @@
 		h.catalog = catalog
 		h.mu.Unlock()
 		h.director.SetCatalog(catalog)
+		if moved := leadRevisions(catalog); moved != leads {
+			leads = moved
+			h.exchanger.Spread()
+		}
 		wait := time.Hour
 		if !next.IsZero() {
 			wait = max(time.Millisecond, next.Sub(timekeeper.Now()))
@@ -282,6 +292,15 @@
 	}
 }
 
+// leadRevisions returns a number that changes with each lead.
+func leadRevisions(catalog *cataloger.Catalog) int64 {
+	sum := int64(0)
+	for _, lead := range catalog.Leads {
+		sum += lead.Revision
+	}
+	return sum
+}
+
 // sharers holds when each host was last one of the fleet.
 type sharers map[string]sharer
 
@@ -324,9 +343,19 @@
 	return mean/2 + rand.N(mean)
 }
 
-// vouched reports whether all other hosts have told what they know lately.
+// settle returns how long a host waits for further changes after one: each
+// change ends the watches of all hosts.
+func (h *Host) settle() time.Duration {
+	catalog := h.current()
+	if catalog == nil {
+		return leastSettle
+	}
+	return min(max(leastSettle, time.Duration(len(catalog.Hosts))*settlePerHost), mostSettle)
+}
+
+// vouched reports whether the view was known to be complete lately.
 func (h *Host) vouched() bool {
-	return timekeeper.Now().Sub(h.allTold()) < vouchAge
+	return timekeeper.Now().Sub(h.viewCurrent()) < vouchAge
 }
 
 // oversee has all keys read again when a host falls silent, which tells at once
@@ -354,7 +383,7 @@
 		case differs.IsZero():
 			differs = now
 		}
-		if now.After(relist) || (!differs.IsZero() && now.Sub(differs) > differenceTime) {
+		if (now.After(relist) && !h.told()) || (!differs.IsZero() && now.Sub(differs) > differenceTime) {
 			relist, differs = now.Add(h.listInterval()), time.Time{}
 			follower.Relist()
 		}
@@ -376,7 +405,7 @@
 // records, though neither lacks any by its revision.
 func (h *Host) differs() bool {
 	now := timekeeper.Now()
-	own := h.report()
+	own := h.report("")
 	for _, peer := range h.exchanger.Reports() {
 		recent := now.Sub(peer.Heard) < 2*exchanger.Interval
 		if recent && peer.Report.Age >= 0 && peer.Report.Digest != own.Digest {
@@ -414,6 +443,7 @@
 			h.director.Tend(idleConnection)
 			h.noteChange()
 			h.gauge()
+			h.forgetSilent()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -25,21 +25,20 @@
 	Demote func(ctx context.Context, endpoint cataloger.Endpoint, term uint64) error
 }
 
-// report returns what this host tells the others.
-func (h *Host) report() exchanger.Report {
-	_, revision, current := h.mirror.Since(1 << 62)
+// report returns what this host tells another one, or any if the receiver is
+// empty.
+func (h *Host) report(receiver string) exchanger.Report {
+	usages, hosts := h.usages(receiver)
+	revision, current := h.mirror.Revision(), h.viewCurrent()
 	r := exchanger.Report{
 		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
 		Revision: revision, Age: -1, Uptime: timekeeper.Now().Sub(h.started),
 		Digest: h.mirror.Digest(h.Platform.Foreign), Stopping: h.stopping.Load(), Released: h.director.Released(),
-		Usages: make(map[string]exchanger.Usage), Primaries: make(map[string]exchanger.PrimaryHealth),
+		Usages: usages, Hosts: hosts, Primaries: make(map[string]exchanger.PrimaryHealth),
 	}
 	if !current.IsZero() {
 		r.Age = timekeeper.Now().Sub(current)
 	}
-	for name, spent := range h.limits.Spent() {
-		r.Usages[name] = exchanger.Usage(spent)
-	}
 	for service, health := range h.director.Healths() {
 		r.Primaries[service] = exchanger.PrimaryHealth{
 			ID: health.Endpoint.ID, Born: health.Endpoint.Born,
@@ -66,7 +65,11 @@
 	for name, usage := range report.Usages {
 		spent[name] = limiter.Spent(usage)
 	}
-	h.limits.Hear(report.Host, limiter.HostReport{Incarnation: report.Incarnation, Heard: timekeeper.Now(), Uptime: report.Uptime, Spent: spent})
+	speaker := report.Host
+	if report.Hosts > 0 {
+		speaker += forAll
+	}
+	h.limits.Hear(speaker, limiter.HostReport{Incarnation: report.Incarnation, Heard: timekeeper.Now(), Uptime: report.Uptime, Hosts: report.Hosts, Spent: spent})
 	records := make([]informer.Record, 0, len(message.Records))
 	for _, record := range message.Records {
 		records = append(records, informer.Record(record))
@@ -85,18 +88,6 @@
 	}
 }
 
-// peerAddresses returns the other hosts by name.
-func (h *Host) peerAddresses() map[string]string {
-	addresses := make(map[string]string)
-	if catalog := h.current(); catalog != nil {
-		for name, host := range catalog.Hosts {
-			addresses[name] = host.Address
-		}
-	}
-	delete(addresses, h.Settings.Host)
-	return addresses
-}
-
 // members returns the other hosts of the fleet as the overseer sees them.
 func (h *Host) members() []overseer.Member {
 	catalog := h.current()
@@ -123,7 +114,7 @@
 
 // own returns this host as a member.
 func (h *Host) own() overseer.Member {
-	report := h.report()
+	report := h.report("")
 	member := overseer.Member{
 		Name: h.Settings.Host, Released: report.Released, Opinions: make(map[string]overseer.HostOpinion),
 		Ended: func(time.Time) bool { return false },
--- /dev/null
+++ b/hoster/topology.go
@@ -0,0 +1,107 @@
+package hoster
+
+import (
+	"github.com/endiveturn/endiveturn/exchanger"
+	"github.com/endiveturn/endiveturn/overseer"
+)
+
+// meshHosts is the number of hosts up to which each pair of hosts exchanges
+// reports. In larger fleets every host exchanges with the holder of the duty
+// alone, which speaks for all: pairs grow with the square of the hosts.
+const meshHosts = 16
+
+// forAll marks the usage that a host reports for all others, which is counted
+// apart from its own.
+const forAll = "/all"
+
+// hub returns the name of the host that speaks for all; ok is false in small
+// fleets and while nobody holds the duty.
+func (h *Host) hub() (name string, ok bool) {
+	catalog := h.current()
+	if catalog == nil || len(catalog.Hosts) <= meshHosts {
+		return "", false
+	}
+	record, ok := h.mirror.Get(overseer.DutyKey)
+	if !ok {
+		return "", false
+	}
+	name = overseer.DutyHolder(record.Value)
+	_, ok = catalog.Hosts[name]
+	return name, ok
+}
+
+// large reports whether the fleet is too large for exchanges between all pairs.
+func (h *Host) large() bool {
+	catalog := h.current()
+	return catalog != nil && len(catalog.Hosts) > meshHosts
+}
+
+// told reports whether another host brings all changes of the store in time.
+func (h *Host) told() bool {
+	name, ok := h.hub()
+	return ok && name != h.Settings.Host && h.vouched()
+}
+
+// peerAddresses returns the hosts to exchange with by name, this one included.
+func (h *Host) peerAddresses() map[string]string {
+	addresses := make(map[string]string)
+	catalog := h.current()
+	if catalog == nil {
+		return addresses
+	}
+	if _, ok := catalog.Hosts[h.Settings.Host]; ok {
+		addresses[h.Settings.Host] = h.Settings.PeerAddress
+	}
+	if h.large() {
+		if name, ok := h.hub(); ok {
+			addresses[name] = catalog.Hosts[name].Address
+		}
+		return addresses
+	}
+	for name, host := range catalog.Hosts {
+		addresses[name] = host.Address
+	}
+	return addresses
+}
+
+// asks reports whether this host asks the named one in any case: the host that
+// speaks for all is asked and asks nobody.
+func (h *Host) asks(name string) bool {
+	hub, ok := h.hub()
+	return ok && name == hub
+}
+
+// usages returns what this host tells another one of the customers' rates, and
+// for how many hosts it speaks.
+func (h *Host) usages(receiver string) (usages map[string]exchanger.Usage, hosts int) {
+	spent := h.limits.Spent()
+	if name, ok := h.hub(); ok && name == h.Settings.Host && receiver != "" {
+		spent = h.limits.SpentByOthers(receiver)
+		hosts = len(h.current().Hosts) - 1
+	}
+	usages = make(map[string]exchanger.Usage, len(spent))
+	for customer, s := range spent {
+		usages[customer] = exchanger.Usage(s)
+	}
+	return usages, hosts
+}
+
+// forgetSilent drops the usage reports of hosts that this one no longer
+// exchanges with, whose usage others report by now.
+func (h *Host) forgetSilent() {
+	catalog := h.current()
+	if catalog == nil {
+		return
+	}
+	keep := make(map[string]bool)
+	name, ok := h.hub()
+	switch {
+	case ok && name != h.Settings.Host:
+		keep[name+forAll] = true
+	default:
+		for host := range catalog.Hosts {
+			keep[host] = true
+		}
+	}
+	h.limits.Forget(keep)
+}
--- a/informer/follower.go
+++ b/informer/follower.go
@@ -18,6 +18,9 @@
 	// answerSlack is how long a watch may answer after its wait, for a slow
 	// store.
 	answerSlack = 2 * time.Second
+	// idleInterval is how often a host that is told of changes looks whether it
+	// still is.
+	idleInterval = 200 * time.Millisecond
 	// firstPause and lastPause bound the pause after a failed call; it doubles
 	// in between and is drawn at random, so that hosts do not come together.
 	firstPause = 50 * time.Millisecond
@@ -34,6 +37,12 @@
 	Mirror *Mirror
 	// Prefix is that of all keys to follow.
 	Prefix string
+	// Idle reports whether another host brings all changes, so that the store is
+	// not asked. It may be nil.
+	Idle func() bool
+	// Settle returns the pause after an answer with changes, so that changes that
+	// come together are read together. It may be nil.
+	Settle func() time.Duration
 	// Wait returns how long a watch waits for changes.
 	Wait func() time.Duration
 	// Now returns an instant that counts suspensions of the machine.
@@ -124,6 +133,10 @@
 		if f.relist.Load() {
 			return errRelist
 		}
+		if f.Idle != nil && f.Idle() {
+			f.sleep(ctx, idleInterval)
+			continue
+		}
 		wait := f.Wait()
 		asked := f.Now()
 		changes, next, err := f.watch(ctx, revision, wait)
@@ -140,6 +153,9 @@
 		f.answered()
 		f.Mirror.Apply(changes, next, completeAt(asked, f.Now(), wait, len(changes)))
 		revision = max(revision, next)
+		if len(changes) > 0 && f.Settle != nil {
+			f.sleep(ctx, f.Settle())
+		}
 	}
 	return ctx.Err()
 }
@@ -188,6 +204,17 @@
 	}
 }
 
+// sleep waits, unless it is hurried.
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.hurried:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Follower) answered() {
 	f.pause = 0
 	if f.lost {
--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -67,7 +67,9 @@
 	Heard time.Time
 	// Uptime is how long the host's process had run.
 	Uptime time.Duration
-	Spent  map[string]Spent
+	// Hosts is the number of hosts for which Spent speaks, 0 for one.
+	Hosts int
+	Spent map[string]Spent
 }
 
 // A Fleet keeps customers within their bounds over all hosts without a common
@@ -97,6 +99,9 @@
 	budget float64
 	// used counts the operations that databases may have run; it never falls.
 	used int64
+	// heard counts what other hosts reported to have used; heardFrom splits it.
+	heard     int64
+	heardFrom map[string]int64
 	// demand is this host's demand in operations per second.
 	demand  float64
 	arrived float64
@@ -155,7 +160,7 @@
 			counted = before.Spent[name].Used
 		}
 		if known || report.Uptime < youngProcess {
-			b.level = max(b.level-max(0, float64(spent.Used-counted)), -b.bound.Rate*maxDebt.Seconds())
+			b.hear(host, max(0, spent.Used-counted))
 		}
 		// A report that was overtaken must not lower the count, or the next one
 		// would be deducted twice.
@@ -165,7 +170,38 @@
 	f.reports[host] = report
 }
 
-// Forget drops the report of a host that has left the fleet.
+// hear deducts what another host has used.
+func (b *fleetBucket) hear(host string, used int64) {
+	b.level = max(b.level-float64(used), -b.bound.Rate*maxDebt.Seconds())
+	b.heard += used
+	if b.heardFrom == nil {
+		b.heardFrom = make(map[string]int64)
+	}
+	b.heardFrom[host] += used
+}
+
+// SpentByOthers returns what all hosts but one have used, as far as this host
+// has heard: what it tells that one if it speaks for all.
+func (f *Fleet) SpentByOthers(except string) map[string]Spent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	spent := make(map[string]Spent, len(f.buckets))
+	for name, b := range f.buckets {
+		demand := b.demand
+		for host, report := range f.reports {
+			if host != except {
+				demand += report.Spent[name].Demand
+			}
+		}
+		used := b.used + b.heard - b.heardFrom[except]
+		if demand > 0.01 || used > 0 {
+			spent[name] = Spent{Used: used, Demand: demand}
+		}
+	}
+	return spent
+}
+
+// Forget drops the reports of hosts that no longer speak to this one.
 func (f *Fleet) Forget(keep map[string]bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -280,7 +316,7 @@
 			quiet += demand
 			continue
 		}
-		heard++
+		heard += max(1, report.Hosts)
 	}
 	even := 1 / float64(f.hosts)
 	missing := max(0, float64(f.hosts-heard)) * even
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,6 +22,12 @@
 	// bounds each.
 	renewInterval = 450 * time.Millisecond
 	renewTimeout  = 500 * time.Millisecond
+	// fleetOfShortLeases is the number of hosts up to which a lost host is to be
+	// noticed soon; above it leases last longLease times as long.
+	fleetOfShortLeases = 16
+	longLease          = 8
+	// campaigners is about how many hosts try to take the duty at once.
+	campaigners = 16
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 1200 * time.Millisecond
 	// probeInterval is the least time between two probes of a primary that
@@ -83,10 +89,10 @@
 	Logger *slog.Logger
 
 	mu sync.Mutex
-	// lease is the host's lease; 0 if it has none.
-	lease storer.LeaseID
-	// leaseUntil is until when the lease is known to last.
-	leaseUntil time.Time
+	// lease keeps the host's key.
+	lease held
+	// duty keeps the key of the duty; its ID is 0 while another host holds it.
+	duty held
 	// token is the fencing token of the duty, 0 while another host holds it.
 	token int64
 	// moving holds the services whose primary this host is replacing.
@@ -99,6 +105,12 @@
 	stopping bool
 }
 
+// A held lease lasts at least until an instant; its ID is 0 if there is none.
+type held struct {
+	id    storer.LeaseID
+	until time.Time
+}
+
 // Run registers the host, renews its lease and carries out the duty while this
 // host holds it, until ctx ends.
 func (o *Overseer) Run(ctx context.Context) error {
@@ -116,32 +128,77 @@
 	}
 }
 
-// keep renews the lease or makes a new one.
+// keep renews the lease of the duty, and the host's lease when that is due.
 func (o *Overseer) keep(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	o.mu.Lock()
+	duty, lease := o.duty, o.lease
+	o.mu.Unlock()
+	if duty.id != 0 {
+		o.keepDuty(ctx, duty.id)
+	}
+	scale := o.leaseScale()
+	if lease.id != 0 && o.Now().Add(leaseTime*scale-renewInterval*scale).Before(lease.until) {
+		return
+	}
+	o.keepHost(ctx, lease.id, leaseTime*scale)
+}
+
+// leaseScale is how many times longer hosts' leases last in large fleets, where
+// no decision waits for one of them to end.
+func (o *Overseer) leaseScale() time.Duration {
+	if catalog := o.Catalog(); catalog != nil && len(catalog.Hosts) > fleetOfShortLeases {
+		return longLease
+	}
+	return 1
+}
+
+func (o *Overseer) keepDuty(ctx context.Context, id storer.LeaseID) {
+	asked := o.Now()
+	err := o.renew(ctx, id)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case err == nil && o.duty.id == id:
+		o.duty.until = asked.Add(leaseTime)
+	case errors.Is(err, storer.ErrLeaseExpired):
+		o.Logger.Warn("duty_lost", "token", o.token)
+		o.duty, o.token = held{}, 0
+	case err != nil:
+		o.Logger.Warn("lease_not_renewed", "lease", int64(id), "error", err.Error())
+	}
+}
+
+// keepHost renews the host's lease or makes a new one.
+func (o *Overseer) keepHost(ctx context.Context, id storer.LeaseID, ttl time.Duration) {
 	asked := o.Now()
-	lease := o.currentLease()
-	if lease != 0 {
-		err := o.renew(ctx, lease)
+	if id != 0 {
+		err := o.renew(ctx, id)
 		if err == nil {
-			o.renewed(lease, asked)
+			o.setLease(held{id: id, until: asked.Add(ttl)})
 			return
 		}
 		if !errors.Is(err, storer.ErrLeaseExpired) {
-			o.Logger.Warn("lease_not_renewed", "lease", int64(lease), "error", err.Error())
+			o.Logger.Warn("lease_not_renewed", "lease", int64(id), "error", err.Error())
 			return
 		}
-		o.Logger.Warn("lease_expired", "lease", int64(lease))
+		o.Logger.Warn("lease_expired", "lease", int64(id))
 	}
-	o.dropLease()
-	lease, err := o.Space.Grant(ctx, leaseTime)
+	o.setLease(held{})
+	id, err := o.Space.Grant(ctx, ttl)
 	if err != nil {
 		o.Logger.Warn("lease_not_granted", "error", err.Error())
 		return
 	}
-	o.renewed(lease, asked)
-	o.register(ctx, lease)
+	o.setLease(held{id: id, until: asked.Add(ttl)})
+	o.register(ctx, id)
+}
+
+func (o *Overseer) setLease(lease held) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lease = lease
 }
 
 func (o *Overseer) renew(ctx context.Context, lease storer.LeaseID) error {
@@ -166,51 +223,33 @@
 		var conflict *storer.Conflict
 		if !errors.As(err, &conflict) {
 			o.Logger.Warn("host_not_registered", "error", err.Error())
-			o.dropLease()
+			o.setLease(held{})
 			return
 		}
 		expected = conflict.Now.ModRevision
 	}
-	o.dropLease()
-}
-
-func (o *Overseer) currentLease() storer.LeaseID {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.lease
-}
-
-func (o *Overseer) renewed(lease storer.LeaseID, asked time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.lease = lease
-	o.leaseUntil = asked.Add(leaseTime)
-}
-
-func (o *Overseer) dropLease() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.lease = 0
-	o.token = 0
+	o.setLease(held{})
 }
 
 // holds returns the fencing token if this host surely holds the duty.
 func (o *Overseer) holds() (int64, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.token, o.token > 0 && o.Now().Before(o.leaseUntil)
+	return o.token, o.token > 0 && o.Now().Before(o.duty.until)
 }
 
 // Stop gives the duty up and ends the host's lease.
 func (o *Overseer) Stop(ctx context.Context) {
 	o.mu.Lock()
 	o.stopping = true
-	lease := o.lease
-	o.lease = 0
-	o.token = 0
+	leases := []held{o.duty, o.lease}
+	o.duty, o.lease, o.token = held{}, held{}, 0
 	o.mu.Unlock()
-	if lease != 0 {
-		if err := o.Space.Revoke(ctx, lease); err != nil {
+	for _, lease := range leases {
+		if lease.id == 0 {
+			continue
+		}
+		if err := o.Space.Revoke(ctx, lease.id); err != nil {
 			o.Logger.Warn("lease_not_revoked", "error", err.Error())
 		}
 	}
@@ -244,41 +283,50 @@
 	if _, ok := o.holds(); ok {
 		return true
 	}
-	record, taken := o.Mirror.Get(dutyKey)
+	_, taken := o.Mirror.Get(dutyKey)
 	o.mu.Lock()
-	lease, stopping, sure := o.lease, o.stopping, o.Now().Before(o.leaseUntil)
+	registered, stopping := o.lease.id != 0, o.stopping
 	o.mu.Unlock()
-	if taken && lease != 0 && sure {
-		var duty wireDuty
-		if json.Unmarshal(record.Value, &duty) == nil && duty.Incarnation == o.Host.Incarnation {
-			o.took(record.Revision)
-			return true
-		}
-	}
-	if taken || lease == 0 || stopping || !sure || !o.Mirror.Loaded() {
+	if taken || !registered || stopping || !o.Mirror.Loaded() || !o.chosen() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	asked := o.Now()
+	lease, err := o.Space.Grant(ctx, leaseTime)
+	if err != nil {
+		return false
+	}
 	value := encode(wireDuty{Host: o.Host.Name, Incarnation: o.Host.Incarnation})
 	revision, err := o.Space.Write(ctx, storer.Put{Key: dutyKey, Value: value, Lease: lease})
 	if err != nil {
-		var conflict *storer.Conflict
-		if errors.As(err, &conflict) {
-			o.Mirror.Wrote(informer.Record{Key: dutyKey, Value: conflict.Now.Value, Revision: conflict.Now.ModRevision})
-		}
+		o.lostCampaign(ctx, lease, err)
 		return false
 	}
 	o.Mirror.Wrote(informer.Record{Key: dutyKey, Value: value, Revision: revision})
-	o.took(revision)
-	return true
-}
-
-func (o *Overseer) took(revision int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.token = revision
+	o.duty, o.token = held{id: lease, until: asked.Add(leaseTime)}, revision
 	o.Logger.Info("duty_taken", "token", revision)
+	return true
+}
+
+// chosen lets about campaigners hosts of a large fleet try at once.
+func (o *Overseer) chosen() bool {
+	catalog := o.Catalog()
+	return catalog == nil || rand.N(max(1, len(catalog.Hosts))) < campaigners
+}
+
+// lostCampaign gives back the lease of a campaign that another host has won, or
+// whose outcome is not known.
+func (o *Overseer) lostCampaign(ctx context.Context, lease storer.LeaseID, err error) {
+	var conflict *storer.Conflict
+	if errors.As(err, &conflict) {
+		o.Mirror.Wrote(informer.Record{Key: dutyKey, Value: conflict.Now.Value, Revision: conflict.Now.ModRevision})
+	}
+	if err := o.Space.Revoke(ctx, lease); err != nil {
+		o.Logger.Warn("lease_not_revoked", "error", err.Error())
+	}
 }
 
 // judge looks at every service and replaces primaries where that is due.
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -53,6 +53,19 @@
 	return encode(wireLead{ID: l.ID, Born: l.Born, Term: l.Term, Moving: l.Moving, Grace: l.Grace.String()})
 }
 
+// DutyKey is the key whose record names the holder of the duty.
+const DutyKey = dutyKey
+
+// DutyHolder returns the name of the host that a record of DutyKey names, or "".
+func DutyHolder(value []byte) string {
+	var wire wireDuty
+	if err := json.Unmarshal(value, &wire); err != nil {
+		// A record that can't be read names nobody; the next holder replaces it.
+		return ""
+	}
+	return wire.Host
+}
+
 // HostOf decodes a host's record; ok is false for other keys.
 func HostOf(key string, value []byte) (host cataloger.Host, ok bool, err error) {
 	name, ok := strings.CutPrefix(key, hostsPrefix)
