Count store calls, renew long leases by their own time

Cause: hosts that had registered with a short lease renewed it as a long one and lost it; the view of a large fleet was refreshed too seldom for its hosts to rest.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -17,7 +17,7 @@
 
 const (
 	exchangeRPC = "/endiveturn.Fleet/Exchange"
-	// Interval is how often a host reports to each other host.
+	// Interval is how often a host of a small fleet reports to each other one.
 	Interval = 250 * time.Millisecond
 	// callTimeout bounds one exchange. Peers answer from memory.
 	callTimeout = 600 * time.Millisecond
@@ -59,6 +59,8 @@
 	Peers func() map[string]string
 	// Asks reports whether this host has to ask the named one in any case.
 	Asks func(name string) bool
+	// Pause returns the time between two exchanges with a host.
+	Pause func() time.Duration
 	// Seeds are addresses to try while no host is known.
 	Seeds []string
 	// Now returns an instant that counts suspensions of the machine.
@@ -179,7 +181,7 @@
 	var known int64
 	reached := false
 	for ctx.Err() == nil {
-		pause := Interval
+		pause := e.Pause()
 		revision, err := e.exchange(ctx, l, &conn, known)
 		if err != nil {
 			pause = retryPause
--- /dev/null
+++ b/hoster/count.go
@@ -0,0 +1,53 @@
+package hoster
+
+import (
+	"context"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/endiveturn/endiveturn/storer"
+)
+
+// countCalls counts the calls to the store by operation and outcome.
+func countCalls(space storer.Space, registry gometrics.Registry) storer.Space {
+	count := func(operation string, err error) {
+		outcome := "answered"
+		if err != nil {
+			outcome = "failed"
+		}
+		gometrics.GetOrRegisterCounter("store_calls."+operation+"."+outcome, registry).Inc(1)
+	}
+	return storer.Space{
+		List: func(ctx context.Context, prefix, after string) (storer.Page, error) {
+			page, err := space.List(ctx, prefix, after)
+			count("list", err)
+			return page, err
+		},
+		Changes: func(ctx context.Context, prefix string, revision int64, wait time.Duration) ([]storer.Change, int64, error) {
+			changes, next, err := space.Changes(ctx, prefix, revision, wait)
+			count("watch", err)
+			return changes, next, err
+		},
+		Write: func(ctx context.Context, put storer.Put) (int64, error) {
+			revision, err := space.Write(ctx, put)
+			count("write", err)
+			return revision, err
+		},
+		Grant: func(ctx context.Context, ttl time.Duration) (storer.LeaseID, error) {
+			lease, err := space.Grant(ctx, ttl)
+			count("grant", err)
+			return lease, err
+		},
+		Renew: func(ctx context.Context, lease storer.LeaseID) error {
+			err := space.Renew(ctx, lease)
+			count("renew", err)
+			return err
+		},
+		Revoke: func(ctx context.Context, lease storer.LeaseID) error {
+			err := space.Revoke(ctx, lease)
+			count("revoke", err)
+			return err
+		},
+	}
+}
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -48,6 +48,9 @@
 	// watchShare is the part of the age at which a view expires in which the
 	// whole fleet hears from the store; each host asks that much less often.
 	watchShare = 0.1
+	// hubWatch is the wait of the host that speaks for all: what it knows reaches
+	// the others one exchange later.
+	hubWatch = 300 * time.Millisecond
 	// leastSettle, settlePerHost and mostSettle bound the pause after a change.
 	leastSettle   = 50 * time.Millisecond
 	settlePerHost = 5 * time.Millisecond
@@ -175,6 +178,7 @@
 func (h *Host) prepare() {
 	h.incarnation = strconv.FormatInt(timekeeper.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
 	h.started = timekeeper.Now()
+	h.Platform.Space = countCalls(h.Platform.Space, h.Registry)
 	h.changed = make(chan struct{}, 1)
 	h.mirror = &informer.Mirror{Now: timekeeper.Now, Changed: h.noteChange}
 	h.limits = limiter.NewFleet(timekeeper.Now)
@@ -185,6 +189,7 @@
 	}
 	h.exchanger = &exchanger.Exchanger{
 		Host: h.Settings.Host, Report: h.report, Since: h.since, Received: h.received, Peers: h.peerAddresses, Asks: h.asks,
+		Pause: h.exchangePause,
 		Seeds: otherSeeds(h.Settings), Now: timekeeper.Now, Logger: h.Logger,
 	}
 	h.overseer = &overseer.Overseer{
@@ -332,6 +337,9 @@
 // Otherwise some host has to hear from the store often enough for all. The wait
 // varies, since changes end the waits of all hosts at once.
 func (h *Host) watchWait() time.Duration {
+	if name, ok := h.hub(); ok && name == h.Settings.Host {
+		return hubWatch
+	}
 	mean := longestWatch
 	if !h.vouched() {
 		hosts := 1
--- a/hoster/topology.go
+++ b/hoster/topology.go
@@ -1,6 +1,8 @@
 package hoster
 
 import (
+	"time"
+
 	"github.com/endiveturn/endiveturn/exchanger"
 	"github.com/endiveturn/endiveturn/overseer"
 )
@@ -71,6 +73,16 @@
 	return ok && name == hub
 }
 
+// hubInterval is how often a host exchanges with the one that speaks for all.
+const hubInterval = 180 * time.Millisecond
+
+func (h *Host) exchangePause() time.Duration {
+	if h.large() {
+		return hubInterval
+	}
+	return exchanger.Interval
+}
+
 // usages returns what this host tells another one of the customers' rates, and
 // for how many hosts it speaks.
 func (h *Host) usages(receiver string) (usages map[string]exchanger.Usage, hosts int) {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -108,9 +108,15 @@
 // A held lease lasts at least until an instant; its ID is 0 if there is none.
 type held struct {
 	id    storer.LeaseID
+	ttl   time.Duration
 	until time.Time
 }
 
+// due reports whether it is time to renew: after a quarter of the lease's time.
+func (l held) due(now time.Time) bool {
+	return l.id == 0 || l.until.Sub(now) <= l.ttl*3/4
+}
+
 // Run registers the host, renews its lease and carries out the duty while this
 // host holds it, until ctx ends.
 func (o *Overseer) Run(ctx context.Context) error {
@@ -138,11 +144,9 @@
 	if duty.id != 0 {
 		o.keepDuty(ctx, duty.id)
 	}
-	scale := o.leaseScale()
-	if lease.id != 0 && o.Now().Add(leaseTime*scale-renewInterval*scale).Before(lease.until) {
-		return
+	if lease.due(o.Now()) {
+		o.keepHost(ctx, lease, leaseTime*o.leaseScale())
 	}
-	o.keepHost(ctx, lease.id, leaseTime*scale)
 }
 
 // leaseScale is how many times longer hosts' leases last in large fleets, where
@@ -170,13 +174,15 @@
 	}
 }
 
-// keepHost renews the host's lease or makes a new one.
-func (o *Overseer) keepHost(ctx context.Context, id storer.LeaseID, ttl time.Duration) {
+// keepHost renews the host's lease, or makes a new one if there is none of the
+// wanted time. A lease that is replaced is left to end.
+func (o *Overseer) keepHost(ctx context.Context, lease held, ttl time.Duration) {
 	asked := o.Now()
-	if id != 0 {
+	id := lease.id
+	if id != 0 && lease.ttl == ttl {
 		err := o.renew(ctx, id)
 		if err == nil {
-			o.setLease(held{id: id, until: asked.Add(ttl)})
+			o.setLease(held{id: id, ttl: ttl, until: asked.Add(ttl)})
 			return
 		}
 		if !errors.Is(err, storer.ErrLeaseExpired) {
@@ -185,13 +191,12 @@
 		}
 		o.Logger.Warn("lease_expired", "lease", int64(id))
 	}
-	o.setLease(held{})
 	id, err := o.Space.Grant(ctx, ttl)
 	if err != nil {
 		o.Logger.Warn("lease_not_granted", "error", err.Error())
 		return
 	}
-	o.setLease(held{id: id, until: asked.Add(ttl)})
+	o.setLease(held{id: id, ttl: ttl, until: asked.Add(ttl)})
 	o.register(ctx, id)
 }
 
@@ -306,7 +311,7 @@
 	o.Mirror.Wrote(informer.Record{Key: dutyKey, Value: value, Revision: revision})
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.duty, o.token = held{id: lease, until: asked.Add(leaseTime)}, revision
+	o.duty, o.token = held{id: lease, ttl: leaseTime, until: asked.Add(leaseTime)}, revision
 	o.Logger.Info("duty_taken", "token", revision)
 	return true
 }
