--- a/cataloger/configuration.go
+++ b/cataloger/configuration.go
@@ -22,7 +22,7 @@
 func (c Consistency) String() string {
 	switch c {
 	case BoundedStaleness:
-		return "bounded_staleness"
+		return "bounded"
 	case ReadYourWrites:
 		return "read_your_writes"
 	default:
--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,148 @@
+package exchanger
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// A node is an exchanger on loopback with what it received.
+type node struct {
+	exchanger *Exchanger
+	address   string
+	stop      func()
+
+	mu       sync.Mutex
+	revision int64
+	records  []Record
+	received []Message
+	sent     []time.Time
+}
+
+func newNode(t *testing.T, name string, peers func() map[string]string) *node {
+	t.Helper()
+	var listen net.ListenConfig
+	listener, err := listen.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{address: listener.Addr().String(), revision: 1}
+	n.exchanger = &Exchanger{
+		Host: name, Peers: peers, Asks: func(string) bool { return false }, Pause: func() time.Duration { return 20 * time.Millisecond },
+		Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Report: func(string) Report {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return Report{Host: name, Incarnation: "1", Revision: n.revision, Age: 0}
+		},
+		Since: func(revision int64) []Record {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			var later []Record
+			for _, r := range n.records {
+				if r.Revision > revision {
+					later = append(later, r)
+				}
+			}
+			return later
+		},
+		Received: n.take,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for _, run := range []func() error{
+		func() error { return n.exchanger.Run(ctx) },
+		func() error { return n.exchanger.Serve(ctx, listener) },
+	} {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			// Both end with the context.
+			_ = run()
+		}()
+	}
+	n.stop = func() {
+		cancel()
+		group.Wait()
+	}
+	t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) take(message Message, sent time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.received = append(n.received, message)
+	n.sent = append(n.sent, sent)
+}
+
+// put adds a record that others lack.
+func (n *node) put(key string, revision int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.records = append(n.records, Record{Key: key, Value: []byte(key), Revision: revision})
+	n.revision = revision
+}
+
+func (n *node) has(key string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, message := range n.received {
+		for _, record := range message.Records {
+			if record.Key == key {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func await(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for start := time.Now(); time.Since(start) < 10*time.Second; time.Sleep(5 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+// TestExchange guards against news that reach only the host that asks, or only
+// the one that is asked, and against an age that is told too young.
+func TestExchange(t *testing.T) {
+	var mu sync.Mutex
+	addresses := make(map[string]string)
+	peers := func() map[string]string {
+		mu.Lock()
+		defer mu.Unlock()
+		copied := make(map[string]string)
+		for name, address := range addresses {
+			copied[name] = address
+		}
+		return copied
+	}
+	a, b := newNode(t, "a", peers), newNode(t, "b", peers)
+	mu.Lock()
+	addresses["a"], addresses["b"] = a.address, b.address
+	mu.Unlock()
+	await(t, "both have heard each other", func() bool {
+		return !a.exchanger.Reports()["b"].Heard.IsZero() && !b.exchanger.Reports()["a"].Heard.IsZero()
+	})
+	a.put("of a", 5)
+	await(t, "the asked host has the news", func() bool { return b.has("of a") })
+	b.put("of b", 9)
+	await(t, "the asking host has the news", func() bool { return a.has("of b") })
+	b.mu.Lock()
+	for i := 1; i < len(b.sent); i++ {
+		if b.sent[i].After(time.Now()) || b.sent[i].Before(b.sent[i-1]) {
+			t.Errorf("report %d counts as sent at %v, after one of %v", i, b.sent[i], b.sent[i-1])
+		}
+	}
+	b.mu.Unlock()
+	b.stop()
+	await(t, "the end of the other process is noticed", func() bool { return !a.exchanger.Reports()["b"].Refused.IsZero() })
+}
--- /dev/null
+++ b/hoster/serve.go
@@ -0,0 +1,115 @@
+package hoster
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/endiveturn/endiveturn/director"
+	"github.com/endiveturn/endiveturn/reporter"
+	"github.com/endiveturn/endiveturn/timekeeper"
+)
+
+const (
+	// tendInterval is how often connections and metrics are looked at.
+	tendInterval = time.Second
+	// idleConnection is how long a connection to a database rests before it is
+	// closed.
+	idleConnection = 20 * time.Second
+	// isolationTolerance is how long a host may be without a current view before
+	// it reports that it is not ready.
+	isolationTolerance = 500 * time.Millisecond
+)
+
+// accept serves clients until ctx ends.
+func (h *Host) accept(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			h.Logger.Warn("accept_failed", "error", err.Error())
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		go h.director.Serve(ctx, h.Platform.Client(conn))
+	}
+}
+
+// tend does what has to be done about once a second.
+func (h *Host) tend(ctx context.Context) error {
+	ticker := time.NewTicker(tendInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			h.director.Tend(idleConnection)
+			h.noteChange()
+			h.gauge()
+			h.forgetSilent()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// gauge updates the metrics that state what the host believes.
+func (h *Host) gauge() {
+	set := func(name string, value int64) { gometrics.GetOrRegisterGauge(name, h.Registry).Update(value) }
+	set("sessions", int64(h.director.Sessions()))
+	set("log_lines_dropped", h.Writer.Dropped())
+	set("view_age_ms", timekeeper.Now().Sub(h.viewCurrent()).Milliseconds())
+	set("store_revision", h.mirror.Revision())
+	if catalog := h.current(); catalog != nil {
+		set("hosts", int64(len(catalog.Hosts)))
+		if catalog.Configuration != nil {
+			set("configuration_version", int64(catalog.Configuration.Version))
+		}
+	}
+	for name, load := range h.director.Loads() {
+		set("connections_used."+name, int64(load.Used))
+		set("connections_waited_for."+name, int64(load.Waiting))
+	}
+}
+
+func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return errors.Wrap(server.ListenAndServe(), address)
+}
+
+// isolated reports whether the host has been without a current view for long: it
+// reaches neither the store nor the other hosts, which serve its clients better.
+func (h *Host) isolated() bool {
+	return timekeeper.Now().Sub(h.viewCurrent()) > director.MaxViewAge+isolationTolerance
+}
+
+// readiness answers the balancer: ready while the host knows the configuration
+// and has a current view, until it stops.
+func (h *Host) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+h.Platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		catalog := h.current()
+		if h.stopping.Load() || catalog == nil || catalog.Configuration == nil || h.isolated() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (h *Host) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		reporter.WriteMetrics(w, h.Registry)
+	})
+	return mux
+}
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -38,9 +38,6 @@
 	Seeds []string
 	// StopTimeout is the time between the request to stop and the kill.
 	StopTimeout time.Duration
-	// ViewTimeout is after how long a published configuration has to be in
-	// force.
-	ViewTimeout time.Duration
 	// MemoryMegabytes bounds the memory of the process.
 	MemoryMegabytes int64
 }
@@ -57,7 +54,6 @@
 	PromotionAddress string   `json:"promotion_address"`
 	Seeds            []string `json:"seeds"`
 	StopTimeout      float64  `json:"stop_timeout_s"`
-	ViewTimeout      float64  `json:"view_timeout_ms"`
 	Memory           int64    `json:"memory_mb"`
 }
 
@@ -83,7 +79,6 @@
 		ReadinessAddress: wire.ReadinessAddress, PeerAddress: wire.PeerAddress, MetricsAddress: wire.MetricsAddress,
 		StoreAddress: wire.StoreAddress, PromotionAddress: wire.PromotionAddress, Seeds: wire.Seeds,
 		StopTimeout:     time.Duration(wire.StopTimeout * float64(time.Second)),
-		ViewTimeout:     time.Duration(wire.ViewTimeout * float64(time.Millisecond)),
 		MemoryMegabytes: wire.Memory,
 	}
 	return s, s.check()
--- a/hoster/settings_test.go
+++ b/hoster/settings_test.go
@@ -11,7 +11,7 @@
 const goodSettings = `{
   "host": "h1", "data_centre": "dc1", "client_address": "127.0.0.1:1", "readiness_address": "127.0.0.1:2",
   "peer_address": "127.0.0.1:3", "metrics_address": "", "store_address": "127.0.0.1:4",
-  "promotion_address": "127.0.0.1:5", "seeds": ["127.0.0.1:3"], "stop_timeout_s": 6, "view_timeout_ms": 3000, "memory_mb": 284
+  "promotion_address": "127.0.0.1:5", "seeds": ["127.0.0.1:3"], "stop_timeout_s": 6, "memory_mb": 284
 }`
 
 // TestSettings guards against a host that starts with settings it can't work
--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -9,6 +9,9 @@
 	// silence is the age of a host's last report after which its share of the
 	// rate is taken as used up instead of what it reported.
 	silence = 1500 * time.Millisecond
+	// leastDemand is the demand in operations per second from which on a host
+	// reports a customer.
+	leastDemand = 0.05
 	// youngProcess is up to which uptime all that a process admitted is recent.
 	youngProcess = 2 * time.Second
 	// syncInterval is how often a host's budget is dealt anew. It is no longer
@@ -167,9 +170,26 @@
 		spent.Used = max(spent.Used, counted)
 		report.Spent[name] = spent
 	}
+	if sameProcess {
+		report.Spent = withKept(report.Spent, before.Spent)
+	}
 	f.reports[host] = report
 }
 
+// withKept adds the counts of customers that a report no longer names because
+// the host has no demand for them.
+func withKept(spent, before map[string]Spent) map[string]Spent {
+	if spent == nil {
+		spent = make(map[string]Spent)
+	}
+	for name, old := range before {
+		if _, ok := spent[name]; !ok {
+			spent[name] = Spent{Used: old.Used}
+		}
+	}
+	return spent
+}
+
 // hear deducts what another host has used.
 func (b *fleetBucket) hear(host string, used int64) {
 	b.level = max(b.level-float64(used), -b.bound.Rate*maxDebt.Seconds())
@@ -181,22 +201,24 @@
 }
 
 // SpentByOthers returns what all hosts but one have used, as far as this host
-// has heard: what it tells that one if it speaks for all.
+// has heard, of the customers for which that one has demand: what it is told by
+// the host that speaks for all.
 func (f *Fleet) SpentByOthers(except string) map[string]Spent {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	spent := make(map[string]Spent, len(f.buckets))
-	for name, b := range f.buckets {
+	spent := make(map[string]Spent)
+	for name, asked := range f.reports[except].Spent {
+		b, ok := f.buckets[name]
+		if !ok || asked.Demand <= leastDemand {
+			continue
+		}
 		demand := b.demand
 		for host, report := range f.reports {
 			if host != except {
 				demand += report.Spent[name].Demand
 			}
 		}
-		used := b.used + b.heard - b.heardFrom[except]
-		if demand > 0.01 || used > 0 {
-			spent[name] = Spent{Used: used, Demand: demand}
-		}
+		spent[name] = Spent{Used: b.used + b.heard - b.heardFrom[except], Demand: demand}
 	}
 	return spent
 }
@@ -258,13 +280,14 @@
 	}
 }
 
-// Spent returns what this host has admitted by customer.
+// Spent returns what this host has used of the customers for which it has
+// demand.
 func (f *Fleet) Spent() map[string]Spent {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	spent := make(map[string]Spent, len(f.buckets))
 	for name, b := range f.buckets {
-		if b.demand > 0.01 || b.used > 0 {
+		if b.demand > leastDemand {
 			spent[name] = Spent{Used: b.used, Demand: b.demand}
 		}
 	}
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -189,6 +189,61 @@
 	}
 }
 
+// TestCustomerThatReturns guards against operations that are deducted twice when
+// a host names a customer again after a while without demand.
+func TestCustomerThatReturns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFleet(func() time.Time { return now })
+	f.SetHosts(2)
+	f.SetBounds(map[string]Bound{"customer": {Rate: 10, Burst: 10}})
+	report := func(used int64, named bool) {
+		now = now.Add(time.Second)
+		r := HostReport{Incarnation: "1", Uptime: time.Hour, Heard: now, Spent: make(map[string]Spent)}
+		if named {
+			r.Spent["customer"] = Spent{Used: used, Demand: 1}
+		}
+		f.Hear("other", r)
+	}
+	report(500, true)
+	report(501, true)
+	for range 20 {
+		report(0, false)
+	}
+	report(501, true)
+	now = now.Add(time.Second)
+	if !admit(f) {
+		t.Error("refused though nothing was used for 20s")
+	}
+}
+
+// TestOneSpeaksForAll guards against usage that is lost or counted twice on its
+// way through the host that speaks for all.
+func TestOneSpeaksForAll(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hub := NewFleet(func() time.Time { return now })
+	hub.SetHosts(3)
+	hub.SetBounds(map[string]Bound{"customer": {Rate: 10, Burst: 1000}})
+	hear := func(host string, used int64) {
+		hub.Hear(host, HostReport{Incarnation: "1", Heard: now, Spent: map[string]Spent{"customer": {Used: used, Demand: 2}}})
+	}
+	hear("a", 5)
+	hear("b", 7)
+	hear("a", 6)
+	hub.Use("customer")
+	tests := []struct {
+		host string
+		want int64
+	}{{host: "a", want: 8}, {host: "b", want: 7}}
+	for _, test := range tests {
+		if got := hub.SpentByOthers(test.host)["customer"].Used; got != test.want {
+			t.Errorf("%s is told that others used %d, want %d", test.host, got, test.want)
+		}
+	}
+	if got := hub.SpentByOthers("c"); len(got) != 0 {
+		t.Errorf("a host without demand is told %v, want nothing", got)
+	}
+}
+
 func maxOverWindow(counts []int, window int) int {
 	most, sum := 0, 0
 	for i, c := range counts {
