--- /dev/null
+++ b/cataloger/catalog_test.go
@@ -0,0 +1,50 @@
+package cataloger
+
+import "testing"
+
+// TestPrimaryOf guards against a primary that is used though it is being
+// replaced, has lost its incarnation, or is one of two that claim the role.
+func TestPrimaryOf(t *testing.T) {
+	claims := func(id string, born int64, claims bool) Endpoint {
+		return Endpoint{ID: id, Born: born, ClaimsPrimary: claims}
+	}
+	tests := []struct {
+		name      string
+		lead      *Lead
+		endpoints []Endpoint
+		want      string
+	}{
+		{name: "nothing known"},
+		{name: "one claims", endpoints: []Endpoint{claims("a", 1, true), claims("b", 1, false)}, want: "a"},
+		{name: "two claim", endpoints: []Endpoint{claims("a", 1, true), claims("b", 1, true)}},
+		{name: "lead", lead: &Lead{ID: "b", Born: 1}, endpoints: []Endpoint{claims("a", 1, true), claims("b", 1, false)}, want: "b"},
+		{name: "moving", lead: &Lead{ID: "b", Born: 1, Moving: true}, endpoints: []Endpoint{claims("b", 1, true)}},
+		{name: "restarted", lead: &Lead{ID: "b", Born: 1}, endpoints: []Endpoint{claims("b", 2, true)}},
+		{name: "left", lead: &Lead{ID: "b", Born: 1}, endpoints: []Endpoint{claims("a", 1, true)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := Catalog{Endpoints: map[string][]Endpoint{"s": test.endpoints}, Leads: make(map[string]Lead)}
+			if test.lead != nil {
+				c.Leads["s"] = *test.lead
+			}
+			got, ok := c.PrimaryOf("s")
+			if got.ID != test.want && ok || ok != (test.want != "") {
+				t.Errorf("got %q, %v, want %q", got.ID, ok, test.want)
+			}
+		})
+	}
+}
+
+// TestConsistencyNames guards against metrics whose names change.
+func TestConsistencyNames(t *testing.T) {
+	tests := []struct {
+		consistency Consistency
+		want        string
+	}{{Primary, "primary"}, {BoundedStaleness, "bounded"}, {ReadYourWrites, "read_your_writes"}}
+	for _, test := range tests {
+		if got := test.consistency.String(); got != test.want {
+			t.Errorf("got %q, want %q", got, test.want)
+		}
+	}
+}
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -34,6 +34,8 @@
 	fieldDigest
 	fieldUptime
 	fieldHosts
+	fieldSequence
+	fieldEcho
 )
 
 // Field numbers of the nested messages.
@@ -113,6 +115,8 @@
 	b = appendNumber(b, fieldRevision, uint64(r.Revision))
 	b = appendNumber(b, fieldAge, fromDuration(r.Age))
 	b = appendNumber(b, fieldDigest, r.Digest)
+	b = appendNumber(b, fieldSequence, m.Sequence)
+	b = appendNumber(b, fieldEcho, m.Echo)
 	b = appendNumber(b, fieldHosts, uint64(max(0, r.Hosts)))
 	b = appendNumber(b, fieldUptime, fromDuration(r.Uptime))
 	if r.Stopping {
@@ -152,53 +156,62 @@
 	return b
 }
 
-// A fields holds the fields of one message by number. A repeated field calls
-// nested for each value.
+// maxField is above all field numbers in use; fields beyond it are passed over.
+const maxField = 20
+
+// fields holds the last value of each field of one message by number.
 type fields struct {
-	numbers map[protowire.Number]uint64
-	bytes   map[protowire.Number][]byte
+	numbers [maxField]uint64
+	bytes   [maxField][]byte
 }
 
-func (f fields) text(field protowire.Number) string { return string(f.bytes[field]) }
+func (f *fields) text(field protowire.Number) string { return string(f.bytes[field]) }
 
-// parseFields reads a message; nested is called for each field of bytes.
-func parseFields(data []byte, nested func(field protowire.Number, value []byte) error) (fields, error) {
-	f := fields{numbers: make(map[protowire.Number]uint64), bytes: make(map[protowire.Number][]byte)}
+// parse reads a message; nested, if it is not nil, is called for each field of
+// bytes.
+func (f *fields) parse(data []byte, nested func(field protowire.Number, value []byte) error) error {
 	for len(data) > 0 {
 		field, kind, n := protowire.ConsumeTag(data)
 		if n < 0 {
-			return f, errors.Wrap(errBadMessage, protowire.ParseError(n).Error())
+			return errors.Wrap(errBadMessage, protowire.ParseError(n).Error())
 		}
 		data = data[n:]
+		var number uint64
+		var value []byte
 		switch kind {
 		case protowire.VarintType:
-			f.numbers[field], n = protowire.ConsumeVarint(data)
+			number, n = protowire.ConsumeVarint(data)
 		case protowire.BytesType:
-			f.bytes[field], n = protowire.ConsumeBytes(data)
+			value, n = protowire.ConsumeBytes(data)
 		default:
 			n = protowire.ConsumeFieldValue(field, kind, data)
 		}
 		if n < 0 {
-			return f, errors.Wrap(errBadMessage, protowire.ParseError(n).Error())
+			return errors.Wrap(errBadMessage, protowire.ParseError(n).Error())
+		}
+		data = data[n:]
+		if field >= maxField {
+			continue
 		}
+		f.numbers[field], f.bytes[field] = number, value
 		if kind == protowire.BytesType && nested != nil {
-			if err := nested(field, f.bytes[field]); err != nil {
-				return f, err
+			if err := nested(field, value); err != nil {
+				return err
 			}
 		}
-		data = data[n:]
 	}
-	return f, nil
+	return nil
 }
 
 func parseMessage(data []byte) (Message, error) {
 	m := Message{Report: Report{
 		Usages: make(map[string]Usage), Primaries: make(map[string]PrimaryHealth), Released: make(map[string]int64),
 	}}
-	f, err := parseFields(data, m.parseNested)
-	if err != nil {
+	var f fields
+	if err := f.parse(data, m.parseNested); err != nil {
 		return Message{}, err
 	}
+	m.Sequence, m.Echo = f.numbers[fieldSequence], f.numbers[fieldEcho]
 	r := &m.Report
 	r.Host, r.Incarnation = f.text(fieldHost), f.text(fieldIncarnation)
 	r.Address, r.DataCentre = f.text(fieldAddress), f.text(fieldDataCentre)
@@ -215,8 +228,8 @@
 	if field < fieldUsage || field > fieldRecord {
 		return nil
 	}
-	f, err := parseFields(value, nil)
-	if err != nil {
+	var f fields
+	if err := f.parse(value, nil); err != nil {
 		return err
 	}
 	name := f.text(fieldName)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -35,8 +35,10 @@
 	Heard time.Time
 	// arrived is when the last report arrived.
 	arrived time.Time
-	// answered is when this host last answered a report of the other one.
+	// answered is when this host last answered a report of the other one, and
+	// sequence numbers that answer.
 	answered time.Time
+	sequence uint64
 	// Refused is when the host's machine last refused a connection, which shows
 	// that its process has ended.
 	Refused time.Time
@@ -79,6 +81,8 @@
 	cancel  context.CancelFunc
 	// wake asks for an exchange at once.
 	wake chan struct{}
+	// echo is the sequence of the last answer.
+	echo uint64
 }
 
 // Reports returns the newest report of each host heard of.
@@ -234,7 +238,7 @@
 		}
 		*conn = opened
 	}
-	request := Message{Report: e.Report(l.name)}
+	request := Message{Report: e.Report(l.name), Echo: l.echo}
 	if known > 0 && known < request.Report.Revision {
 		request.Records = e.Since(known)
 	}
@@ -243,6 +247,7 @@
 	if err := (*conn).Invoke(ctx, exchangeRPC, encoding{}, &request, &answer); err != nil {
 		return 0, errors.Wrap(err, "exchange")
 	}
+	l.echo = answer.Sequence
 	e.take(answer, sent)
 	return max(answer.Report.Revision, request.Report.Revision), nil
 }
@@ -290,25 +295,29 @@
 }
 
 // answer takes in a report and returns this host's, with what the other lacks.
-// When the report was sent is not known, but it was after this host answered
-// the one before.
+// When the report was sent is not known; but if it echoes this host's last
+// answer, it was sent after that one.
 func (e *Exchanger) answer(request *Message) *Message {
+	name := request.Report.Host
 	e.mu.Lock()
-	sent := e.peers[request.Report.Host].answered
-	if e.peers[request.Report.Host].Report.Incarnation != request.Report.Incarnation {
-		sent = time.Time{}
+	peer := e.peers[name]
+	sent := time.Time{}
+	if request.Echo != 0 && request.Echo == peer.sequence && peer.Report.Incarnation == request.Report.Incarnation {
+		sent = peer.answered
 	}
 	e.mu.Unlock()
 	e.take(*request, sent)
-	answer := &Message{Report: e.Report(request.Report.Host)}
+	answer := &Message{Report: e.Report(name)}
 	if request.Report.Revision < answer.Report.Revision {
 		answer.Records = e.Since(request.Report.Revision)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	peer := e.peers[request.Report.Host]
+	peer = e.peers[name]
 	peer.answered = e.Now()
-	e.peers[request.Report.Host] = peer
+	peer.sequence = max(peer.sequence+1, uint64(peer.answered.UnixNano()))
+	answer.Sequence = peer.sequence
+	e.peers[name] = peer
 	return answer
 }
 
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -65,6 +65,11 @@
 
 // A Message carries a report, and records that the receiver lacks.
 type Message struct {
-	Report  Report
+	Report Report
+	// Sequence numbers the answers of a host to one other.
+	Sequence uint64
+	// Echo is, in a question, the Sequence of the last answer, which shows that
+	// the question was sent after it.
+	Echo uint64
 	Records []Record
 }
