--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -70,6 +70,6 @@
 	Sequence uint64
 	// Echo is, in a question, the Sequence of the last answer, which shows that
 	// the question was sent after it.
-	Echo uint64
+	Echo    uint64
 	Records []Record
 }
