Tell a client that its idle transaction was rolled back

Cause: after a transaction had expired the client's next statement got MALFORMED, which promises nothing, so it could not repeat the operation. The test fails on the former code.

--- a/director/session_test.go
+++ b/director/session_test.go
@@ -89,6 +89,33 @@
 	}
 }
 
+// TestIdleTransaction guards against clients that rest inside a transaction and
+// keep its connection, and against telling them less than is known when they
+// come back.
+func TestIdleTransaction(t *testing.T) {
+	f := newFixture(cataloger.Primary)
+	s := f.session()
+	run(s, executor.VerbBegin)
+	run(s, executor.VerbWrite, "a x")
+	s.tx.expire()
+	if used := f.director.Loads()["s"].Used; used != 0 {
+		t.Errorf("%d connections are in use after the transaction expired, want 0", used)
+	}
+	for _, want := range []executor.Code{executor.CodeAborted, executor.CodeMalformed} {
+		if got := run(s, executor.VerbWrite, "a y").Code; got != want {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	}
+	if got := run(s, executor.VerbRollback); got.Code != executor.CodeNone || got.State != executor.StateIdle {
+		t.Errorf("got %v, state %c after ROLLBACK, want none and I", got.Code, got.State)
+	}
+	f.primary.mu.Lock()
+	defer f.primary.mu.Unlock()
+	if got := f.primary.log.Offset; got != 10 {
+		t.Errorf("the log ends at %d, want 10: the write is rolled back", got)
+	}
+}
+
 // TestReadsSeeOwnWrites guards against a session that reads a replica which
 // lacks its last commit.
 func TestReadsSeeOwnWrites(t *testing.T) {
--- a/director/transaction.go
+++ b/director/transaction.go
@@ -23,6 +23,9 @@
 	wrote bool
 	// failure is what ended the transaction before the client did.
 	failure executor.Code
+	// untold is set until the client is told of a failure that no statement of
+	// its own has met.
+	untold bool
 }
 
 // ended reports whether the transaction has failed, so that only its end is
@@ -59,6 +62,10 @@
 // data runs a statement in the transaction.
 func (t *transaction) data(ctx context.Context, statement executor.Request, writes bool, p *prepared) executor.Reply {
 	s := t.operation.session
+	if t.untold {
+		t.untold = false
+		return s.fail(t.failure, "transaction was idle too long and is rolled back")
+	}
 	if t.ended() {
 		return s.fail(executor.CodeMalformed, "transaction has failed")
 	}
@@ -225,6 +232,7 @@
 		t.attempt = nil
 	}
 	t.fail(executor.Reply{Code: executor.CodeAborted, Text: "transaction was idle too long"}, where, "idle")
+	t.untold = true
 }
 
 // abandon rolls back the transaction of a client that has gone.
