--- a/director/attempt.go
+++ b/director/attempt.go
@@ -264,6 +264,7 @@
 		return executor.Reply{}, errFenced
 	}
 	a.sent = a.operation.session.director.SinceBoot()
+	began := a.operation.session.director.Now()
 	if err := a.conn.Send(statement); err != nil {
 		return executor.Reply{}, err
 	}
@@ -281,6 +282,9 @@
 		return executor.Reply{}, err
 	}
 	a.operation.service.succeeded(a.database, a.sent, reply.Position)
+	if statement.ID != "" && reply.Code == executor.CodeNone {
+		a.operation.service.took(a.database, a.operation.session.director.Now().Sub(began))
+	}
 	a.noteLag(statement, reply)
 	if statement.ID != "" && !reply.Code.NotRun() {
 		a.operation.used()
--- a/director/route.go
+++ b/director/route.go
@@ -31,6 +31,9 @@
 	Cold bool
 	// Local is set if the database stands in this host's data centre.
 	Local bool
+	// Latency is how long the database takes to answer this host lately; 0 if it
+	// is not known.
+	Latency time.Duration
 	// Home is set for the replica that this host reads from.
 	Home bool
 }
@@ -65,6 +68,13 @@
 	costTried   = 25.0
 )
 
+// latencyOfOne is the latency that counts like one more statement waiting, and
+// mostLatencyCost bounds what a slow database costs.
+const (
+	latencyOfOne    = 25 * time.Millisecond
+	mostLatencyCost = 10.0
+)
+
 // Choose returns the index of the best candidate, or -1 if none may serve.
 func Choose(need Need, candidates []Candidate) int {
 	best := -1
@@ -89,7 +99,7 @@
 }
 
 func (n Need) cost(c Candidate) float64 {
-	cost := float64(c.Load)
+	cost := float64(c.Load) + min(mostLatencyCost, float64(c.Latency)/float64(latencyOfOne))
 	if !c.Local {
 		cost += costRemote
 	}
--- a/director/route_test.go
+++ b/director/route_test.go
@@ -36,6 +36,17 @@
 			name: "home lags", need: read, want: "other",
 			candidates: []Candidate{primary, other, changed(home, func(c *Candidate) { c.Lagging = true })},
 		},
+		{
+			name: "home is slow", need: read, want: "other",
+			candidates: []Candidate{primary, other, changed(home, func(c *Candidate) { c.Latency = 400 * time.Millisecond })},
+		},
+		{
+			name: "home is hardly slower", need: read, want: "home",
+			candidates: []Candidate{
+				primary, changed(other, func(c *Candidate) { c.Latency = 30 * time.Millisecond }),
+				changed(home, func(c *Candidate) { c.Latency = 60 * time.Millisecond }),
+			},
+		},
 		{
 			name: "all replicas lag", need: read, want: "p",
 			candidates: []Candidate{
--- a/director/service.go
+++ b/director/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -62,6 +63,9 @@
 	laggingUntil time.Time
 	// running counts statements that this host has sent or queued there.
 	running int
+	// latency is the mean time of the last answers, as of latencyAt.
+	latency   time.Duration
+	latencyAt time.Time
 	// coldUntil is when the database is no longer slow after its start.
 	coldUntil time.Time
 	// coldNext is when this host may send the next request while it is slow.
@@ -302,6 +306,7 @@
 			Lagging:  now.Before(db.laggingUntil),
 			Cold:     now.Before(db.coldUntil) && now.Before(db.coldNext),
 			Local:    db.endpoint.DataCentre == s.director.DataCentre,
+			Latency:  db.recentLatency(now),
 			Home:     db.endpoint.ID == s.home,
 		})
 		databases = append(databases, db)
@@ -309,6 +314,30 @@
 	return list, databases
 }
 
+const (
+	// latencyWeight is the weight of one answer in the mean latency.
+	latencyWeight = 0.1
+	// latencyHalfLife is the time in which a latency without new answers counts
+	// half, so that a database that was slow is tried again.
+	latencyHalfLife = 500 * time.Millisecond
+)
+
+// recentLatency returns the mean latency, less the older it is.
+func (db *database) recentLatency(now time.Time) time.Duration {
+	age := now.Sub(db.latencyAt).Seconds() / latencyHalfLife.Seconds()
+	return time.Duration(float64(db.latency) * math.Exp2(-max(0, age-1)))
+}
+
+// took notes how long a database took to answer.
+func (s *service) took(db *database, latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.director.Now()
+	mean := db.recentLatency(now)
+	db.latency = mean + time.Duration(latencyWeight*float64(latency-mean))
+	db.latencyAt = now
+}
+
 // floor returns the position that a read must see on a route.
 func (s *service) floor(maxStaleness time.Duration) (executor.Position, bool) {
 	s.mu.Lock()
