--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -162,7 +162,10 @@
 		if sameProcess {
 			counted = before.Spent[name].Used
 		}
-		if known || report.Uptime < youngProcess {
+		// A host that speaks for all names a customer only while this one has
+		// demand; what was used before it did so is past.
+		resumed := report.Hosts > 0 && before.Spent[name].Demand == 0
+		if (known || report.Uptime < youngProcess) && !resumed {
 			b.hear(host, max(0, spent.Used-counted))
 		}
 		// A report that was overtaken must not lower the count, or the next one
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -216,6 +216,43 @@
 	}
 }
 
+// TestCustomerThatIsNamedAnew guards against refusing a small customer because
+// the host that speaks for all names it for the first time, with all that was
+// ever used.
+func TestCustomerThatIsNamedAnew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFleet(func() time.Time { return now })
+	f.SetHosts(88)
+	f.SetBounds(map[string]Bound{"customer": {Rate: 6, Burst: 6}})
+	report := func(used int64, demand float64) {
+		now = now.Add(time.Second)
+		r := HostReport{Incarnation: "1", Uptime: time.Hour, Hosts: 87, Heard: now, Spent: make(map[string]Spent)}
+		if demand > 0 {
+			r.Spent["customer"] = Spent{Used: used, Demand: demand}
+		}
+		f.Hear("hub/all", r)
+	}
+	report(0, 0)
+	report(900, 3)
+	report(903, 3)
+	if !admit(f) {
+		t.Error("refused when the customer was named first")
+	}
+	for range 10 {
+		report(0, 0)
+	}
+	report(950, 3)
+	report(953, 3)
+	if !admit(f) {
+		t.Error("refused when the customer was named again")
+	}
+	report(1053, 3)
+	now = now.Add(2 * syncInterval)
+	if admit(f) {
+		t.Error("admitted though the others have just used more than the burst")
+	}
+}
+
 // TestOneSpeaksForAll guards against usage that is lost or counted twice on its
 // way through the host that speaks for all.
 func TestOneSpeaksForAll(t *testing.T) {
