Tell other hosts of own writes whatever their revision

A host that began a change of primary told of it only once its own watch had brought the write; while the store discards its history watches pass over changes, and a host whose revision had passed the write never heard of it but counted as current.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -51,7 +51,8 @@
 	Host string
 	// Report returns what to tell a host; the name is empty if it is not known.
 	Report func(receiver string) Report
-	// Since returns the records later than a revision.
+	// Since returns the records later than a revision, and others that a host
+	// with that revision may lack.
 	Since func(revision int64) []Record
 	// Received is called with each report and what came with it. For answers,
 	// sent is when the request was sent.
@@ -239,7 +240,7 @@
 		*conn = opened
 	}
 	request := Message{Report: e.Report(l.name), Echo: l.echo}
-	if known > 0 && known < request.Report.Revision {
+	if known > 0 {
 		request.Records = e.Since(known)
 	}
 	var answer Message
@@ -308,9 +309,7 @@
 	e.mu.Unlock()
 	e.take(*request, sent)
 	answer := &Message{Report: e.Report(name)}
-	if request.Report.Revision < answer.Report.Revision {
-		answer.Records = e.Since(request.Report.Revision)
-	}
+	answer.Records = e.Since(request.Report.Revision)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	peer = e.peers[name]
--- a/informer/mirror.go
+++ b/informer/mirror.go
@@ -17,6 +17,10 @@
 // exchange state several times a second.
 const tombstoneAge = time.Minute
 
+// ownWriteAge is how long this host tells others of its own writes in any case:
+// longer than a watch passes over changes while the store discards its history.
+const ownWriteAge = 10 * time.Second
+
 // A Record is a key of the copy, or its deletion.
 type Record struct {
 	Key      string
@@ -36,6 +40,8 @@
 	records map[string]Record
 	// deletedAt holds when a deletion was learned.
 	deletedAt map[string]time.Time
+	// wrote holds when this host wrote a key itself.
+	wrote map[string]time.Time
 	// revision is the store's revision up to which the copy is complete.
 	revision int64
 	// current is the latest instant at which the copy is known to have held
@@ -120,6 +126,10 @@
 // Wrote takes in a change of this host before the watch brings it.
 func (m *Mirror) Wrote(record Record) {
 	m.mu.Lock()
+	if m.wrote == nil {
+		m.wrote = make(map[string]time.Time)
+	}
+	m.wrote[record.Key] = m.Now()
 	m.unlockAndTell(m.merge(record))
 }
 
@@ -145,6 +155,11 @@
 	}
 	m.loaded = true
 	now := m.Now()
+	for key, at := range m.wrote {
+		if now.Sub(at) > ownWriteAge {
+			delete(m.wrote, key)
+		}
+	}
 	for key, at := range m.deletedAt {
 		if now.Sub(at) > tombstoneAge {
 			delete(m.deletedAt, key)
@@ -169,14 +184,16 @@
 	}
 }
 
-// Since returns the records later than revision, with the revision up to which
+// Since returns the records later than revision and those that this host wrote
+// lately, which its own copy may be complete without, with the revision up to which
 // the copy is complete and the instant at which it is known to have been so.
 func (m *Mirror) Since(revision int64) ([]Record, int64, time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var records []Record
 	for _, record := range m.records {
-		if record.Revision > revision {
+		_, own := m.wrote[record.Key]
+		if record.Revision > revision || own {
 			records = append(records, record)
 		}
 	}
--- a/informer/mirror_test.go
+++ b/informer/mirror_test.go
@@ -73,6 +73,35 @@
 	}
 }
 
+// TestOwnWritesAreTold guards against a change of primary that other hosts do
+// not hear of while the store's watches pass over changes: the writer's own
+// copy counts as complete only up to a revision before its write.
+func TestOwnWritesAreTold(t *testing.T) {
+	now := time.Unix(100, 0)
+	m := newMirror(&now)
+	m.Replace([]storer.Entry{entry("a", 1)}, 30, now)
+	m.Wrote(Record{Key: "lead", Value: []byte("moving"), Revision: 31})
+	tests := []struct {
+		name     string
+		after    time.Duration
+		revision int64
+		want     int
+	}{
+		{name: "a host with the same revision", revision: 30, want: 1},
+		{name: "a host that passed over the write", revision: 33, want: 1},
+		{name: "long after", after: 2 * ownWriteAge, revision: 33},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now = now.Add(test.after)
+			m.Apply(nil, 34, now)
+			if got, _, _ := m.Since(test.revision); len(got) != test.want {
+				t.Errorf("got %d records, want %d", len(got), test.want)
+			}
+		})
+	}
+}
+
 // TestDigest guards against two copies that differ unnoticed.
 func TestDigest(t *testing.T) {
 	now := time.Unix(100, 0)
