--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -117,7 +117,7 @@
 	var sent time.Time
 	e := &Exchanger{
 		Host: "b", Now: func() time.Time { return now }, Report: func(string) Report { return Report{Host: "b"} },
-		Since: func(int64) []Record { return nil },
+		Since:    func(int64) []Record { return nil },
 		Received: func(_ Message, at time.Time) { sent = at },
 	}
 	ask := func(echo uint64) uint64 {
