Let only the store vouch for a view in large fleets

The host that speaks for all was cut off from the store and went on to vouch for the view of those that heard it, while another host held the duty (two holders in the logs from 20.4 to 25.7 s). Views of large fleets now rest on the store alone, at first hand or through that host. The new test fails on the former code. Ruled out: ages that grow younger on their way (each round trip takes at least one pause off).

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -249,7 +249,7 @@
 		return 0, errors.Wrap(err, "exchange")
 	}
 	l.echo = answer.Sequence
-	e.take(answer, sent)
+	e.Note(answer, sent)
 	return max(answer.Report.Revision, request.Report.Revision), nil
 }
 
@@ -276,7 +276,9 @@
 	e.peers[name] = peer
 }
 
-func (e *Exchanger) take(message Message, sent time.Time) {
+// Note takes in a report that was sent at the instant; the zero time stands for
+// unknown.
+func (e *Exchanger) Note(message Message, sent time.Time) {
 	if message.Report.Host == e.Host {
 		return
 	}
@@ -307,7 +309,7 @@
 		sent = peer.answered
 	}
 	e.mu.Unlock()
-	e.take(*request, sent)
+	e.Note(*request, sent)
 	answer := &Message{Report: e.Report(name)}
 	answer.Records = e.Since(request.Report.Revision)
 	e.mu.Lock()
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -143,11 +143,16 @@
 }
 
 // viewCurrent returns the latest instant at which this host's view of the
-// primaries is known to have been complete: the store confirmed it, or every
-// other host has told what it knows. Only a host of the fleet replaces
+// primaries is known to have been complete: the store confirmed it, or in a
+// small fleet every other host has told what it knows. Only a host of the fleet replaces
 // primaries, and it tells the others before it does.
 func (h *Host) viewCurrent() time.Time {
 	current := h.mirror.Current()
+	if h.large() {
+		// There the hosts hear the one that speaks for all and not each other, so
+		// that only the store can tell, at first hand or through that one.
+		return current
+	}
 	if timekeeper.Now().Sub(current) < director.MaxViewAge/4 {
 		return current
 	}
--- a/hoster/topology.go
+++ b/hoster/topology.go
@@ -38,7 +38,8 @@
 	return catalog != nil && len(catalog.Hosts) > meshHosts
 }
 
-// told reports whether another host brings all changes of the store in time.
+// told reports whether another host brings all changes of the store in time: it
+// has heard from the store itself a moment ago.
 func (h *Host) told() bool {
 	name, ok := h.hub()
 	return ok && name != h.Settings.Host && h.vouched()
--- /dev/null
+++ b/hoster/topology_test.go
@@ -0,0 +1,87 @@
+package hoster
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/director"
+	"github.com/endiveturn/endiveturn/exchanger"
+	"github.com/endiveturn/endiveturn/informer"
+	"github.com/endiveturn/endiveturn/overseer"
+	"github.com/endiveturn/endiveturn/storer"
+	"github.com/endiveturn/endiveturn/timekeeper"
+)
+
+// newTestHost returns host h0 of a fleet whose duty is held by h0, with reports
+// of all others that came just now.
+func newTestHost(hosts int) *Host {
+	h := &Host{
+		Settings: Settings{Host: "h0", PeerAddress: "127.0.0.1:1"}, Registry: gometrics.NewRegistry(),
+		Logger:   slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Platform: Platform{Foreign: func(string) bool { return true }},
+	}
+	h.prepare()
+	catalog := &cataloger.Catalog{Hosts: make(map[string]cataloger.Host)}
+	for i := range hosts {
+		name := fmt.Sprint("h", i)
+		catalog.Hosts[name] = cataloger.Host{Name: name, Address: "127.0.0.1:1"}
+	}
+	h.catalog = catalog
+	h.mirror.Replace([]storer.Entry{{Key: overseer.DutyKey, Value: []byte(`{"host":"h0"}`), ModRevision: 3}}, 3,
+		timekeeper.Now().Add(-time.Minute))
+	for i := 1; i < hosts; i++ {
+		h.exchanger.Note(exchanger.Message{Report: exchanger.Report{Host: fmt.Sprint("h", i), Age: -1}}, timekeeper.Now())
+	}
+	return h
+}
+
+// TestOnlyTheStoreVouchesInLargeFleets guards against a host that speaks for
+// all, is cut off from the store, and goes on to vouch for a view which another
+// holder of the duty has changed.
+func TestOnlyTheStoreVouchesInLargeFleets(t *testing.T) {
+	tests := []struct {
+		hosts   int
+		current bool
+	}{
+		{hosts: meshHosts, current: true},
+		{hosts: meshHosts + 1},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.hosts, " hosts"), func(t *testing.T) {
+			h := newTestHost(test.hosts)
+			got := timekeeper.Now().Sub(h.viewCurrent()) < director.MaxViewAge
+			if got != test.current {
+				t.Errorf("got a current view: %v, want %v", got, test.current)
+			}
+			h.mirror.Merge([]informer.Record{}, 3, timekeeper.Now())
+			if timekeeper.Now().Sub(h.viewCurrent()) >= director.MaxViewAge {
+				t.Error("the view is not current though the store was just heard")
+			}
+		})
+	}
+}
+
+// TestTopology guards against exchanges between all pairs of a large fleet, and
+// against hosts that nobody exchanges with.
+func TestTopology(t *testing.T) {
+	small, large := newTestHost(meshHosts), newTestHost(meshHosts+1)
+	if got := len(small.peerAddresses()); got != meshHosts {
+		t.Errorf("a host of a small fleet exchanges with %d, want %d", got, meshHosts)
+	}
+	if got := len(large.peerAddresses()); got != 1 {
+		t.Errorf("the host that speaks for all asks %d hosts, want itself alone", got)
+	}
+	large.Settings.Host = "h5"
+	if got := large.peerAddresses(); len(got) != 2 || got["h0"] == "" {
+		t.Errorf("another host exchanges with %v, want itself and h0", got)
+	}
+	if !large.asks("h0") || large.asks("h7") {
+		t.Error("a host of a large fleet has to ask h0 and nobody else")
+	}
+}
