Wait out the age of views before a promotion in large fleets

Suspected: a host that hears another speaker is not known to the one that replaces the primary, so its confirmation is not awaited.

--- a/overseer/move.go
+++ b/overseer/move.go
@@ -131,11 +131,14 @@
 	fenced := o.Now()
 	for {
 		missing := m.missing(fenced)
-		if len(missing) == 0 {
+		// In a large fleet a host may hear another speaker and not be known here.
+		if len(missing) == 0 && o.leaseScale() == 1 {
 			return nil
 		}
 		if o.Now().Sub(fenced) > o.MaxViewAge+fenceMargin {
-			o.Logger.Warn("hosts_did_not_confirm", "service", m.service, "hosts", missing, "lead_revision", m.lead.Revision)
+			if len(missing) > 0 {
+				o.Logger.Warn("hosts_did_not_confirm", "service", m.service, "hosts", missing, "lead_revision", m.lead.Revision)
+			}
 			return nil
 		}
 		if !pause(ctx, pollInterval) {
