Have the store vouch before a change of primary is resumed

Cause: a host that judged by a copy of the store which still said that a primary was being replaced promoted another database without asking the store, while others used the one that had been put into force. The view is built after the copy changes, so the judge can see the former one.

Resumed changes now record themselves first, conditional on the revision that they know; a conflict is taken into the copy. No change is resumed without a database that could take over, which spares the writes.

--- a/overseer/move.go
+++ b/overseer/move.go
@@ -41,6 +41,9 @@
 	// registered is set if the former primary is registered.
 	registered bool
 	reason     Reason
+	// fenced is the revision of the lead that first took the former primary out
+	// of use.
+	fenced int64
 }
 
 func (m *move) run(ctx context.Context) {
@@ -60,7 +63,7 @@
 func (m *move) change(ctx context.Context) error {
 	o := m.overseer
 	// Without a contender the service keeps its primary, however bad it is.
-	if _, err := m.elect(ctx, nil); err != nil && !m.lead.Moving {
+	if _, err := m.elect(ctx, nil); err != nil {
 		return err
 	}
 	if err := m.fence(ctx); err != nil {
@@ -113,29 +116,32 @@
 }
 
 // fence records that the primary is being replaced and waits until no host uses
-// it any more.
+// it any more. A change that was begun before is recorded anew: the store then
+// vouches that nobody has finished it since, which this host's copy may lack.
 func (m *move) fence(ctx context.Context) error {
 	o := m.overseer
+	lead := m.lead
+	lead.Moving = true
+	if !m.lead.Moving && m.reason.Planned() {
+		lead.Grace = plannedGrace
+	}
+	written, err := o.write(ctx, lead)
+	if err != nil {
+		return errors.Wrap(err, "record the change")
+	}
+	m.fenced = m.lead.Revision
 	if !m.lead.Moving {
-		lead := m.lead
-		lead.Moving = true
-		if m.reason.Planned() {
-			lead.Grace = plannedGrace
-		}
-		written, err := o.write(ctx, lead)
-		if err != nil {
-			return errors.Wrap(err, "record the change")
-		}
-		m.lead = written
+		m.fenced = written.Revision
 	}
-	fenced := o.Now()
+	m.lead = written
+	since := o.Now()
 	for {
-		missing := m.missing(fenced)
+		missing := m.missing(since)
 		// In a large fleet a host may hear another speaker and not be known here.
 		if len(missing) == 0 && o.leaseScale() == 1 {
 			return nil
 		}
-		if o.Now().Sub(fenced) > o.MaxViewAge+fenceMargin {
+		if o.Now().Sub(since) > o.MaxViewAge+fenceMargin {
 			if len(missing) > 0 {
 				o.Logger.Warn("hosts_did_not_confirm", "service", m.service, "hosts", missing, "lead_revision", m.lead.Revision)
 			}
@@ -148,10 +154,10 @@
 }
 
 // missing returns the hosts that may still use the former primary.
-func (m *move) missing(fenced time.Time) []string {
+func (m *move) missing(since time.Time) []string {
 	var missing []string
 	for _, member := range append(m.overseer.Members(), m.overseer.Own()) {
-		if member.Released[m.service] < m.lead.Revision && !member.Ended(fenced) {
+		if member.Released[m.service] < m.fenced && !member.Ended(since) {
 			missing = append(missing, member.Name)
 		}
 	}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -325,10 +325,7 @@
 // lostCampaign gives back the lease of a campaign that another host has won, or
 // whose outcome is not known.
 func (o *Overseer) lostCampaign(ctx context.Context, lease storer.LeaseID, err error) {
-	var conflict *storer.Conflict
-	if errors.As(err, &conflict) {
-		o.Mirror.Wrote(informer.Record{Key: dutyKey, Value: conflict.Now.Value, Revision: conflict.Now.ModRevision})
-	}
+	o.adopt(err)
 	if err := o.Space.Revoke(ctx, lease); err != nil {
 		o.Logger.Warn("lease_not_revoked", "error", err.Error())
 	}
@@ -452,6 +449,7 @@
 	key := leadsPrefix + lead.Service
 	revision, err := o.Space.Write(ctx, storer.Put{Key: key, Value: encodeLead(lead), Expected: lead.Revision})
 	if err != nil {
+		o.adopt(err)
 		return lead, err
 	}
 	lead.Revision = revision
@@ -460,6 +458,15 @@
 	return lead, nil
 }
 
+// adopt takes in the record by which the store refused a write, so that the next
+// decision is made with it.
+func (o *Overseer) adopt(err error) {
+	var conflict *storer.Conflict
+	if errors.As(err, &conflict) && conflict.Now.ModRevision > 0 {
+		o.Mirror.Wrote(informer.Record{Key: conflict.Now.Key, Value: conflict.Now.Value, Revision: conflict.Now.ModRevision})
+	}
+}
+
 // answers reports whether a suspected primary still leads. One that answered
 // lately is not asked again.
 func (o *Overseer) answers(ctx context.Context, primary cataloger.Endpoint) bool {
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -425,6 +425,35 @@
 	})
 }
 
+// TestChangeThatIsOverIsNotResumed guards against a second promotion by a host
+// whose copy of the store still says that the primary is being replaced: the
+// primary that it would not know of goes on being used by others.
+func TestChangeThatIsOverIsNotResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		moving := cataloger.Lead{Service: service, ID: "p", Moving: true}
+		done := cataloger.Lead{Service: service, ID: "a", Term: 2}
+		key := leadsPrefix + service
+		first, err := w.write(t.Context(), storer.Put{Key: key, Value: encodeLead(moving)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := w.write(t.Context(), storer.Put{Key: key, Value: encodeLead(done), Expected: first}); err != nil {
+			t.Fatal(err)
+		}
+		w.mirror.Wrote(informer.Record{Key: key, Value: encodeLead(moving), Revision: first})
+		w.start()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if got := w.promotions(); len(got) != 0 {
+			t.Errorf("got promotions %v, want none", got)
+		}
+		if got := w.lead(); got.ID != "a" || got.Moving {
+			t.Errorf("got lead %+v, want the one that the store holds", got)
+		}
+	})
+}
+
 // TestContenderThatEnded guards against a change that insists on a database
 // which has ended meanwhile.
 func TestContenderThatEnded(t *testing.T) {
