Bound handshakes when connections are handed over, let scarce ones rest shortly

Cause: a connection that came back while another customer waited was closed by the waiter, which then opened one without asking whether two were being opened already. A returned connection now goes to a waiter of its customer or rests, and waiters of others open one within the bound.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -71,6 +71,17 @@
 	returned time.Time
 }
 
+// Bounds are how many connections a pool may have.
+type Bounds struct {
+	// Share is the number of connections that the pool may have in any case.
+	Share int
+	// Burst, if it is larger, is the number up to which sessions may use
+	// connections while the database refuses none.
+	Burst int
+	// Rest is how long a connection may be idle; 0 leaves that to CloseIdle.
+	Rest time.Duration
+}
+
 // A Pool bounds and reuses the connections to one database. Its exported
 // fields are set before first use.
 type Pool struct {
@@ -86,8 +97,9 @@
 	open int
 	// dialing counts the connections that are being opened.
 	dialing int
-	// limit is the number of connections that the pool may have.
-	limit int
+	bounds  Bounds
+	// resting is set while a timer looks at the idle connections.
+	resting bool
 	// fullUntil is when the pool may open connections beyond its guaranteed
 	// share again.
 	fullUntil time.Time
@@ -103,12 +115,13 @@
 	granted chan *Conn
 }
 
-// SetLimit sets the number of connections that the pool may have.
-func (p *Pool) SetLimit(limit int) {
+// SetBounds sets how many connections the pool may have.
+func (p *Pool) SetBounds(bounds Bounds) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = max(1, limit)
-	for p.open > p.limit && len(p.idle) > 0 {
+	bounds.Share = max(1, bounds.Share)
+	p.bounds = bounds
+	for p.open > bounds.Share && len(p.idle) > 0 {
 		p.dropOldest()
 	}
 	p.grant()
@@ -179,12 +192,7 @@
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 		return conn, nil, nil
 	}
-	if p.mayOpen() {
-		p.reserve()
-		return nil, nil, nil
-	}
-	if len(p.idle) > 0 && p.dialing < maxDialing {
-		p.dropOldest()
+	if p.makeRoom() {
 		p.reserve()
 		return nil, nil, nil
 	}
@@ -193,9 +201,25 @@
 	return nil, w, nil
 }
 
-// mayOpen reports whether there is room for another connection.
-func (p *Pool) mayOpen() bool {
-	return p.open < p.limit && p.dialing < maxDialing && (p.open == 0 || !p.Now().Before(p.fullUntil))
+// makeRoom reports whether a connection may be opened now. It closes an idle one
+// if that is what it takes.
+func (p *Pool) makeRoom() bool {
+	if p.dialing >= maxDialing {
+		return false
+	}
+	if p.open == 0 {
+		return true
+	}
+	refused := p.Now().Before(p.fullUntil)
+	switch {
+	case p.open < p.bounds.Share && !refused:
+		return true
+	case len(p.idle) > 0:
+		p.dropOldest()
+		return true
+	default:
+		return p.open < p.bounds.Burst && !refused
+	}
 }
 
 // reserve takes room for a connection that is about to be opened.
@@ -242,7 +266,7 @@
 		if !ok {
 			return nil, ErrClosed
 		}
-		return p.adopt(conn, w.customer), nil
+		return conn, nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -253,20 +277,7 @@
 	if !ok {
 		return nil, ErrClosed
 	}
-	return p.adopt(conn, w.customer), nil
-}
-
-// adopt returns the granted connection if it speaks for the customer. One of
-// another customer is closed, and its room is used to open one.
-func (p *Pool) adopt(conn *Conn, customer string) *Conn {
-	if conn == nil || conn.Customer == customer {
-		return conn
-	}
-	_ = conn.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dialing++
-	return nil
+	return conn, nil
 }
 
 func (p *Pool) withdraw(w *waiter) bool {
@@ -304,7 +315,7 @@
 func (p *Pool) Put(conn *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.open > p.limit {
+	if p.closed || p.open > max(p.bounds.Share, p.bounds.Burst) {
 		p.open--
 		_ = conn.Close()
 		p.grant()
@@ -316,28 +327,43 @@
 		return
 	}
 	p.idle = append(p.idle, conn)
+	p.grant()
+	if p.open > p.bounds.Share {
+		p.dropNewest()
+	}
+	p.watchRest()
 }
 
 // next removes and returns the waiter that gets a connection of the customer:
-// the first one of the best priority that is present, one of the same customer
-// before others.
+// the first one of the customer among those of the best priority. Waiters of
+// other customers have to open one.
 func (p *Pool) next(customer string) *waiter {
-	if len(p.waiters) == 0 {
-		return nil
-	}
-	chosen := 0
 	for i, w := range p.waiters {
 		if w.priority != p.waiters[0].priority {
 			break
 		}
 		if w.customer == customer {
-			chosen = i
-			break
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			return w
 		}
 	}
-	w := p.waiters[chosen]
-	p.waiters = append(p.waiters[:chosen], p.waiters[chosen+1:]...)
-	return w
+	return nil
+}
+
+// watchRest closes idle connections once they have rested for long enough.
+func (p *Pool) watchRest() {
+	if p.resting || p.bounds.Rest == 0 || len(p.idle) == 0 {
+		return
+	}
+	p.resting = true
+	rested := p.Now().Sub(p.idle[0].returned)
+	time.AfterFunc(max(p.bounds.Rest-rested, time.Millisecond), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.resting = false
+		p.closeIdle(p.bounds.Rest)
+		p.watchRest()
+	})
 }
 
 // Discard closes a connection that was taken from the pool.
@@ -353,14 +379,7 @@
 
 // grant lets waiters open connections while there is room.
 func (p *Pool) grant() {
-	for len(p.waiters) > 0 && p.dialing < maxDialing {
-		switch {
-		case p.mayOpen():
-		case len(p.idle) > 0:
-			p.dropOldest()
-		default:
-			return
-		}
+	for len(p.waiters) > 0 && p.makeRoom() {
 		w := p.waiters[0]
 		p.waiters = p.waiters[1:]
 		p.reserve()
@@ -375,12 +394,28 @@
 	_ = oldest.Close()
 }
 
+// dropNewest closes the connection that was returned last, if it is still idle.
+func (p *Pool) dropNewest() {
+	last := len(p.idle) - 1
+	if last < 0 {
+		return
+	}
+	conn := p.idle[last]
+	p.idle = p.idle[:last]
+	p.open--
+	_ = conn.Close()
+}
+
 // CloseIdle closes connections that have rested for longer than age.
 func (p *Pool) CloseIdle(age time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeIdle(age)
+}
+
+func (p *Pool) closeIdle(age time.Duration) {
 	now := p.Now()
-	for len(p.idle) > 0 && now.Sub(p.idle[0].returned) > age {
+	for len(p.idle) > 0 && now.Sub(p.idle[0].returned) >= age {
 		p.dropOldest()
 	}
 }
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -69,7 +69,7 @@
 
 func newPool(d *stubDatabase, limit int) *Pool {
 	p := &Pool{Dial: d.dial, Now: time.Now}
-	p.SetLimit(limit)
+	p.SetBounds(Bounds{Share: limit})
 	return p
 }
 
@@ -151,6 +151,74 @@
 	})
 }
 
+// TestPoolBurst guards against sessions that wait for one connection a host
+// though the database has room, where hosts outnumber connections.
+func TestPoolBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &stubDatabase{room: 3}
+		p := newPool(d, 1)
+		p.SetBounds(Bounds{Share: 1, Burst: 4, Rest: 100 * time.Millisecond})
+		var used []*Conn
+		for i := range 3 {
+			c, err := p.Get(t.Context(), "a", Values{}, 0, time.Now().Add(50*time.Millisecond))
+			if err != nil {
+				t.Fatalf("connection %d: %v", i, err)
+			}
+			used = append(used, c)
+		}
+		if _, err := p.Get(t.Context(), "a", Values{}, 0, time.Now().Add(50*time.Millisecond)); err == nil {
+			t.Error("got a connection beyond what the database takes")
+		}
+		for _, c := range used {
+			p.Put(c)
+		}
+		if got := 3 - d.room; got != 1 {
+			t.Errorf("%d connections rest, want the share of 1", got)
+		}
+		time.Sleep(101 * time.Millisecond)
+		synctest.Wait()
+		if got := 3 - d.room; got != 0 {
+			t.Errorf("%d connections rest after the time for it, want 0", got)
+		}
+	})
+}
+
+// TestPoolHandsOver guards against handshakes beyond the bound when connections
+// are returned for which only other customers wait.
+func TestPoolHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &stubDatabase{room: 10, handshake: 12 * time.Millisecond}
+		p := newPool(d, 4)
+		var used []*Conn
+		for range 4 {
+			c, err := p.Get(t.Context(), "a", Values{}, 0, time.Now().Add(time.Second))
+			if err != nil {
+				t.Fatal(err)
+			}
+			used = append(used, c)
+		}
+		var group sync.WaitGroup
+		for range 4 {
+			group.Go(func() {
+				c, err := p.Get(t.Context(), "b", Values{}, 0, time.Now().Add(time.Second))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				p.Put(c)
+			})
+		}
+		synctest.Wait()
+		for _, c := range used {
+			p.Put(c)
+		}
+		group.Wait()
+		if d.most > maxDialing {
+			t.Errorf("opened %d connections at once, want at most %d", d.most, maxDialing)
+		}
+	})
+}
+
 // TestPoolWaitsForRoom guards against sessions that are refused while the
 // database still counts the connections of hosts that lost power.
 func TestPoolWaitsForRoom(t *testing.T) {
--- a/director/service.go
+++ b/director/service.go
@@ -83,7 +83,7 @@
 	shares := ShareOut(s.director.Host, catalog.Sharers, usable, s.primary.endpoint.ID, limit)
 	s.home = shares.Home
 	for _, db := range s.databases {
-		db.pool.SetLimit(shares.Limits[db.endpoint.ID])
+		db.pool.SetBounds(shares.Connections[db.endpoint.ID])
 		db.gate.setLimit(shares.Statements[db.endpoint.ID])
 	}
 }
--- a/director/share.go
+++ b/director/share.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/connector"
 )
 
 const (
@@ -16,6 +18,16 @@
 	// visitorConnections is how many connections a host may have to a replica
 	// that is not its home.
 	visitorConnections = 2
+	// scarceShare is the number of connections a host below which a database's
+	// connections are scarce. Few sessions of a host then follow each other as
+	// the same customer, so connections are kept for use and rest only shortly.
+	scarceShare = 2.5
+	// scarceBurst is how many connections a host may use at once where they are
+	// scarce, as long as the database has room.
+	scarceBurst = 6
+	// scarceRest is how long a connection rests for each one that a host may
+	// have.
+	scarceRest = 400 * time.Millisecond
 )
 
 // Shares says how one host uses the databases of a service. A connection
@@ -27,18 +39,19 @@
 	// Home is the ID of the replica that the host reads from; empty if there
 	// is none.
 	Home string
-	// Limits are the numbers of connections by database ID.
-	Limits map[string]int
+	// Connections are the bounds by database ID.
+	Connections map[string]connector.Bounds
 	// Statements are the numbers of statements that the host has running at
 	// once by database ID.
 	Statements map[string]int
 }
 
 // ShareOut returns the shares of a host. All hosts that have the same view
-// come to the same result, and together stay within each database's limit.
+// come to the same result, and their shares together stay within each database's
+// limit, unless there are more hosts than connections.
 func ShareOut(host string, hosts []cataloger.Host, endpoints []cataloger.Endpoint, primary string, maxConnections int) Shares {
 	limit := float64(maxConnections) * (1 - connectionReserve)
-	shares := Shares{Limits: make(map[string]int), Statements: make(map[string]int)}
+	shares := Shares{Connections: make(map[string]connector.Bounds), Statements: make(map[string]int)}
 	var replicas []cataloger.Endpoint
 	for _, e := range endpoints {
 		if e.ID != primary && !e.Draining {
@@ -61,18 +74,27 @@
 			users = all
 		}
 		shares.Statements[e.ID] = 1 + int(math.Ceil(slotOvercommit*float64(max(1, e.Slots))/float64(users)))
+		share := visitors(int(limit), all)
 		switch {
 		case r == 0:
-			shares.Limits[e.ID] = max(1, int(limit)/all)
+			share = max(1, int(limit)/all)
 		case e.ID == shares.Home:
-			shares.Limits[e.ID] = max(1, (int(limit)-visitors(int(limit), all)*(all-r))/r)
-		default:
-			shares.Limits[e.ID] = visitors(int(limit), all)
+			share = max(1, (int(limit)-visitors(int(limit), all)*(all-r))/r)
 		}
+		shares.Connections[e.ID] = boundsOf(share, limit/float64(users))
 	}
 	return shares
 }
 
+// boundsOf returns the bounds of a share, given how many connections there are
+// for each host that uses the database regularly.
+func boundsOf(share int, each float64) connector.Bounds {
+	if each >= scarceShare {
+		return connector.Bounds{Share: share}
+	}
+	return connector.Bounds{Share: share, Burst: scarceBurst, Rest: time.Duration(each * float64(scarceRest))}
+}
+
 // assignHomes gives each host a replica in its own data centre, if there is one
 // that not too many others have, and shares out the rest evenly. Hosts are in
 // the order of their names.
--- a/director/share_test.go
+++ b/director/share_test.go
@@ -37,13 +37,13 @@
 			sums := make(map[string]int)
 			for _, host := range hosts {
 				shares := ShareOut(host.Name, hosts, endpoints, "d0", test.maxConns)
-				for id, limit := range shares.Limits {
-					sums[id] += limit
+				for id, bounds := range shares.Connections {
+					sums[id] += bounds.Share
 				}
-				if got := shares.Limits["d0"]; got < test.leastAtPrimary {
+				if got := shares.Connections["d0"].Share; got < test.leastAtPrimary {
 					t.Errorf("%s has %d connections to the primary, want %d", host.Name, got, test.leastAtPrimary)
 				}
-				if got := shares.Limits[shares.Home]; got < test.leastAtOwnHome {
+				if got := shares.Connections[shares.Home].Share; got < test.leastAtOwnHome {
 					t.Errorf("%s has %d connections to its home %s, want %d", host.Name, got, shares.Home, test.leastAtOwnHome)
 				}
 				if host.DataCentre == "dc1" && test.hosts < 10 && shares.Home != "d1" {
