Have hosts of large fleets without a current view ask relays

Hosts whose view nobody vouches for now ask 3 others at random and watch the store with shorter waits; usage told by such relays is not counted, since the speaker counts it.

--- a/hoster/freshness.go
+++ b/hoster/freshness.go
@@ -15,6 +15,9 @@
 	// watchShare is the part of the age at which a view expires in which the
 	// whole fleet hears from the store; each host asks that much less often.
 	watchShare = 0.1
+	// unledWatchShare replaces watchShare in large fleets without a host that
+	// speaks for all: what one host hears takes some exchanges to reach the others.
+	unledWatchShare = 0.03
 	// hubWatch is the wait of the host that speaks for all: what it knows reaches
 	// the others one exchange later.
 	hubWatch = 300 * time.Millisecond
@@ -53,7 +56,11 @@
 		if catalog := h.current(); catalog != nil {
 			hosts = max(1, len(catalog.Hosts))
 		}
-		mean = min(time.Duration(hosts)*time.Duration(watchShare*float64(director.MaxViewAge)), longestWatch)
+		share := watchShare
+		if h.large() {
+			share = unledWatchShare
+		}
+		mean = min(time.Duration(hosts)*time.Duration(share*float64(director.MaxViewAge)), longestWatch)
 	}
 	return mean/2 + rand.N(mean)
 }
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -61,6 +61,7 @@
 	exchanger   *exchanger.Exchanger
 	overseer    *overseer.Overseer
 	changed     chan struct{}
+	relays      relays
 	stopping    atomic.Bool
 
 	mu      sync.Mutex
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -61,15 +61,9 @@
 // how old the other's copy is, since the question's instant is known.
 func (h *Host) received(message exchanger.Message, sent time.Time) {
 	report := message.Report
-	spent := make(map[string]limiter.Spent, len(report.Usages))
-	for name, usage := range report.Usages {
-		spent[name] = limiter.Spent(usage)
-	}
-	speaker := report.Host
-	if report.Hosts > 0 {
-		speaker += forAll
+	if h.takesUsage(report) {
+		h.hearUsage(report)
 	}
-	h.limits.Hear(speaker, limiter.HostReport{Incarnation: report.Incarnation, Heard: timekeeper.Now(), Uptime: report.Uptime, Hosts: report.Hosts, Spent: spent})
 	records := make([]informer.Record, 0, len(message.Records))
 	for _, record := range message.Records {
 		records = append(records, informer.Record(record))
@@ -88,6 +82,20 @@
 	}
 }
 
+// hearUsage takes in what a host has used of the customers' rates, or what it
+// says that all others have.
+func (h *Host) hearUsage(report exchanger.Report) {
+	spent := make(map[string]limiter.Spent, len(report.Usages))
+	for name, usage := range report.Usages {
+		spent[name] = limiter.Spent(usage)
+	}
+	speaker := report.Host
+	if report.Hosts > 0 {
+		speaker += forAll
+	}
+	h.limits.Hear(speaker, limiter.HostReport{Incarnation: report.Incarnation, Heard: timekeeper.Now(), Uptime: report.Uptime, Hosts: report.Hosts, Spent: spent})
+}
+
 // members returns the other hosts of the fleet as the overseer sees them.
 func (h *Host) members() []overseer.Member {
 	catalog := h.current()
--- a/hoster/topology.go
+++ b/hoster/topology.go
@@ -1,10 +1,14 @@
 package hoster
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/exchanger"
 	"github.com/endiveturn/endiveturn/overseer"
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // meshHosts is the number of hosts up to which each pair of hosts exchanges
@@ -59,6 +63,9 @@
 		if name, ok := h.hub(); ok {
 			addresses[name] = catalog.Hosts[name].Address
 		}
+		for _, name := range h.relays.choose(catalog.Hosts, h.vouched(), timekeeper.Now()) {
+			addresses[name] = catalog.Hosts[name].Address
+		}
 		return addresses
 	}
 	for name, host := range catalog.Hosts {
@@ -67,11 +74,63 @@
 	return addresses
 }
 
-// asks reports whether this host asks the named one in any case: the host that
-// speaks for all is asked and asks nobody.
+// asks reports whether this host asks the named one in any case: in a large
+// fleet the one that speaks for all, which asks nobody itself, and relays.
 func (h *Host) asks(name string) bool {
 	hub, ok := h.hub()
-	return ok && name == hub
+	return ok && name == hub || slices.Contains(h.relays.names, name)
+}
+
+const (
+	// relayCount is how many other hosts a host of a large fleet asks while
+	// nobody vouches for its view. What one host of the fleet hears from the store
+	// reaches all within about three exchanges.
+	relayCount = 3
+	// relayTime is how long the same hosts are asked.
+	relayTime = time.Second
+)
+
+// relays are the hosts of a large fleet that this one asks while it hears
+// neither the store nor a host that speaks for all: they may reach both. It is
+// used by one goroutine.
+type relays struct {
+	names  []string
+	chosen time.Time
+}
+
+// choose returns the hosts to ask: none while the view is vouched for, and else
+// some at random, which change now and then.
+func (r *relays) choose(hosts map[string]cataloger.Host, vouched bool, now time.Time) []string {
+	if vouched {
+		r.names = nil
+		return nil
+	}
+	if len(r.names) == 0 || now.Sub(r.chosen) > relayTime {
+		r.names, r.chosen = r.names[:0], now
+		all := make([]string, 0, len(hosts))
+		for name := range hosts {
+			all = append(all, name)
+		}
+		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		r.names = append(r.names, all[:min(relayCount, len(all))]...)
+	}
+	present := make([]string, 0, len(r.names))
+	for _, name := range r.names {
+		if _, ok := hosts[name]; ok {
+			present = append(present, name)
+		}
+	}
+	return present
+}
+
+// takesUsage reports whether a report's usage counts here. In a large fleet the
+// host that speaks for all counts that of every host, and tells it to the others.
+func (h *Host) takesUsage(report exchanger.Report) bool {
+	if !h.large() {
+		return true
+	}
+	name, ok := h.hub()
+	return ok && (name == h.Settings.Host || name == report.Host)
 }
 
 // hubInterval is how often a host exchanges with the one that speaks for all.
--- a/hoster/topology_test.go
+++ b/hoster/topology_test.go
@@ -71,6 +71,7 @@
 // against hosts that nobody exchanges with.
 func TestTopology(t *testing.T) {
 	small, large := newTestHost(meshHosts), newTestHost(meshHosts+1)
+	large.mirror.Merge(nil, 3, timekeeper.Now())
 	if got := len(small.peerAddresses()); got != meshHosts {
 		t.Errorf("a host of a small fleet exchanges with %d, want %d", got, meshHosts)
 	}
@@ -85,3 +86,37 @@
 		t.Error("a host of a large fleet has to ask h0 and nobody else")
 	}
 }
+
+// TestRelays guards against hosts of a large fleet that are cut off from the
+// store, keep asking a host that is cut off as well, and never learn of the one
+// that speaks for all by now.
+func TestRelays(t *testing.T) {
+	h := newTestHost(4 * meshHosts)
+	h.Settings.Host = "h5"
+	addresses := h.peerAddresses()
+	if got := len(addresses); got < relayCount {
+		t.Fatalf("a host without a current view exchanges with %d others, want %d", got, relayCount)
+	}
+	for name := range addresses {
+		if name != "h5" && !h.asks(name) {
+			t.Errorf("the host does not ask %s", name)
+		}
+	}
+	now := timekeeper.Now()
+	h.received(exchanger.Message{
+		Report:  exchanger.Report{Host: "h9", Revision: 4, Usages: map[string]exchanger.Usage{"c": {Used: 1000}}},
+		Records: []exchanger.Record{{Key: overseer.DutyKey, Value: []byte(`{"host":"h7"}`), Revision: 4}},
+	}, now)
+	if name, ok := h.hub(); !ok || name != "h7" {
+		t.Errorf("got %q as the host that speaks for all, want h7 as a relay said", name)
+	}
+	if got := h.viewCurrent(); !got.Equal(now) {
+		t.Errorf("got a view as of %v, want %v, when the relay was asked", got, now)
+	}
+	if got := h.limits.SpentByOthers(""); len(got) != 0 {
+		t.Errorf("got usage %v from a relay, which h7 counts", got)
+	}
+	if got := h.peerAddresses(); len(got) != 2 || got["h7"] == "" {
+		t.Errorf("with a current view the host exchanges with %v, want itself and h7", got)
+	}
+}
