Keep newer records when a list of the store arrives late

Cause: Mirror.Replace put the listed entries in place of all known ones, though a list may have been read before a change that the host made itself or heard of from another. Until the watch brought the change again, which a slow store delays, a host that had given up a former primary could use it again, and the holder of the duty judged by the former lead. TestReplaceKeepsNewer fails on the former code: 'lead: got revision 5, want 9', 'new' missing, 'gone' back.

--- a/informer/mirror.go
+++ b/informer/mirror.go
@@ -74,7 +74,7 @@
 }
 
 // Replace takes in all entries of the store, read from the instant asked on,
-// the first page at revision.
+// the first page at revision. What is known to be newer stays.
 func (m *Mirror) Replace(entries []storer.Entry, revision int64, asked time.Time) {
 	m.mu.Lock()
 	if m.loaded && revision < m.revision {
@@ -87,11 +87,15 @@
 	}
 	now := m.Now()
 	for key, old := range m.records {
-		if _, ok := fresh[key]; ok || old.Deleted {
-			continue
+		listed, ok := fresh[key]
+		switch {
+		case ok && listed.Revision >= old.Revision:
+		case ok || old.Deleted || old.Revision > revision:
+			fresh[key] = old
+		default:
+			fresh[key] = Record{Key: key, Revision: revision, Deleted: true}
+			m.deletedTimes()[key] = now
 		}
-		fresh[key] = Record{Key: key, Revision: revision, Deleted: true}
-		m.deletedTimes()[key] = now
 	}
 	m.records = fresh
 	m.advance(revision, asked)
--- a/informer/mirror_test.go
+++ b/informer/mirror_test.go
@@ -120,3 +120,30 @@
 		t.Error("keys that the filter leaves out change the digest")
 	}
 }
+
+// TestReplaceKeepsNewer guards against a list that was read before a change and
+// arrives after it: a host that has given up a former primary would use it
+// again, and one that has replaced it would do so once more.
+func TestReplaceKeepsNewer(t *testing.T) {
+	m := &Mirror{Now: time.Now}
+	m.Replace([]storer.Entry{{Key: "lead", Value: []byte("p"), ModRevision: 5}, {Key: "old", ModRevision: 4}}, 8, time.Now())
+	m.Wrote(Record{Key: "lead", Value: []byte("moving"), Revision: 9})
+	m.Merge([]Record{{Key: "new", Revision: 10}, {Key: "gone", Revision: 10, Deleted: true}}, 8, time.Time{})
+	m.Replace([]storer.Entry{{Key: "lead", Value: []byte("p"), ModRevision: 5}, {Key: "gone", ModRevision: 3}}, 8, time.Now())
+	tests := []struct {
+		key      string
+		revision int64
+		present  bool
+	}{
+		{key: "lead", revision: 9, present: true},
+		{key: "new", revision: 10, present: true},
+		{key: "gone", revision: 0, present: false},
+		{key: "old", revision: 0, present: false},
+	}
+	for _, test := range tests {
+		got, ok := m.Get(test.key)
+		if ok != test.present || ok && got.Revision != test.revision {
+			t.Errorf("%s: got revision %d, present %v, want %d, %v", test.key, got.Revision, ok, test.revision, test.present)
+		}
+	}
+}
