Have most hosts of a large fleet vouch for views without the store

While more than half of the hosts follow the holder of the duty it now vouches for views for up to 8 s after its last word from the store. A first form without 'a host that has read the store' was refuted on paper: a restarted host could follow an earlier holder again. For that, records which the store no longer listed are not taken back from others (TestDeletedKeysStayDeleted), and a question after a lost connection no longer dates a copy without bringing records.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -190,7 +190,8 @@
 		revision, err := e.exchange(ctx, l, &conn, known)
 		if err != nil {
 			pause = retryPause
-			known = 0
+			// The next question brings no records, so that it must not date the copy.
+			known, l.echo = 0, 0
 			if conn != nil {
 				_ = conn.Close()
 				conn = nil
--- a/hoster/freshness.go
+++ b/hoster/freshness.go
@@ -75,9 +75,10 @@
 	return min(max(leastSettle, time.Duration(len(catalog.Hosts))*settlePerHost), mostSettle)
 }
 
-// vouched reports whether the view was known to be complete lately.
+// vouched reports whether the view was known to be complete lately, in a large
+// fleet by the word of the store.
 func (h *Host) vouched() bool {
-	return timekeeper.Now().Sub(h.viewCurrent()) < vouchAge
+	return timekeeper.Now().Sub(h.passedOn()) < vouchAge
 }
 
 // oversee has all keys read again when a host falls silent, which tells at once
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -64,8 +64,13 @@
 	relays      relays
 	stopping    atomic.Bool
 
+	// mu guards the fields below. Only the mirror's lock is taken while it is held.
 	mu      sync.Mutex
 	catalog *cataloger.Catalog
+	sharers sharers
+	// fleetSince is from when on this host has known the fleet by the store.
+	fleetSince time.Time
+	voucher    voucher
 }
 
 // Run serves until ctx ends and the stop that follows is done.
@@ -130,6 +135,7 @@
 	h.Platform.Space = countCalls(h.Platform.Space, h.Registry)
 	h.changed = make(chan struct{}, 1)
 	h.mirror = &informer.Mirror{Now: timekeeper.Now, Changed: h.noteChange}
+	h.sharers = make(sharers)
 	h.limits = limiter.NewFleet(timekeeper.Now)
 	h.director = &director.Director{
 		Host: h.Settings.Host, DataCentre: h.Settings.DataCentre, Dial: h.Platform.Databases.Dial, Limits: h.limits, Now: time.Now,
@@ -150,10 +156,14 @@
 		Promote: func(ctx context.Context, service, id string, token int64) error {
 			return h.Platform.Promote(ctx, h.Settings.Host, service, id, token)
 		},
-		MaxViewAge: director.MaxViewAge, Now: timekeeper.Now, Logger: h.Logger,
+		MaxViewAge: director.MaxViewAge, Settled: h.settled, Young: h.young, Now: timekeeper.Now, Logger: h.Logger,
 	}
 }
 
+// young reports whether this host has not run for long enough to know the fleet
+// that a former holder of the duty may count by.
+func (h *Host) young() bool { return timekeeper.Now().Sub(h.started) < lastingTime }
+
 func otherSeeds(s Settings) []string {
 	var seeds []string
 	for _, seed := range s.Seeds {
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -6,7 +6,6 @@
 
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
-	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/exchanger"
 	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/informer"
@@ -29,12 +28,18 @@
 // empty.
 func (h *Host) report(receiver string) exchanger.Report {
 	usages, hosts := h.usages(receiver)
-	revision, current := h.mirror.Revision(), h.viewCurrent()
+	revision, current := h.mirror.Revision(), h.passedOn()
 	r := exchanger.Report{
 		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
 		Revision: revision, Age: -1, Uptime: timekeeper.Now().Sub(h.started),
 		Digest: h.mirror.Digest(h.Platform.Foreign), Stopping: h.stopping.Load(), Released: h.director.Released(),
 		Usages: usages, Hosts: hosts, Primaries: make(map[string]exchanger.PrimaryHealth),
+		Duty: h.mirror.KeyRevision(overseer.DutyKey), Listed: h.mirror.Listed(), Followed: -1,
+	}
+	if h.large() {
+		if at := h.followed(); !at.IsZero() {
+			r.Followed = timekeeper.Now().Sub(at)
+		}
 	}
 	if !current.IsZero() {
 		r.Age = timekeeper.Now().Sub(current)
@@ -80,6 +85,9 @@
 	if len(records) > 0 || !current.IsZero() {
 		h.mirror.Merge(records, report.Revision, current)
 	}
+	if h.large() {
+		h.hearVoucher(report, sent)
+	}
 }
 
 // hearUsage takes in what a host has used of the customers' rates, or what it
@@ -151,25 +159,35 @@
 }
 
 // viewCurrent returns the latest instant at which this host's view of the
-// primaries is known to have been complete: the store confirmed it, or in a
-// small fleet every other host has told what it knows. Only a host of the fleet replaces
-// primaries, and it tells the others before it does.
+// primaries is known to have been complete: the store confirmed it, or the other
+// hosts vouch for it. Only a host of the fleet replaces primaries.
 func (h *Host) viewCurrent() time.Time {
 	current := h.mirror.Current()
-	if h.large() {
-		// There the hosts hear the one that speaks for all and not each other, so
-		// that only the store can tell, at first hand or through that one.
+	if timekeeper.Now().Sub(current) < freshEnough {
 		return current
 	}
-	if timekeeper.Now().Sub(current) < director.MaxViewAge/4 {
-		return current
+	told := time.Time{}
+	if h.large() {
+		told = h.vouchedByFollowers()
+	} else {
+		told = h.allTold()
 	}
-	if told := h.allTold(); told.After(current) {
+	if told.After(current) {
 		return told
 	}
 	return current
 }
 
+// passedOn returns the instant as of which other hosts may take this host's copy
+// to be complete. In a large fleet that is the store's word alone, since followers
+// are counted by the age of that word.
+func (h *Host) passedOn() time.Time {
+	if h.large() {
+		return h.mirror.Current()
+	}
+	return h.viewCurrent()
+}
+
 // allTold returns the latest instant up to which all other hosts have told
 // this one what they know, or the zero time.
 func (h *Host) allTold() time.Time {
--- a/hoster/refresh.go
+++ b/hoster/refresh.go
@@ -36,7 +36,6 @@
 	v := &viewer{decoder: h.Platform.Decoder, now: timekeeper.Now, rejected: func(key string, revision int64, err error) {
 		h.Logger.Warn("record_rejected", "key", key, "revision", revision, "error", err.Error())
 	}}
-	sharers := make(sharers)
 	leads := int64(0)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -50,8 +49,11 @@
 		records, revision := h.mirror.Records()
 		catalog, next := v.view(records, revision)
 		h.addHeard(catalog)
-		catalog.Sharers = sharers.update(catalog.Hosts, timekeeper.Now())
 		h.mu.Lock()
+		catalog.Sharers = h.sharers.update(catalog.Hosts, timekeeper.Now())
+		if h.fleetSince.IsZero() && h.mirror.Listed() {
+			h.fleetSince = timekeeper.Now()
+		}
 		h.catalog = catalog
 		h.mu.Unlock()
 		h.director.SetCatalog(catalog)
@@ -95,13 +97,20 @@
 type sharer struct {
 	host cataloger.Host
 	seen time.Time
+	// since is from when on the host has been one of the fleet, short absences
+	// aside.
+	since time.Time
 }
 
 // update takes in the present hosts and returns all that connections are
 // shared out to.
 func (s sharers) update(hosts map[string]cataloger.Host, now time.Time) []cataloger.Host {
 	for name, host := range hosts {
-		s[name] = sharer{host: host, seen: now}
+		known, ok := s[name]
+		if !ok || now.Sub(known.seen) > shortAbsence {
+			known.since = now
+		}
+		s[name] = sharer{host: host, seen: now, since: known.since}
 	}
 	list := make([]cataloger.Host, 0, len(s))
 	for name, known := range s {
--- a/informer/mirror.go
+++ b/informer/mirror.go
@@ -49,6 +49,9 @@
 	current time.Time
 	// loaded is set once the copy has been complete.
 	loaded bool
+	// listed is the revision at which this process read all keys from the store
+	// last; 0 if it never did. What was unknown then is gone or newer.
+	listed int64
 }
 
 // Revision returns the revision up to which the copy is complete.
@@ -73,6 +76,21 @@
 	return m.loaded
 }
 
+// Listed reports whether this process has read all keys from the store.
+func (m *Mirror) Listed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed > 0
+}
+
+// KeyRevision returns the revision of a key's last known change, its deletion
+// included, or 0.
+func (m *Mirror) KeyRevision(key string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.records[key].Revision
+}
+
 // Replace takes in all entries of the store, read from the instant asked on,
 // the first page at revision. What is known to be newer stays.
 func (m *Mirror) Replace(entries []storer.Entry, revision int64, asked time.Time) {
@@ -98,6 +116,7 @@
 		}
 	}
 	m.records = fresh
+	m.listed = revision
 	m.advance(revision, asked)
 	m.unlockAndTell(true)
 }
@@ -142,6 +161,10 @@
 	if ok && old.Revision >= record.Revision {
 		return false
 	}
+	if !ok && record.Revision <= m.listed {
+		// A host that did not hear of the deletion tells of a former state.
+		return false
+	}
 	if m.records == nil {
 		m.records = make(map[string]Record)
 	}
--- a/informer/mirror_test.go
+++ b/informer/mirror_test.go
@@ -147,3 +147,17 @@
 		}
 	}
 }
+
+// TestDeletedKeysStayDeleted guards against a host that has read the store after
+// a key was deleted and takes it back from one that has not.
+func TestDeletedKeysStayDeleted(t *testing.T) {
+	m := &Mirror{Now: time.Now}
+	m.Replace(nil, 20, time.Now())
+	m.Merge([]Record{{Key: "duty", Revision: 12}, {Key: "new", Revision: 21}}, 15, time.Time{})
+	if _, ok := m.Get("duty"); ok {
+		t.Error("a key that the store did not list at revision 20 is back at revision 12")
+	}
+	if _, ok := m.Get("new"); !ok {
+		t.Error("a newer key was not taken")
+	}
+}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -28,6 +28,8 @@
 	longLease          = 8
 	// campaigners is about how many hosts try to take the duty at once.
 	campaigners = 16
+	// youngDelay is by how much longer young hosts wait for the duty.
+	youngDelay = 8
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 1200 * time.Millisecond
 	// probeInterval is the least time between two probes of a primary that
@@ -82,6 +84,11 @@
 	Demote func(ctx context.Context, endpoint cataloger.Endpoint, term uint64) error
 	// Promote asks the platform for a promotion; ErrNotRunning is final.
 	Promote func(ctx context.Context, service, id string, token int64) error
+	// Settled reports whether no former holder of the duty can vouch for views any
+	// more, given for how long this host has held it.
+	Settled func(held time.Duration) bool
+	// Young hosts leave the duty to others if there are any.
+	Young func() bool
 	// MaxViewAge is the age of a host's view at which it stops using primaries.
 	MaxViewAge time.Duration
 	// Now returns an instant that counts suspensions of the machine.
@@ -95,6 +102,10 @@
 	duty held
 	// token is the fencing token of the duty, 0 while another host holds it.
 	token int64
+	// dutySince is when this host took the duty.
+	dutySince time.Time
+	// deferred holds the services whose change waits for the fleet to settle.
+	deferred map[string]bool
 	// moving holds the services whose primary this host is replacing.
 	moving map[string]bool
 	// probed holds when a suspected primary last answered a probe, by service.
@@ -121,6 +132,7 @@
 // host holds it, until ctx ends.
 func (o *Overseer) Run(ctx context.Context) error {
 	o.moving, o.probed, o.cutSince = make(map[string]bool), make(map[string]time.Time), make(map[string]time.Time)
+	o.deferred = make(map[string]bool)
 	go o.judgeAlways(ctx)
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
@@ -312,14 +324,23 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.duty, o.token = held{id: lease, ttl: leaseTime, until: asked.Add(leaseTime)}, revision
+	o.dutySince = o.Now()
 	o.Logger.Info("duty_taken", "token", revision)
 	return true
 }
 
-// chosen lets about campaigners hosts of a large fleet try at once.
+// chosen lets about campaigners hosts of a large fleet try at once, and fewer of
+// the young ones.
 func (o *Overseer) chosen() bool {
 	catalog := o.Catalog()
-	return catalog == nil || rand.N(max(1, len(catalog.Hosts))) < campaigners
+	if catalog == nil || len(catalog.Hosts) <= fleetOfShortLeases {
+		return true
+	}
+	among := len(catalog.Hosts)
+	if o.Young() {
+		among *= youngDelay
+	}
+	return rand.N(among) < campaigners
 }
 
 // lostCampaign gives back the lease of a campaign that another host has won, or
@@ -382,10 +403,29 @@
 	case reason == ReasonFailing && o.answers(ctx, situation.Primary):
 		return
 	}
+	if !o.settled(service, reason) {
+		return
+	}
 	m := &move{overseer: o, service: service, lead: lead, former: situation.Primary, registered: situation.Registered, reason: reason}
 	m.run(ctx)
 }
 
+// settled reports whether this host may change primaries by now.
+func (o *Overseer) settled(service string, reason Reason) bool {
+	o.mu.Lock()
+	held := o.Now().Sub(o.dutySince)
+	token := o.token
+	o.mu.Unlock()
+	settled := o.Settled(held)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !settled && !o.deferred[service] {
+		o.Logger.Info("primary_change_deferred", "service", service, "reason", string(reason), "token", token, "held", held)
+	}
+	o.deferred[service] = !settled
+	return settled
+}
+
 // persists reports whether a primary has been cut from hosts for long in a row.
 // Hosts that return from a cut of their own report failures that are over.
 func (o *Overseer) persists(service string, reason Reason) bool {
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -71,7 +71,7 @@
 		Host: cataloger.Host{Name: "h1", Incarnation: "i1"}, Mirror: w.mirror, Catalog: w.catalog,
 		Space:   storer.Space{Write: w.write, Grant: w.grant, Renew: w.renew, Revoke: w.revoke},
 		Members: w.others, Own: w.own, Spread: func() {}, Status: w.status, Demote: w.demote, Promote: w.promote,
-		MaxViewAge: time.Second, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		MaxViewAge: time.Second, Settled: func(time.Duration) bool { return true }, Young: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	return w
 }
