Let any host that hears most others vouch, and large hosts take the duty

Cause: the first form of vouching still rested on one host. A change of primary now waits until so many hosts know of it that no half of the fleet can be heard without hearing of it, so that whoever hears more than half may vouch; hosts without a current view ask two deputies beside relays. Hosts of the largest capacity take the duty first; the settings tell processor and link. A fleet stays large while its hosts' entries are gone for a short while (TestFleetStaysLarge): else two hosts that are left in the store's list would vouch by hearing each other.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -56,6 +56,8 @@
 	// Address is where other hosts reach it.
 	Address    string
 	DataCentre string
+	// Capacity orders hosts by what they can carry for others; 0 if not known.
+	Capacity int64
 }
 
 // A Catalog is one consistent view of the surroundings of a host. It is
@@ -79,6 +81,18 @@
 	Sharers []Host
 }
 
+// SmallFleet is the largest number of hosts of which each pair exchanges reports:
+// pairs grow with the square of the hosts.
+const SmallFleet = 16
+
+// FleetSize returns the number of hosts, those included whose entries are gone for
+// a short while: leases may all end while the store is away.
+func (c *Catalog) FleetSize() int { return max(len(c.Hosts), len(c.Sharers)) }
+
+// Large reports whether the fleet is larger than a SmallFleet. There every host
+// exchanges reports with the holder of the duty alone, which speaks for all.
+func (c *Catalog) Large() bool { return c.FleetSize() > SmallFleet }
+
 // Endpoint returns the registered database of that name.
 func (c *Catalog) Endpoint(service, id string) (Endpoint, bool) {
 	for _, endpoint := range c.Endpoints[service] {
--- a/director/director.go
+++ b/director/director.go
@@ -94,7 +94,11 @@
 }
 
 func (d *Director) setLimits(old, catalog *cataloger.Catalog) {
-	d.Limits.SetHosts(len(catalog.Hosts))
+	hosts := len(catalog.Hosts)
+	if catalog.Large() {
+		hosts = catalog.FleetSize()
+	}
+	d.Limits.SetHosts(hosts)
 	if catalog.Configuration == nil || (old != nil && old.Configuration == catalog.Configuration) {
 		return
 	}
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -36,9 +36,8 @@
 	fieldHosts
 	fieldSequence
 	fieldEcho
-	fieldDuty
 	fieldListed
-	fieldFollowed
+	fieldMostHeard
 )
 
 // Field numbers of the nested messages.
@@ -122,8 +121,7 @@
 	b = appendNumber(b, fieldEcho, m.Echo)
 	b = appendNumber(b, fieldHosts, uint64(max(0, r.Hosts)))
 	b = appendNumber(b, fieldUptime, fromDuration(r.Uptime))
-	b = appendNumber(b, fieldDuty, uint64(r.Duty))
-	b = appendNumber(b, fieldFollowed, fromDuration(r.Followed))
+	b = appendNumber(b, fieldMostHeard, fromDuration(r.MostHeard))
 	if r.Listed {
 		b = appendNumber(b, fieldListed, 1)
 	}
@@ -227,8 +225,8 @@
 	r.Uptime = max(0, toDuration(f.numbers[fieldUptime]))
 	r.Hosts = int(f.numbers[fieldHosts])
 	r.Digest = f.numbers[fieldDigest]
-	r.Duty, r.Listed = int64(f.numbers[fieldDuty]), f.numbers[fieldListed] != 0
-	r.Followed = toDuration(f.numbers[fieldFollowed])
+	r.Listed = f.numbers[fieldListed] != 0
+	r.MostHeard = toDuration(f.numbers[fieldMostHeard])
 	r.Stopping = f.numbers[fieldStopping] != 0
 	return m, nil
 }
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -37,14 +37,11 @@
 	// Age is how long ago the copy was known to be complete; negative if it
 	// never was.
 	Age time.Duration
-	// Duty is the store's revision of the duty's record that the host knows. It
-	// never falls while a process runs.
-	Duty int64
 	// Listed is set once the process itself has read all keys from the store.
 	Listed bool
-	// Followed is how long ago most hosts of a large fleet are known to have
-	// followed the host, which holds the duty; negative if they are not.
-	Followed time.Duration
+	// MostHeard is how long ago the oldest of the newest reports from more than
+	// half of a large fleet was sent; negative if not so many were heard.
+	MostHeard time.Duration
 	// Digest is the same for two hosts that hold the same records of operators
 	// and databases.
 	Digest uint64
--- a/hoster/freshness.go
+++ b/hoster/freshness.go
@@ -54,7 +54,7 @@
 	if !h.vouched() {
 		hosts := 1
 		if catalog := h.current(); catalog != nil {
-			hosts = max(1, len(catalog.Hosts))
+			hosts = max(1, catalog.FleetSize())
 		}
 		share := watchShare
 		if h.large() {
@@ -72,7 +72,7 @@
 	if catalog == nil {
 		return leastSettle
 	}
-	return min(max(leastSettle, time.Duration(len(catalog.Hosts))*settlePerHost), mostSettle)
+	return min(max(leastSettle, time.Duration(catalog.FleetSize())*settlePerHost), mostSettle)
 }
 
 // vouched reports whether the view was known to be complete lately, in a large
@@ -118,7 +118,7 @@
 func (h *Host) listInterval() time.Duration {
 	hosts := 1
 	if catalog := h.current(); catalog != nil {
-		hosts = max(1, len(catalog.Hosts))
+		hosts = max(1, catalog.FleetSize())
 	}
 	mean := time.Duration(hosts) * fleetListInterval
 	return mean/2 + rand.N(mean)
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -70,7 +70,8 @@
 	sharers sharers
 	// fleetSince is from when on this host has known the fleet by the store.
 	fleetSince time.Time
-	voucher    voucher
+	// vouchedFor is the instant as of which another host vouched for the view.
+	vouchedFor time.Time
 }
 
 // Run serves until ctx ends and the stop that follows is done.
@@ -150,18 +151,19 @@
 	h.overseer = &overseer.Overseer{
 		Host: cataloger.Host{
 			Name: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
+			Capacity: h.Settings.capacity(),
 		},
 		Space: h.Platform.Space, Mirror: h.mirror, Catalog: h.current, Members: h.members, Own: h.own,
 		Spread: h.exchanger.Spread, Status: h.Platform.Databases.Status, Demote: h.Platform.Databases.Demote,
 		Promote: func(ctx context.Context, service, id string, token int64) error {
 			return h.Platform.Promote(ctx, h.Settings.Host, service, id, token)
 		},
-		MaxViewAge: director.MaxViewAge, Settled: h.settled, Young: h.young, Now: timekeeper.Now, Logger: h.Logger,
+		MaxViewAge: director.MaxViewAge, Enough: h.enough, SettleTime: settleTime, Young: h.young, Now: timekeeper.Now, Logger: h.Logger,
 	}
 }
 
 // young reports whether this host has not run for long enough to know the fleet
-// that a former holder of the duty may count by.
+// that other hosts may count by.
 func (h *Host) young() bool { return timekeeper.Now().Sub(h.started) < lastingTime }
 
 func otherSeeds(s Settings) []string {
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
+	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/exchanger"
 	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/informer"
@@ -34,11 +35,11 @@
 		Revision: revision, Age: -1, Uptime: timekeeper.Now().Sub(h.started),
 		Digest: h.mirror.Digest(h.Platform.Foreign), Stopping: h.stopping.Load(), Released: h.director.Released(),
 		Usages: usages, Hosts: hosts, Primaries: make(map[string]exchanger.PrimaryHealth),
-		Duty: h.mirror.KeyRevision(overseer.DutyKey), Listed: h.mirror.Listed(), Followed: -1,
+		Listed: h.mirror.Listed(), MostHeard: -1,
 	}
 	if h.large() {
-		if at := h.followed(); !at.IsZero() {
-			r.Followed = timekeeper.Now().Sub(at)
+		if at := h.mostHeard(); !at.IsZero() {
+			r.MostHeard = timekeeper.Now().Sub(at)
 		}
 	}
 	if !current.IsZero() {
@@ -118,6 +119,7 @@
 		}
 		peer := reports[name]
 		member := overseer.Member{Name: name, Opinions: make(map[string]overseer.HostOpinion)}
+		member.Recent = timekeeper.Now().Sub(peer.Heard) < director.MaxViewAge
 		member.Ended = func(since time.Time) bool { return peer.Refused.After(since) }
 		if peer.Report.Incarnation == host.Incarnation || peer.Report.Incarnation != "" {
 			member.Released = peer.Report.Released
@@ -132,7 +134,7 @@
 func (h *Host) own() overseer.Member {
 	report := h.report("")
 	member := overseer.Member{
-		Name: h.Settings.Host, Released: report.Released, Opinions: make(map[string]overseer.HostOpinion),
+		Name: h.Settings.Host, Recent: true, Released: report.Released, Opinions: make(map[string]overseer.HostOpinion),
 		Ended: func(time.Time) bool { return false },
 	}
 	addOpinions(member.Opinions, report.Primaries, 0)
@@ -168,7 +170,7 @@
 	}
 	told := time.Time{}
 	if h.large() {
-		told = h.vouchedByFollowers()
+		told = h.vouchedByHosts()
 	} else {
 		told = h.allTold()
 	}
@@ -179,8 +181,8 @@
 }
 
 // passedOn returns the instant as of which other hosts may take this host's copy
-// to be complete. In a large fleet that is the store's word alone, since followers
-// are counted by the age of that word.
+// to be complete. In a large fleet that is the store's word alone, since hosts are
+// counted by the age of that word.
 func (h *Host) passedOn() time.Time {
 	if h.large() {
 		return h.mirror.Current()
--- a/hoster/followers_test.go
+++ b/hoster/quorum_test.go
@@ -10,7 +10,7 @@
 	"github.com/endiveturn/endiveturn/director"
 )
 
-func TestFollowedAt(t *testing.T) {
+func TestMostHeardAt(t *testing.T) {
 	base := time.Unix(1000, 0)
 	at := func(seconds int) time.Time { return base.Add(time.Duration(seconds) * time.Second) }
 	tests := []struct {
@@ -19,17 +19,16 @@
 		want   time.Time
 	}{
 		{name: "nobody"},
-		{name: "half", voters: []voter{{listed: true, duty: 7, heard: at(1)}, {}}},
-		{name: "most", voters: []voter{{listed: true, duty: 7, heard: at(1)}, {listed: true, duty: 7, heard: at(5)}, {}}, want: at(1)},
+		{name: "half", voters: []voter{{listed: true, heard: at(1)}, {}}},
+		{name: "most", voters: []voter{{listed: true, heard: at(1)}, {listed: true, heard: at(5)}, {}}, want: at(1)},
 		{name: "the latest of most", voters: []voter{
-			{listed: true, duty: 7, heard: at(1)}, {listed: true, duty: 7, heard: at(5)}, {listed: true, duty: 7, heard: at(3)},
+			{listed: true, heard: at(1)}, {listed: true, heard: at(5)}, {listed: true, heard: at(3)},
 		}, want: at(3)},
-		{name: "another duty", voters: []voter{{listed: true, duty: 8, heard: at(1)}, {listed: true, duty: 7, heard: at(1)}}},
-		{name: "another process", voters: []voter{{duty: 7, heard: at(1)}, {listed: true, duty: 7, heard: at(1)}}},
+		{name: "a process that has not read the store", voters: []voter{{heard: at(1)}, {listed: true, heard: at(1)}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if got := followedAt(test.voters, 7); !got.Equal(test.want) {
+			if got := mostHeardAt(test.voters); !got.Equal(test.want) {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
 		})
@@ -57,6 +56,8 @@
 	registry   map[string]string
 	lead       int64
 	promotedAt time.Time
+	// grown is when hosts were added.
+	grown time.Time
 	// moves counts the promotions.
 	moves int
 }
@@ -73,13 +74,17 @@
 	lead       int64
 	asked      time.Time
 	sharers    sharers
-	voucher    voucher
+	vouchedFor time.Time
 	fleetSince time.Time
 	// heard holds what others reported to this host.
-	heard     map[string]voter
-	dutySince time.Time
-	fencedAt  time.Time
-	fencing   int64
+	heard map[string]voter
+	// confirmed holds the newest leads that others said they knew.
+	confirmed map[string]int64
+	// fencing is the lead that the host writes to replace a primary, written at
+	// fencedAt and known to enough hosts at knownAt.
+	fencing           int64
+	fencedAt, knownAt time.Time
+	tookDuty          bool
 }
 
 const modelStep = 50 * time.Millisecond
@@ -102,7 +107,7 @@
 	}
 	m.hosts[name] = &modelHost{
 		name: name, incarnation: fmt.Sprint(m.revision), started: m.now, registry: make(map[string]string), sharers: make(sharers),
-		heard: make(map[string]voter),
+		heard: make(map[string]voter), confirmed: make(map[string]int64),
 	}
 }
 
@@ -130,14 +135,16 @@
 			clear(m.registry)
 			m.renewed = time.Time{}
 		}
+		share := []int{10, 10, 1}[m.random.IntN(3)]
 		for _, name := range m.names {
-			if m.random.IntN(10) == 0 {
+			if m.random.IntN(share) == 0 {
 				m.start(name)
 			}
 		}
 	case 6:
-		if len(m.hosts) < 60 {
-			for range m.random.IntN(15) {
+		if len(m.hosts) < 60 && m.now.Sub(m.grown) > lastingTime {
+			m.grown = m.now
+			for range m.random.IntN(len(m.hosts)) {
 				m.start(fmt.Sprint("n", len(m.hosts)))
 			}
 		}
@@ -195,9 +202,10 @@
 	}
 	h.merge(other)
 	other.merge(h)
-	other.heard[h.name] = voter{listed: h.listed, duty: h.duty, heard: m.now}
-	if at := other.followed(m.now); h.holder == other.name && !at.IsZero() {
-		h.voucher = voucher{duty: other.duty, at: at}
+	other.heard[h.name] = voter{listed: h.listed, heard: m.now}
+	other.confirmed[h.name] = max(other.confirmed[h.name], h.lead)
+	if at := other.mostHeard(m.now); at.After(h.vouchedFor) {
+		h.vouchedFor = at
 	}
 }
 
@@ -209,35 +217,33 @@
 	}
 }
 
-func (h *modelHost) followed(now time.Time) time.Time {
-	if h.holder != h.name || now.Sub(h.asked) > countingAge || h.asked.Sub(h.fleetSince) < shortAbsence {
+func (h *modelHost) mostHeard(now time.Time) time.Time {
+	if now.Sub(h.asked) > countingAge || h.asked.Sub(h.fleetSince) < shortAbsence {
 		return time.Time{}
 	}
 	var voters []voter
 	for name := range h.sharers {
 		v := h.heard[name]
 		if name == h.name {
-			v = voter{listed: h.listed, duty: h.duty, heard: now}
+			v = voter{listed: h.listed, heard: now}
 		}
 		voters = append(voters, v)
 	}
-	return followedAt(voters, h.duty)
+	return mostHeardAt(voters)
 }
 
-func (h *modelHost) settled(now time.Time) bool {
-	if now.Sub(h.dutySince) >= settleTime {
-		return true
-	}
-	unconfirmed, lasted := 0, 0
+// enough reports whether enough hosts know of the change that the host makes.
+func (h *modelHost) enough(now time.Time) bool {
+	f := fleet{since: now.Sub(h.fleetSince), known: len(h.sharers)}
 	for name, known := range h.sharers {
 		if now.Sub(known.since) >= lastingTime {
-			lasted++
+			f.lasted++
 		}
-		if name != h.name && h.heard[name].duty < h.duty {
-			unconfirmed++
+		if name != h.name && h.confirmed[name] < h.fencing {
+			f.unconfirmed++
 		}
 	}
-	return outvoted(unconfirmed, lasted)
+	return f.outvoted()
 }
 
 // act has a host take the duty, renew it, and replace the primary now and then.
@@ -246,27 +252,30 @@
 		return
 	}
 	switch {
-	case m.holder == h.name && m.duty == h.duty && !h.dutySince.IsZero():
+	case m.holder == h.name && m.duty == h.duty && h.tookDuty:
 		m.renewed = m.now
 	case m.now.Sub(m.renewed) > 1800*time.Millisecond && m.registry[h.name] == h.incarnation && m.random.IntN(20) == 0:
 		m.revision++
 		m.duty, m.holder, m.renewed = m.revision, h.name, m.now
-		h.duty, h.holder, h.dutySince, h.fencing = m.duty, h.name, m.now, 0
+		h.duty, h.holder, h.tookDuty, h.fencing = m.duty, h.name, true, 0
 		return
 	default:
 		return
 	}
-	if h.fencing > 0 {
-		if m.now.Sub(h.fencedAt) > director.MaxViewAge+150*time.Millisecond {
-			m.promotedAt, h.fencing = m.now, 0
-			m.moves++
+	if h.fencing == 0 {
+		if m.random.IntN(10) == 0 {
+			m.revision++
+			m.lead = m.revision
+			h.lead, h.fencing, h.fencedAt, h.knownAt = m.lead, m.lead, m.now, time.Time{}
 		}
 		return
 	}
-	if m.random.IntN(10) == 0 && h.settled(m.now) {
-		m.revision++
-		m.lead = m.revision
-		h.lead, h.fencing, h.fencedAt = m.lead, m.lead, m.now
+	if h.knownAt.IsZero() && (h.enough(m.now) || m.now.Sub(h.fencedAt) > settleTime) {
+		h.knownAt = m.now
+	}
+	if !h.knownAt.IsZero() && m.now.Sub(h.knownAt) > director.MaxViewAge {
+		m.promotedAt, h.fencing = m.now, 0
+		m.moves++
 	}
 }
 
@@ -281,12 +290,10 @@
 			continue
 		}
 		current := h.asked
-		if h.holder == h.name {
-			if at := h.followed(m.now); at.After(current) {
+		for _, at := range []time.Time{h.mostHeard(m.now), h.vouchedFor} {
+			if at.After(current) {
 				current = at
 			}
-		} else if h.voucher.duty == h.duty && h.voucher.at.After(current) {
-			current = h.voucher.at
 		}
 		if m.now.Sub(current) < director.MaxViewAge {
 			return h
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -40,6 +40,10 @@
 	StopTimeout time.Duration
 	// MemoryMegabytes bounds the memory of the process.
 	MemoryMegabytes int64
+	// Processor is the share of a core that the process gets, 0 if not known.
+	Processor float64
+	// LinkMegabits is what the host's link carries in a second, 0 if not known.
+	LinkMegabits float64
 }
 
 // wireSettings is the JSON form of Settings.
@@ -55,6 +59,8 @@
 	Seeds            []string `json:"seeds"`
 	StopTimeout      float64  `json:"stop_timeout_s"`
 	Memory           int64    `json:"memory_mb"`
+	Processor        float64  `json:"processor_share"`
+	Link             float64  `json:"link_megabits"`
 }
 
 // ReadSettings reads and checks a settings file. Errors wrap
@@ -79,7 +85,7 @@
 		ReadinessAddress: wire.ReadinessAddress, PeerAddress: wire.PeerAddress, MetricsAddress: wire.MetricsAddress,
 		StoreAddress: wire.StoreAddress, PromotionAddress: wire.PromotionAddress, Seeds: wire.Seeds,
 		StopTimeout:     time.Duration(wire.StopTimeout * float64(time.Second)),
-		MemoryMegabytes: wire.Memory,
+		MemoryMegabytes: wire.Memory, Processor: wire.Processor, LinkMegabits: wire.Link,
 	}
 	return s, s.check()
 }
@@ -113,5 +119,14 @@
 	if s.StopTimeout <= 0 {
 		return errors.Wrap(ErrInvalidSettings, "stop_timeout_s is not positive")
 	}
+	if s.Processor < 0 {
+		return errors.Wrap(ErrInvalidSettings, "processor_share is negative")
+	}
+	if s.LinkMegabits < 0 {
+		return errors.Wrap(ErrInvalidSettings, "link_megabits is negative")
+	}
 	return nil
 }
+
+// capacity orders hosts by what they can carry for others beside their clients.
+func (s Settings) capacity() int64 { return int64(s.Processor * s.LinkMegabits * 1000) }
--- a/hoster/settings_test.go
+++ b/hoster/settings_test.go
@@ -11,7 +11,8 @@
 const goodSettings = `{
   "host": "h1", "data_centre": "dc1", "client_address": "127.0.0.1:1", "readiness_address": "127.0.0.1:2",
   "peer_address": "127.0.0.1:3", "metrics_address": "", "store_address": "127.0.0.1:4",
-  "promotion_address": "127.0.0.1:5", "seeds": ["127.0.0.1:3"], "stop_timeout_s": 6, "memory_mb": 284
+  "promotion_address": "127.0.0.1:5", "seeds": ["127.0.0.1:3"], "stop_timeout_s": 6, "memory_mb": 284,
+  "processor_share": 0.4, "link_megabits": 1000
 }`
 
 // TestSettings guards against a host that starts with settings it can't work
@@ -32,6 +33,8 @@
 		{name: "name instead of an address", old: `"127.0.0.1:4"`, new: `"store:4"`, want: "store_address"},
 		{name: "no client address", old: `"127.0.0.1:1"`, new: `""`, want: "client_address"},
 		{name: "no time to stop", old: `"stop_timeout_s": 6`, new: `"stop_timeout_s": 0`, want: "stop_timeout_s"},
+		{name: "negative processor", old: `0.4`, new: `-1`, want: "processor_share"},
+		{name: "negative link", old: `1000`, new: `-1000`, want: "link_megabits"},
 		{name: "not JSON", old: `{`, new: `host: `, want: "invalid"},
 		{name: "wrong type", old: `"memory_mb": 284`, new: `"memory_mb": "much"`, want: "memory_mb"},
 	}
--- a/hoster/topology.go
+++ b/hoster/topology.go
@@ -1,6 +1,8 @@
 package hoster
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,11 +13,6 @@
 	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
-// meshHosts is the number of hosts up to which each pair of hosts exchanges
-// reports. In larger fleets every host exchanges with the holder of the duty
-// alone, which speaks for all: pairs grow with the square of the hosts.
-const meshHosts = 16
-
 // forAll marks the usage that a host reports for all others, which is counted
 // apart from its own.
 const forAll = "/all"
@@ -24,7 +21,7 @@
 // fleets and while nobody holds the duty.
 func (h *Host) hub() (name string, ok bool) {
 	catalog := h.current()
-	if catalog == nil || len(catalog.Hosts) <= meshHosts {
+	if catalog == nil || !catalog.Large() {
 		return "", false
 	}
 	record, ok := h.mirror.Get(overseer.DutyKey)
@@ -39,7 +36,7 @@
 // large reports whether the fleet is too large for exchanges between all pairs.
 func (h *Host) large() bool {
 	catalog := h.current()
-	return catalog != nil && len(catalog.Hosts) > meshHosts
+	return catalog != nil && catalog.Large()
 }
 
 // told reports whether another host brings all changes of the store in time: it
@@ -63,7 +60,7 @@
 		if name, ok := h.hub(); ok {
 			addresses[name] = catalog.Hosts[name].Address
 		}
-		for _, name := range h.relays.choose(catalog.Hosts, h.vouched(), timekeeper.Now()) {
+		for _, name := range h.relayNames(catalog) {
 			addresses[name] = catalog.Hosts[name].Address
 		}
 		return addresses
@@ -82,47 +79,83 @@
 }
 
 const (
-	// relayCount is how many other hosts a host of a large fleet asks while
-	// nobody vouches for its view. What one host of the fleet hears from the store
-	// reaches all within about three exchanges.
-	relayCount = 3
+	// relayCount is how many other hosts, chosen at random, a host of a large fleet
+	// asks while the store does not vouch for its view. What one host of the fleet
+	// hears from the store reaches all within a few exchanges.
+	relayCount = 2
+	// deputyCount is how many hosts, the same for all, are asked while nobody
+	// vouches for the view: one that hears most hosts can.
+	deputyCount = 2
 	// relayTime is how long the same hosts are asked.
 	relayTime = time.Second
+	// deputyAvoided is how long a deputy that did not answer is passed over.
+	deputyAvoided = 10 * time.Second
 )
 
-// relays are the hosts of a large fleet that this one asks while it hears
-// neither the store nor a host that speaks for all: they may reach both. It is
-// used by one goroutine.
+// relays are the hosts of a large fleet that this one asks beside the one that
+// speaks for all. It is used by one goroutine.
 type relays struct {
 	names  []string
 	chosen time.Time
+	// deputies are among names, and avoided holds those that did not answer.
+	deputies []string
+	avoided  map[string]time.Time
 }
 
-// choose returns the hosts to ask: none while the view is vouched for, and else
-// some at random, which change now and then.
-func (r *relays) choose(hosts map[string]cataloger.Host, vouched bool, now time.Time) []string {
-	if vouched {
-		r.names = nil
+// relayNames returns the hosts to ask beside the one that speaks for all.
+func (h *Host) relayNames(catalog *cataloger.Catalog) []string {
+	now := timekeeper.Now()
+	r := &h.relays
+	current := now.Sub(h.viewCurrent()) < vouchAge
+	if h.vouched() {
+		r.names, r.deputies = nil, nil
 		return nil
 	}
-	if len(r.names) == 0 || now.Sub(r.chosen) > relayTime {
-		r.names, r.chosen = r.names[:0], now
-		all := make([]string, 0, len(hosts))
-		for name := range hosts {
-			all = append(all, name)
-		}
-		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-		r.names = append(r.names, all[:min(relayCount, len(all))]...)
+	if len(r.names) == 0 || now.Sub(r.chosen) > relayTime || !current && len(r.deputies) == 0 {
+		r.choose(catalog.Hosts, h.exchanger.Reports(), !current || len(r.deputies) > 0, now)
 	}
 	present := make([]string, 0, len(r.names))
 	for _, name := range r.names {
-		if _, ok := hosts[name]; ok {
+		if _, ok := catalog.Hosts[name]; ok {
 			present = append(present, name)
 		}
 	}
 	return present
 }
 
+// choose draws relays at random, and adds the deputies if they are wanted: the
+// hosts of the largest capacity, in an order that is the same everywhere, without
+// those that have not answered lately.
+func (r *relays) choose(hosts map[string]cataloger.Host, reports map[string]exchanger.Peer, deputies bool, now time.Time) {
+	if r.avoided == nil {
+		r.avoided = make(map[string]time.Time)
+	}
+	for _, name := range r.deputies {
+		if reports[name].Heard.Before(r.chosen) {
+			r.avoided[name] = now
+		}
+	}
+	r.chosen, r.names, r.deputies = now, nil, nil
+	all := slices.SortedFunc(maps.Keys(hosts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(hosts[b].Capacity, hosts[a].Capacity), cmp.Compare(a, b))
+	})
+	for _, name := range all {
+		if !deputies || len(r.deputies) == deputyCount {
+			break
+		}
+		if now.Sub(r.avoided[name]) > deputyAvoided {
+			r.deputies = append(r.deputies, name)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	r.names = append(r.names, r.deputies...)
+	for _, name := range all[:min(relayCount, len(all))] {
+		if !slices.Contains(r.names, name) {
+			r.names = append(r.names, name)
+		}
+	}
+}
+
 // takesUsage reports whether a report's usage counts here. In a large fleet the
 // host that speaks for all counts that of every host, and tells it to the others.
 func (h *Host) takesUsage(report exchanger.Report) bool {
@@ -149,7 +182,7 @@
 	spent := h.limits.Spent()
 	if name, ok := h.hub(); ok && name == h.Settings.Host && receiver != "" {
 		spent = h.limits.SpentByOthers(receiver)
-		hosts = len(h.current().Hosts) - 1
+		hosts = h.current().FleetSize() - 1
 	}
 	usages = make(map[string]exchanger.Usage, len(spent))
 	for customer, s := range spent {
--- a/hoster/topology_test.go
+++ b/hoster/topology_test.go
@@ -49,8 +49,8 @@
 		hosts   int
 		current bool
 	}{
-		{hosts: meshHosts, current: true},
-		{hosts: meshHosts + 1},
+		{hosts: cataloger.SmallFleet, current: true},
+		{hosts: cataloger.SmallFleet + 1},
 	}
 	for _, test := range tests {
 		t.Run(fmt.Sprint(test.hosts, " hosts"), func(t *testing.T) {
@@ -70,10 +70,10 @@
 // TestTopology guards against exchanges between all pairs of a large fleet, and
 // against hosts that nobody exchanges with.
 func TestTopology(t *testing.T) {
-	small, large := newTestHost(meshHosts), newTestHost(meshHosts+1)
+	small, large := newTestHost(cataloger.SmallFleet), newTestHost(cataloger.SmallFleet+1)
 	large.mirror.Merge(nil, 3, timekeeper.Now())
-	if got := len(small.peerAddresses()); got != meshHosts {
-		t.Errorf("a host of a small fleet exchanges with %d, want %d", got, meshHosts)
+	if got := len(small.peerAddresses()); got != cataloger.SmallFleet {
+		t.Errorf("a host of a small fleet exchanges with %d, want %d", got, cataloger.SmallFleet)
 	}
 	if got := len(large.peerAddresses()); got != 1 {
 		t.Errorf("the host that speaks for all asks %d hosts, want itself alone", got)
@@ -91,7 +91,7 @@
 // store, keep asking a host that is cut off as well, and never learn of the one
 // that speaks for all by now.
 func TestRelays(t *testing.T) {
-	h := newTestHost(4 * meshHosts)
+	h := newTestHost(4 * cataloger.SmallFleet)
 	h.Settings.Host = "h5"
 	addresses := h.peerAddresses()
 	if got := len(addresses); got < relayCount {
@@ -120,3 +120,22 @@
 		t.Errorf("with a current view the host exchanges with %v, want itself and h7", got)
 	}
 }
+
+// TestFleetStaysLarge guards against a large fleet that takes itself for a small
+// one, whose hosts vouch by hearing all of them, when the store lost the entries of
+// most hosts in an outage.
+func TestFleetStaysLarge(t *testing.T) {
+	h := newTestHost(cataloger.SmallFleet + 1)
+	catalog := *h.catalog
+	for _, host := range catalog.Hosts {
+		catalog.Sharers = append(catalog.Sharers, host)
+	}
+	catalog.Hosts = map[string]cataloger.Host{"h0": catalog.Hosts["h0"], "h1": catalog.Hosts["h1"]}
+	h.catalog = &catalog
+	if !h.large() {
+		t.Error("17 hosts count as a small fleet once the store lists two")
+	}
+	if age := timekeeper.Now().Sub(h.viewCurrent()); age < director.MaxViewAge {
+		t.Errorf("two hosts vouch for the view of 17, as of %v ago", age)
+	}
+}
--- a/informer/mirror.go
+++ b/informer/mirror.go
@@ -83,14 +83,6 @@
 	return m.listed > 0
 }
 
-// KeyRevision returns the revision of a key's last known change, its deletion
-// included, or 0.
-func (m *Mirror) KeyRevision(key string) int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.records[key].Revision
-}
-
 // Replace takes in all entries of the store, read from the instant asked on,
 // the first page at revision. What is known to be newer stays.
 func (m *Mirror) Replace(entries []storer.Entry, revision int64, asked time.Time) {
--- a/overseer/move.go
+++ b/overseer/move.go
@@ -134,14 +134,27 @@
 		m.fenced = written.Revision
 	}
 	m.lead = written
-	since := o.Now()
+	return m.awaitRelease(ctx)
+}
+
+// awaitRelease waits until no host uses the former primary any more: all have
+// confirmed, or views without the change are too old. In a large fleet hosts
+// vouch for views until enough of them know of the change.
+func (m *move) awaitRelease(ctx context.Context) error {
+	o := m.overseer
+	began := o.Now()
+	var known time.Time
 	for {
-		missing := m.missing(since)
-		// In a large fleet a host may hear another speaker and not be known here.
+		now := o.Now()
+		missing := m.missing(began)
+		// In a large fleet a host may hear others and not be known here.
 		if len(missing) == 0 && o.leaseScale() == 1 {
 			return nil
 		}
-		if o.Now().Sub(since) > o.MaxViewAge+fenceMargin {
+		if known.IsZero() && (m.confirmedByEnough() || now.Sub(began) > o.SettleTime) {
+			known = now
+		}
+		if !known.IsZero() && now.Sub(known) > o.MaxViewAge+fenceMargin {
 			if len(missing) > 0 {
 				o.Logger.Warn("hosts_did_not_confirm", "service", m.service, "hosts", missing, "lead_revision", m.lead.Revision)
 			}
@@ -153,6 +166,16 @@
 	}
 }
 
+// confirmedByEnough reports whether so many hosts know of the change that nobody
+// vouches for views without it.
+func (m *move) confirmedByEnough() bool {
+	confirmed := make(map[string]bool)
+	for _, member := range append(m.overseer.Members(), m.overseer.Own()) {
+		confirmed[member.Name] = member.Released[m.service] >= m.fenced
+	}
+	return m.overseer.Enough(func(name string) bool { return confirmed[name] })
+}
+
 // missing returns the hosts that may still use the former primary.
 func (m *move) missing(since time.Time) []string {
 	var missing []string
@@ -255,11 +278,7 @@
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := m.overseer.Promote(ctx, m.service, endpoint.ID, token)
-	text := ""
-	if err != nil {
-		text = err.Error()
-	}
-	m.overseer.Logger.Info("promotion_asked", "service", m.service, "database", endpoint.ID, "token", token, "error", text)
+	m.overseer.Logger.Info("promotion_asked", "service", m.service, "database", endpoint.ID, "token", token, "error", textOf(err))
 	return err
 }
 
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/connector"
 	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/informer"
 	"github.com/endiveturn/endiveturn/storer"
@@ -22,14 +23,15 @@
 	// bounds each.
 	renewInterval = 450 * time.Millisecond
 	renewTimeout  = 500 * time.Millisecond
-	// fleetOfShortLeases is the number of hosts up to which a lost host is to be
-	// noticed soon; above it leases last longLease times as long.
-	fleetOfShortLeases = 16
-	longLease          = 8
+	// longLease is how many times longer leases last in a large fleet, where no
+	// decision waits for one of them to end.
+	longLease = 8
 	// campaigners is about how many hosts try to take the duty at once.
 	campaigners = 16
-	// youngDelay is by how much longer young hosts wait for the duty.
+	// youngDelay and weakDelay are by how much longer young hosts and those of less
+	// capacity wait for the duty.
 	youngDelay = 8
+	weakDelay  = 50
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 1200 * time.Millisecond
 	// probeInterval is the least time between two probes of a primary that
@@ -47,6 +49,8 @@
 // A Member is another host as far as it matters for a change of primary.
 type Member struct {
 	Name string
+	// Recent is set if the host was heard lately.
+	Recent bool
 	// Released holds, by service, the revision of the last lead for which the
 	// host uses no other primary.
 	Released map[string]int64
@@ -84,9 +88,13 @@
 	Demote func(ctx context.Context, endpoint cataloger.Endpoint, term uint64) error
 	// Promote asks the platform for a promotion; ErrNotRunning is final.
 	Promote func(ctx context.Context, service, id string, token int64) error
-	// Settled reports whether no former holder of the duty can vouch for views any
-	// more, given for how long this host has held it.
-	Settled func(held time.Duration) bool
+	// Enough reports whether the hosts for which confirmed is true are so many that
+	// no host vouches any more for a view without what they confirmed. In small
+	// fleets, where each host hears all others, it is always true.
+	Enough func(confirmed func(name string) bool) bool
+	// SettleTime is after how long nobody vouches for a view without a change that
+	// not enough hosts have confirmed.
+	SettleTime time.Duration
 	// Young hosts leave the duty to others if there are any.
 	Young func() bool
 	// MaxViewAge is the age of a host's view at which it stops using primaries.
@@ -102,9 +110,7 @@
 	duty held
 	// token is the fencing token of the duty, 0 while another host holds it.
 	token int64
-	// dutySince is when this host took the duty.
-	dutySince time.Time
-	// deferred holds the services whose change waits for the fleet to settle.
+	// deferred holds the services whose change waits until enough hosts are heard.
 	deferred map[string]bool
 	// moving holds the services whose primary this host is replacing.
 	moving map[string]bool
@@ -164,7 +170,7 @@
 // leaseScale is how many times longer hosts' leases last in large fleets, where
 // no decision waits for one of them to end.
 func (o *Overseer) leaseScale() time.Duration {
-	if catalog := o.Catalog(); catalog != nil && len(catalog.Hosts) > fleetOfShortLeases {
+	if catalog := o.Catalog(); catalog != nil && catalog.Large() {
 		return longLease
 	}
 	return 1
@@ -324,23 +330,33 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.duty, o.token = held{id: lease, ttl: leaseTime, until: asked.Add(leaseTime)}, revision
-	o.dutySince = o.Now()
 	o.Logger.Info("duty_taken", "token", revision)
 	return true
 }
 
-// chosen lets about campaigners hosts of a large fleet try at once, and fewer of
-// the young ones.
+// chosen lets hosts of a large fleet try at different times: first those of the
+// largest capacity that have run for long, which can speak for all.
 func (o *Overseer) chosen() bool {
 	catalog := o.Catalog()
-	if catalog == nil || len(catalog.Hosts) <= fleetOfShortLeases {
+	if catalog == nil || !catalog.Large() {
 		return true
 	}
-	among := len(catalog.Hosts)
+	largest, peers := int64(0), 0
+	for _, host := range catalog.Sharers {
+		switch {
+		case host.Capacity > largest:
+			largest, peers = host.Capacity, 1
+		case host.Capacity == largest:
+			peers++
+		}
+	}
+	if o.Host.Capacity < largest {
+		peers = catalog.FleetSize() * weakDelay
+	}
 	if o.Young() {
-		among *= youngDelay
+		peers *= youngDelay
 	}
-	return rand.N(among) < campaigners
+	return rand.N(max(1, peers)) < campaigners
 }
 
 // lostCampaign gives back the lease of a campaign that another host has won, or
@@ -403,27 +419,28 @@
 	case reason == ReasonFailing && o.answers(ctx, situation.Primary):
 		return
 	}
-	if !o.settled(service, reason) {
+	if reason.Planned() && !o.reachesEnough(service, reason, members) {
 		return
 	}
 	m := &move{overseer: o, service: service, lead: lead, former: situation.Primary, registered: situation.Registered, reason: reason}
 	m.run(ctx)
 }
 
-// settled reports whether this host may change primaries by now.
-func (o *Overseer) settled(service string, reason Reason) bool {
-	o.mu.Lock()
-	held := o.Now().Sub(o.dutySince)
-	token := o.token
-	o.mu.Unlock()
-	settled := o.Settled(held)
+// reachesEnough reports whether enough hosts were heard lately to confirm a change
+// soon. A primary that works is kept until then.
+func (o *Overseer) reachesEnough(service string, reason Reason, members []Member) bool {
+	heard := make(map[string]bool, len(members))
+	for _, member := range members {
+		heard[member.Name] = member.Recent
+	}
+	enough := o.Enough(func(name string) bool { return heard[name] })
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !settled && !o.deferred[service] {
-		o.Logger.Info("primary_change_deferred", "service", service, "reason", string(reason), "token", token, "held", held)
+	if !enough && !o.deferred[service] {
+		o.Logger.Info("primary_change_deferred", "service", service, "reason", string(reason), "hosts", len(members))
 	}
-	o.deferred[service] = !settled
-	return settled
+	o.deferred[service] = !enough
+	return enough
 }
 
 // persists reports whether a primary has been cut from hosts for long in a row.
@@ -519,8 +536,9 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	status, err := o.Status(ctx, primary)
-	leads := err == nil && status.Primary
-	o.Logger.Info("primary_probed", "service", primary.Service, "database", primary.ID, "answered", err == nil, "leads", status.Primary)
+	// One that has no room for the question is busy, not away.
+	leads := err == nil && status.Primary || errors.Is(err, connector.ErrFull)
+	o.Logger.Info("primary_probed", "service", primary.Service, "database", primary.ID, "leads", leads, "error", textOf(err))
 	if leads {
 		o.mu.Lock()
 		defer o.mu.Unlock()
@@ -528,3 +546,10 @@
 	}
 	return leads
 }
+
+func textOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/connector"
 	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/informer"
 	"github.com/endiveturn/endiveturn/storer"
@@ -71,7 +73,7 @@
 		Host: cataloger.Host{Name: "h1", Incarnation: "i1"}, Mirror: w.mirror, Catalog: w.catalog,
 		Space:   storer.Space{Write: w.write, Grant: w.grant, Renew: w.renew, Revoke: w.revoke},
 		Members: w.others, Own: w.own, Spread: func() {}, Status: w.status, Demote: w.demote, Promote: w.promote,
-		MaxViewAge: time.Second, Settled: func(time.Duration) bool { return true }, Young: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		MaxViewAge: time.Second, Enough: func(func(string) bool) bool { return true }, Young: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	return w
 }
@@ -317,6 +319,27 @@
 	})
 }
 
+// TestBusyPrimaryStays guards against replacing a primary that is too busy to
+// answer a probe, as all are after the hosts have restarted at once.
+func TestBusyPrimaryStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.overseer.Status = func(ctx context.Context, e cataloger.Endpoint) (executor.DatabaseStatus, error) {
+			if e.ID == "p" {
+				return executor.DatabaseStatus{}, errors.Wrap(connector.ErrFull, "status")
+			}
+			return w.status(ctx, e)
+		}
+		w.start()
+		w.change(func() { w.members = []Member{opinion(deadOpinion, func() int64 { return 1 << 40 })} })
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if got := len(w.promotions()); got != 0 {
+			t.Errorf("got %d promotions, want 0", got)
+		}
+	})
+}
+
 // TestCutMustPersist guards against replacing a primary on the word of hosts
 // that were cut off themselves and have just returned.
 func TestCutMustPersist(t *testing.T) {
@@ -522,3 +545,40 @@
 		t.Error("sentinels are the same")
 	}
 }
+
+// TestLargeHostsTakeTheDuty guards against a large fleet whose speaker has a link
+// too narrow for the reports of all.
+func TestLargeHostsTakeTheDuty(t *testing.T) {
+	tests := []struct {
+		name     string
+		capacity int64
+		young    bool
+		least    int
+		most     int
+	}{
+		{name: "large", capacity: 9, least: 1000, most: 1000},
+		{name: "large and young", capacity: 9, young: true, least: 500, most: 1000},
+		{name: "small", capacity: 1, least: 1, most: 50},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			hosts := []cataloger.Host{{Name: "h1", Capacity: 9}, {Name: "h2", Capacity: 9}}
+			for i := range 50 {
+				hosts = append(hosts, cataloger.Host{Name: fmt.Sprint("small", i), Capacity: 1})
+			}
+			o := &Overseer{
+				Host: cataloger.Host{Capacity: test.capacity}, Young: func() bool { return test.young },
+				Catalog: func() *cataloger.Catalog { return &cataloger.Catalog{Sharers: hosts} },
+			}
+			got := 0
+			for range 1000 {
+				if o.chosen() {
+					got++
+				}
+			}
+			if got < test.least || got > test.most {
+				t.Errorf("took part in %d campaigns of 1000, want %d to %d", got, test.least, test.most)
+			}
+		})
+	}
+}
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -22,6 +22,7 @@
 	Incarnation string `json:"incarnation"`
 	Address     string `json:"address"`
 	DataCentre  string `json:"data_centre"`
+	Capacity    int64  `json:"capacity"`
 }
 
 type wireLead struct {
@@ -46,7 +47,7 @@
 }
 
 func encodeHost(h cataloger.Host) []byte {
-	return encode(wireHost{Incarnation: h.Incarnation, Address: h.Address, DataCentre: h.DataCentre})
+	return encode(wireHost{Incarnation: h.Incarnation, Address: h.Address, DataCentre: h.DataCentre, Capacity: h.Capacity})
 }
 
 func encodeLead(l cataloger.Lead) []byte {
@@ -76,7 +77,9 @@
 	if err := json.Unmarshal(value, &wire); err != nil {
 		return cataloger.Host{}, true, errors.Wrapf(err, "host %s", name)
 	}
-	return cataloger.Host{Name: name, Incarnation: wire.Incarnation, Address: wire.Address, DataCentre: wire.DataCentre}, true, nil
+	return cataloger.Host{
+		Name: name, Incarnation: wire.Incarnation, Address: wire.Address, DataCentre: wire.DataCentre, Capacity: wire.Capacity,
+	}, true, nil
 }
 
 // LeadOf decodes the record of a service's primary; ok is false for other keys.
