Explain a request from the logs of several hosts

endiveturn explain ID FILE... prints a request's lines on all hosts in order of time, and between them what may have decided it: configuration in force on its hosts, its databases' failures, changes of its service's primary, the duty. It reads logs with a collector's prefix and logs that were cut off.

--- a/run.go
+++ b/run.go
@@ -95,6 +95,7 @@
 		{"serve", "Run one host", &serveCommand{env: e}},
 		{"host", "Run one host on the platform", &hostCommand{env: e}},
 		{"check", "Check a folder of configuration objects", &checkCommand{env: e}},
+		{"explain", "Print what became of a request, from logs", &explainCommand{env: e}},
 		{"publish", "Check and publish a folder of configuration objects", &publishCommand{env: e}},
 		{"take-out", "Take a data centre, host or database out of service", &takeOutCommand{takenOut: true, env: e}},
 		{"bring-back", "Bring a data centre, host or database back into service", &takeOutCommand{env: e}},
