Restore a former primary that answers when nobody can take over

It is put into force again if this host began the change itself, so that nobody asked for a promotion. TestFormerPrimaryIsRestored fails without: the lead stays moving.

--- a/overseer/decide.go
+++ b/overseer/decide.go
@@ -114,8 +114,10 @@
 	// Term and Offset are the last position that it received.
 	Term   uint64
 	Offset uint64
-	// Opened is set if it is reachable from this host.
+	// Reachable is set if it answered this host.
 	Reachable bool
+	// Leads is set if it takes itself for the primary.
+	Leads bool
 }
 
 // Elect returns the index of the database that has received most, or -1.
--- a/overseer/move.go
+++ b/overseer/move.go
@@ -76,6 +76,9 @@
 	} else {
 		contender, err = m.elect(ctx, nil)
 	}
+	if errors.Is(err, errNoContender) && m.reason != ReasonResumed {
+		return m.restore(ctx)
+	}
 	if err != nil {
 		return err
 	}
@@ -95,6 +98,24 @@
 	return nil
 }
 
+// restore puts the former primary into force again, if it still leads, when no
+// database could take over after all. Nobody has asked for a promotion yet, since
+// this host began the change itself.
+func (m *move) restore(ctx context.Context) error {
+	former := m.ask(ctx, m.former)
+	if !m.registered || !former.Leads {
+		return errNoContender
+	}
+	lead := m.lead
+	lead.Moving, lead.Grace = false, 0
+	written, err := m.overseer.write(ctx, lead)
+	if err != nil {
+		return errors.Wrap(err, "restore the former primary")
+	}
+	m.lead = written
+	return nil
+}
+
 // promoteFirst promotes the contender, or the next best one if the platform
 // says that it is not running.
 func (m *move) promoteFirst(ctx context.Context, contender Contender) (Contender, uint64, error) {
@@ -223,7 +244,7 @@
 	if err != nil {
 		return Contender{Endpoint: endpoint}
 	}
-	return Contender{Endpoint: endpoint, Reachable: true, Term: status.Received.Term, Offset: status.Received.Offset}
+	return Contender{Endpoint: endpoint, Reachable: true, Leads: status.Primary, Term: status.Received.Term, Offset: status.Received.Offset}
 }
 
 // catchUp waits until a database has received what the former primary has.
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -477,6 +477,38 @@
 	})
 }
 
+// TestFormerPrimaryIsRestored guards against a service without a primary when the
+// databases that could take over are gone by the time no host uses the former one,
+// which answers again.
+func TestFormerPrimaryIsRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.start()
+		primary := w.statuses["p"]
+		w.change(func() {
+			delete(w.statuses, "p")
+			w.members = []Member{opinion(deadOpinion, func() int64 { return 0 })}
+		})
+		time.Sleep(800 * time.Millisecond)
+		synctest.Wait()
+		if !w.lead().Moving {
+			t.Fatal("the change has not begun")
+		}
+		w.change(func() {
+			w.statuses = map[string]executor.DatabaseStatus{"p": primary}
+			w.members = nil
+		})
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		if got := w.lead(); got.Moving || got.ID != "p" {
+			t.Errorf("got lead %+v, want p in force again", got)
+		}
+		if got := len(w.promotions()); got != 0 {
+			t.Errorf("got %d promotions, want 0", got)
+		}
+	})
+}
+
 // TestContenderThatEnded guards against a change that insists on a database
 // which has ended meanwhile.
 func TestContenderThatEnded(t *testing.T) {
