Call a store that does not answer less often in large fleets

Cause: 59 hosts tried a store that turned them away every 0.4 to 0.8 s each, and their leases every 0.45 s; refused calls are priced, and the first host that reaches the store tells the others.

--- a/hoster/freshness.go
+++ b/hoster/freshness.go
@@ -38,6 +38,10 @@
 	// differenceTime is how long two hosts may hold different records before
 	// each reads all keys again.
 	differenceTime = 500 * time.Millisecond
+	// storePause and largeStorePause bound the pause after a failed call to the
+	// store. In a large fleet the first host that reaches it again tells the others.
+	storePause      = 800 * time.Millisecond
+	largeStorePause = 3 * time.Second
 	// longestWatch bounds the wait of one watch.
 	longestWatch = 10 * time.Second
 )
@@ -65,6 +69,14 @@
 	return mean/2 + rand.N(mean)
 }
 
+// lastPause returns the longest pause after a failed call to the store.
+func (h *Host) lastPause() time.Duration {
+	if h.large() {
+		return largeStorePause
+	}
+	return storePause
+}
+
 // settle returns how long a host waits for further changes after one: each
 // change ends the watches of all hosts.
 func (h *Host) settle() time.Duration {
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -97,7 +97,7 @@
 	follower := informer.NewFollower()
 	follower.Space, follower.Mirror, follower.Prefix = h.Platform.Space, h.mirror, h.Platform.StorePrefix
 	follower.Wait, follower.Now, follower.Logger = h.watchWait, timekeeper.Now, h.Logger
-	follower.Idle, follower.Settle = h.told, h.settle
+	follower.Idle, follower.Settle, follower.LastPause = h.told, h.settle, h.lastPause
 	add(follower.Run)
 	add(func(ctx context.Context) error { return h.oversee(ctx, follower) })
 	add(h.view)
--- a/informer/follower.go
+++ b/informer/follower.go
@@ -21,10 +21,9 @@
 	// idleInterval is how often a host that is told of changes looks whether it
 	// still is.
 	idleInterval = 200 * time.Millisecond
-	// firstPause and lastPause bound the pause after a failed call; it doubles
-	// in between and is drawn at random, so that hosts do not come together.
+	// firstPause is the pause after a failed call. It doubles up to LastPause and
+	// is drawn at random, so that hosts do not come together.
 	firstPause = 50 * time.Millisecond
-	lastPause  = 800 * time.Millisecond
 )
 
 // errRelist ends a watch because all keys are to be read again.
@@ -45,6 +44,8 @@
 	Settle func() time.Duration
 	// Wait returns how long a watch waits for changes.
 	Wait func() time.Duration
+	// LastPause returns the longest pause after a failed call.
+	LastPause func() time.Duration
 	// Now returns an instant that counts suspensions of the machine.
 	Now    func() time.Time
 	Logger *slog.Logger
@@ -195,7 +196,7 @@
 		f.lost = true
 		f.Logger.Warn("dependency_lost", "dependency", "store", "error", err.Error())
 	}
-	f.pause = min(max(2*f.pause, firstPause), lastPause)
+	f.pause = min(max(2*f.pause, firstPause), f.LastPause())
 	timer := time.NewTimer(f.pause/2 + rand.N(f.pause/2))
 	defer timer.Stop()
 	select {
--- a/informer/follower_test.go
+++ b/informer/follower_test.go
@@ -104,6 +104,7 @@
 	f.Space = storer.Space{List: s.list, Changes: s.watch}
 	f.Mirror = &Mirror{Now: time.Now}
 	f.Wait = func() time.Duration { return 10 * time.Second }
+	f.LastPause = func() time.Duration { return 800 * time.Millisecond }
 	f.Now = time.Now
 	f.Logger = slog.New(slog.NewTextHandler(io.Discard, nil))
 	ctx, cancel := context.WithCancel(t.Context())
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -106,6 +106,8 @@
 	mu sync.Mutex
 	// lease keeps the host's key.
 	lease held
+	// leaseRetry is when the host's lease is tried again after a failed call.
+	leaseRetry time.Time
 	// duty keeps the key of the duty; its ID is 0 while another host holds it.
 	duty held
 	// token is the fencing token of the duty, 0 while another host holds it.
@@ -157,16 +159,25 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	o.mu.Lock()
-	duty, lease := o.duty, o.lease
+	duty, lease, retry := o.duty, o.lease, o.leaseRetry
 	o.mu.Unlock()
 	if duty.id != 0 {
 		o.keepDuty(ctx, duty.id)
 	}
-	if lease.due(o.Now()) {
+	if lease.due(o.Now()) && !o.Now().Before(retry) {
 		o.keepHost(ctx, lease, leaseTime*o.leaseScale())
 	}
 }
 
+// retryLater puts off the next call for the host's lease, in a large fleet for
+// several intervals: every host tries while the store is away.
+func (o *Overseer) retryLater() {
+	scale := o.leaseScale()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leaseRetry = o.Now().Add(renewInterval * scale / 2)
+}
+
 // leaseScale is how many times longer hosts' leases last in large fleets, where
 // no decision waits for one of them to end.
 func (o *Overseer) leaseScale() time.Duration {
@@ -205,6 +216,7 @@
 		}
 		if !errors.Is(err, storer.ErrLeaseExpired) {
 			o.Logger.Warn("lease_not_renewed", "lease", int64(id), "error", err.Error())
+			o.retryLater()
 			return
 		}
 		o.Logger.Warn("lease_expired", "lease", int64(id))
@@ -212,6 +224,7 @@
 	id, err := o.Space.Grant(ctx, ttl)
 	if err != nil {
 		o.Logger.Warn("lease_not_granted", "error", err.Error())
+		o.retryLater()
 		return
 	}
 	o.setLease(held{id: id, ttl: ttl, until: asked.Add(ttl)})
