Have a slow holder of the duty give it up, send databases fewer statements at once

It adds the time for which it has not read reports to their age, so that no host seems to have had an answer. That time is capped now, and a holder whom the databases of two services leave without an answer gives the duty up for 5 s (TestSlowHolderGivesUp; the method is new with it).

--- a/director/share.go
+++ b/director/share.go
@@ -12,8 +12,8 @@
 	// connectionReserve is the part of a database's connections that hosts
 	// leave unused, for connections that the database has not yet seen close.
 	connectionReserve = 0.06
-	// slotOvercommit is how many statements run or wait at a database for each
-	// of its slots, beside one a host, when all hosts are busy.
+	// slotOvercommit is how many statements run or wait at a database for each of
+	// its slots when all hosts are busy, in small fleets beside one a host.
 	slotOvercommit = 1.2
 	// visitorConnections is how many connections a host may have to a replica
 	// that is not its home.
@@ -73,7 +73,7 @@
 		if r == 0 {
 			users = all
 		}
-		shares.Statements[e.ID] = 1 + int(math.Ceil(slotOvercommit*float64(max(1, e.Slots))/float64(users)))
+		shares.Statements[e.ID] = statementsOf(e.Slots, users)
 		share := visitors(int(limit), all)
 		switch {
 		case r == 0:
@@ -86,6 +86,17 @@
 	return shares
 }
 
+// statementsOf returns how many statements a host has running at once at a
+// database with so many slots that so many hosts use. One a host fills the queue of
+// a database by itself where hosts are many.
+func statementsOf(slots, users int) int {
+	shared := int(math.Ceil(slotOvercommit * float64(max(1, slots)) / float64(users)))
+	if users > cataloger.SmallFleet {
+		return shared
+	}
+	return 1 + shared
+}
+
 // boundsOf returns the bounds of a share, given how many connections there are
 // for each host that uses the database regularly.
 func boundsOf(share int, each float64) connector.Bounds {
--- a/director/share_test.go
+++ b/director/share_test.go
@@ -58,3 +58,24 @@
 		})
 	}
 }
+
+// TestStatementShares guards against hosts that together send a database more than
+// its queue takes, so that it refuses what would have had its turn.
+func TestStatementShares(t *testing.T) {
+	tests := []struct {
+		name         string
+		slots, users int
+		most         int
+	}{
+		{name: "9 hosts", slots: 5, users: 9, most: 5 + 40},
+		{name: "59 hosts", slots: 6, users: 59, most: 6 + 60},
+		{name: "88 hosts", slots: 6, users: 88, most: 6 + 90},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := statementsOf(test.slots, test.users) * test.users; got > test.most || got < test.slots {
+				t.Errorf("%d statements at once, want %d to %d", got, test.slots, test.most)
+			}
+		})
+	}
+}
--- a/explainer/explain.go
+++ b/explainer/explain.go
@@ -124,7 +124,7 @@
 		return w.hosts[line.Host]
 	case "primary_changed", "replica_lagging":
 		return w.hosts[line.Host] && w.services[line.Get("service")]
-	case "duty_taken", "duty_lost":
+	case "duty_taken", "duty_lost", "duty_given_up":
 		return true
 	}
 	if line.Get("service") != "" {
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -148,6 +148,9 @@
 	if age > staleOpinion {
 		return
 	}
+	// A report that is older than usual tells of a slow reader, not of a silent
+	// primary.
+	age = min(age, exchanger.Interval)
 	for service, p := range primaries {
 		o := overseer.Opinion{SinceSuccess: p.SinceSuccess, SinceFailure: p.SinceFailure}
 		if o.SinceSuccess >= 0 {
--- a/overseer/move.go
+++ b/overseer/move.go
@@ -232,6 +232,9 @@
 	}
 	best := Elect(contenders)
 	if best < 0 {
+		if len(contenders) > 0 {
+			m.overseer.noneAnswered(ctx, m.service)
+		}
 		return Contender{}, errNoContender
 	}
 	return contenders[best], nil
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -39,6 +39,11 @@
 	probeInterval = 500 * time.Millisecond
 	// cutPersists is how long a primary must be reported as cut from many hosts.
 	cutPersists = 700 * time.Millisecond
+	// unansweredTime is the time in which the databases of two services have to
+	// leave this host without an answer for it to give the duty up, and abstainTime
+	// how long it then leaves the duty to others.
+	unansweredTime = 2 * time.Second
+	abstainTime    = 5 * time.Second
 	// judgeInterval is how often the holder of the duty looks at the primaries.
 	judgeInterval = 100 * time.Millisecond
 )
@@ -120,6 +125,11 @@
 	probed map[string]time.Time
 	// cutSince is since when a primary has been cut from many hosts, by service.
 	cutSince map[string]time.Time
+	// unanswered holds when no database that could take over answered last, by
+	// service.
+	unanswered map[string]time.Time
+	// abstains is until when this host leaves the duty to others.
+	abstains time.Time
 	// stopping hosts leave the duty to others.
 	stopping bool
 }
@@ -140,7 +150,7 @@
 // host holds it, until ctx ends.
 func (o *Overseer) Run(ctx context.Context) error {
 	o.moving, o.probed, o.cutSince = make(map[string]bool), make(map[string]time.Time), make(map[string]time.Time)
-	o.deferred = make(map[string]bool)
+	o.deferred, o.unanswered = make(map[string]bool), make(map[string]time.Time)
 	go o.judgeAlways(ctx)
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
@@ -298,6 +308,34 @@
 	o.stopping = true
 }
 
+// noneAnswered notes that no database of a service that could take over has
+// answered this host. With two services at once the fault is more likely this
+// host's, which is slow or cut off, and another one judges better.
+func (o *Overseer) noneAnswered(ctx context.Context, service string) {
+	o.mu.Lock()
+	now := o.Now()
+	o.unanswered[service] = now
+	lately := 0
+	for _, at := range o.unanswered {
+		if now.Sub(at) < unansweredTime {
+			lately++
+		}
+	}
+	duty := o.duty
+	if lately < 2 || duty.id == 0 {
+		o.mu.Unlock()
+		return
+	}
+	token := o.token
+	o.duty, o.token, o.abstains = held{}, 0, now.Add(abstainTime)
+	clear(o.unanswered)
+	o.mu.Unlock()
+	o.Logger.Warn("duty_given_up", "token", token, "reason", "databases do not answer this host", "services", lately)
+	if err := o.Space.Revoke(ctx, duty.id); err != nil {
+		o.Logger.Warn("lease_not_revoked", "error", err.Error())
+	}
+}
+
 func (o *Overseer) judgeAlways(ctx context.Context) {
 	ticker := time.NewTicker(judgeInterval)
 	defer ticker.Stop()
@@ -321,7 +359,7 @@
 	}
 	_, taken := o.Mirror.Get(dutyKey)
 	o.mu.Lock()
-	registered, stopping := o.lease.id != 0, o.stopping
+	registered, stopping := o.lease.id != 0, o.stopping || o.Now().Before(o.abstains)
 	o.mu.Unlock()
 	if taken || !registered || stopping || !o.Mirror.Loaded() || !o.chosen() {
 		return false
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -38,6 +38,7 @@
 	// notRunning databases can't be promoted.
 	notRunning map[string]bool
 	demoted    []string
+	revoked    []storer.LeaseID
 	members    []Member
 	endpoints  []cataloger.Endpoint
 	evacuated  map[string]bool
@@ -130,7 +131,12 @@
 	return nil
 }
 
-func (w *world) revoke(context.Context, storer.LeaseID) error { return nil }
+func (w *world) revoke(_ context.Context, lease storer.LeaseID) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revoked = append(w.revoked, lease)
+	return nil
+}
 
 func (w *world) catalog() *cataloger.Catalog {
 	w.mu.Lock()
@@ -614,3 +620,27 @@
 		})
 	}
 }
+
+// TestSlowHolderGivesUp guards against a holder of the duty that is slow or cut off
+// from the databases, takes all primaries to be gone and replaces them.
+func TestSlowHolderGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.start()
+		w.overseer.noneAnswered(t.Context(), "s")
+		time.Sleep(2 * unansweredTime)
+		w.overseer.noneAnswered(t.Context(), "t")
+		if _, ok := w.overseer.holds(); !ok {
+			t.Error("the duty was given up for one service at a time")
+		}
+		w.overseer.noneAnswered(t.Context(), "s")
+		if _, ok := w.overseer.holds(); ok {
+			t.Error("the duty is held though the databases of two services do not answer")
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if len(w.revoked) != 1 {
+			t.Errorf("%d leases were ended, want the one of the duty", len(w.revoked))
+		}
+	})
+}
