--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,33 +16,11 @@
 )
 
 const (
-	// leaseTime is after how much silence a host's keys leave the store.
-	leaseTime = 1800 * time.Millisecond
-	// renewInterval leaves room for two failed renewals, of which renewTimeout
-	// bounds each.
-	renewInterval = 450 * time.Millisecond
-	renewTimeout  = 500 * time.Millisecond
-	// longLease is how many times longer leases last in a large fleet, where no
-	// decision waits for one of them to end.
-	longLease = 8
-	// campaigners is about how many hosts try to take the duty at once.
-	campaigners = 16
-	// youngDelay and weakDelay are by how much longer young hosts and those of less
-	// capacity wait for the duty.
-	youngDelay = 8
-	weakDelay  = 50
-	// storeTimeout bounds a call to the store.
-	storeTimeout = 1200 * time.Millisecond
 	// probeInterval is the least time between two probes of a primary that
 	// answers.
 	probeInterval = 500 * time.Millisecond
 	// cutPersists is how long a primary must be reported as cut from many hosts.
 	cutPersists = 700 * time.Millisecond
-	// unansweredTime is the time in which the databases of two services have to
-	// leave this host without an answer for it to give the duty up, and abstainTime
-	// how long it then leaves the duty to others.
-	unansweredTime = 2 * time.Second
-	abstainTime    = 5 * time.Second
 	// judgeInterval is how often the holder of the duty looks at the primaries.
 	judgeInterval = 100 * time.Millisecond
 )
@@ -134,18 +111,6 @@
 	stopping bool
 }
 
-// A held lease lasts at least until an instant; its ID is 0 if there is none.
-type held struct {
-	id    storer.LeaseID
-	ttl   time.Duration
-	until time.Time
-}
-
-// due reports whether it is time to renew: after a quarter of the lease's time.
-func (l held) due(now time.Time) bool {
-	return l.id == 0 || l.until.Sub(now) <= l.ttl*3/4
-}
-
 // Run registers the host, renews its lease and carries out the duty while this
 // host holds it, until ctx ends.
 func (o *Overseer) Run(ctx context.Context) error {
@@ -164,178 +129,6 @@
 	}
 }
 
-// keep renews the lease of the duty, and the host's lease when that is due.
-func (o *Overseer) keep(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	o.mu.Lock()
-	duty, lease, retry := o.duty, o.lease, o.leaseRetry
-	o.mu.Unlock()
-	if duty.id != 0 {
-		o.keepDuty(ctx, duty.id)
-	}
-	if lease.due(o.Now()) && !o.Now().Before(retry) {
-		o.keepHost(ctx, lease, leaseTime*o.leaseScale())
-	}
-}
-
-// retryLater puts off the next call for the host's lease, in a large fleet for
-// several intervals: every host tries while the store is away.
-func (o *Overseer) retryLater() {
-	scale := o.leaseScale()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.leaseRetry = o.Now().Add(renewInterval * scale / 2)
-}
-
-// leaseScale is how many times longer hosts' leases last in large fleets, where
-// no decision waits for one of them to end.
-func (o *Overseer) leaseScale() time.Duration {
-	if catalog := o.Catalog(); catalog != nil && catalog.Large() {
-		return longLease
-	}
-	return 1
-}
-
-func (o *Overseer) keepDuty(ctx context.Context, id storer.LeaseID) {
-	asked := o.Now()
-	err := o.renew(ctx, id)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	switch {
-	case err == nil && o.duty.id == id:
-		o.duty.until = asked.Add(leaseTime)
-	case errors.Is(err, storer.ErrLeaseExpired):
-		o.Logger.Warn("duty_lost", "token", o.token)
-		o.duty, o.token = held{}, 0
-	case err != nil:
-		o.Logger.Warn("lease_not_renewed", "lease", int64(id), "error", err.Error())
-	}
-}
-
-// keepHost renews the host's lease, or makes a new one if there is none of the
-// wanted time. A lease that is replaced is left to end.
-func (o *Overseer) keepHost(ctx context.Context, lease held, ttl time.Duration) {
-	asked := o.Now()
-	id := lease.id
-	if id != 0 && lease.ttl == ttl {
-		err := o.renew(ctx, id)
-		if err == nil {
-			o.setLease(held{id: id, ttl: ttl, until: asked.Add(ttl)})
-			return
-		}
-		if !errors.Is(err, storer.ErrLeaseExpired) {
-			o.Logger.Warn("lease_not_renewed", "lease", int64(id), "error", err.Error())
-			o.retryLater()
-			return
-		}
-		o.Logger.Warn("lease_expired", "lease", int64(id))
-	}
-	id, err := o.Space.Grant(ctx, ttl)
-	if err != nil {
-		o.Logger.Warn("lease_not_granted", "error", err.Error())
-		o.retryLater()
-		return
-	}
-	o.setLease(held{id: id, ttl: ttl, until: asked.Add(ttl)})
-	o.register(ctx, id)
-}
-
-func (o *Overseer) setLease(lease held) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.lease = lease
-}
-
-func (o *Overseer) renew(ctx context.Context, lease storer.LeaseID) error {
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
-	defer cancel()
-	return o.Space.Renew(ctx, lease)
-}
-
-// register writes the host's key. One left by a former process of the same
-// name is replaced.
-func (o *Overseer) register(ctx context.Context, lease storer.LeaseID) {
-	key := hostsPrefix + o.Host.Name
-	known, _ := o.Mirror.Get(key)
-	expected := known.Revision
-	for range 2 {
-		revision, err := o.Space.Write(ctx, storer.Put{Key: key, Value: encodeHost(o.Host), Expected: expected, Lease: lease})
-		if err == nil {
-			o.Mirror.Wrote(informer.Record{Key: key, Value: encodeHost(o.Host), Revision: revision})
-			o.Logger.Info("host_registered", "lease", int64(lease), "revision", revision)
-			return
-		}
-		var conflict *storer.Conflict
-		if !errors.As(err, &conflict) {
-			o.Logger.Warn("host_not_registered", "error", err.Error())
-			o.setLease(held{})
-			return
-		}
-		expected = conflict.Now.ModRevision
-	}
-	o.setLease(held{})
-}
-
-// holds returns the fencing token if this host surely holds the duty.
-func (o *Overseer) holds() (int64, bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.token, o.token > 0 && o.Now().Before(o.duty.until)
-}
-
-// Stop gives the duty up and ends the host's lease.
-func (o *Overseer) Stop(ctx context.Context) {
-	o.mu.Lock()
-	o.stopping = true
-	leases := []held{o.duty, o.lease}
-	o.duty, o.lease, o.token = held{}, held{}, 0
-	o.mu.Unlock()
-	for _, lease := range leases {
-		if lease.id == 0 {
-			continue
-		}
-		if err := o.Space.Revoke(ctx, lease.id); err != nil {
-			o.Logger.Warn("lease_not_revoked", "error", err.Error())
-		}
-	}
-}
-
-// GiveUpDuty lets another host take the duty while this one still serves.
-func (o *Overseer) GiveUpDuty() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.stopping = true
-}
-
-// noneAnswered notes that no database of a service that could take over has
-// answered this host. With two services at once the fault is more likely this
-// host's, which is slow or cut off, and another one judges better.
-func (o *Overseer) noneAnswered(ctx context.Context, service string) {
-	o.mu.Lock()
-	now := o.Now()
-	o.unanswered[service] = now
-	lately := 0
-	for _, at := range o.unanswered {
-		if now.Sub(at) < unansweredTime {
-			lately++
-		}
-	}
-	duty := o.duty
-	if lately < 2 || duty.id == 0 {
-		o.mu.Unlock()
-		return
-	}
-	token := o.token
-	o.duty, o.token, o.abstains = held{}, 0, now.Add(abstainTime)
-	clear(o.unanswered)
-	o.mu.Unlock()
-	o.Logger.Warn("duty_given_up", "token", token, "reason", "databases do not answer this host", "services", lately)
-	if err := o.Space.Revoke(ctx, duty.id); err != nil {
-		o.Logger.Warn("lease_not_revoked", "error", err.Error())
-	}
-}
-
 func (o *Overseer) judgeAlways(ctx context.Context) {
 	ticker := time.NewTicker(judgeInterval)
 	defer ticker.Stop()
@@ -351,74 +144,6 @@
 	}
 }
 
-// campaign takes the duty if nobody holds it, and reports whether this host
-// does.
-func (o *Overseer) campaign(ctx context.Context) bool {
-	if _, ok := o.holds(); ok {
-		return true
-	}
-	_, taken := o.Mirror.Get(dutyKey)
-	o.mu.Lock()
-	registered, stopping := o.lease.id != 0, o.stopping || o.Now().Before(o.abstains)
-	o.mu.Unlock()
-	if taken || !registered || stopping || !o.Mirror.Loaded() || !o.chosen() {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	asked := o.Now()
-	lease, err := o.Space.Grant(ctx, leaseTime)
-	if err != nil {
-		return false
-	}
-	value := encode(wireDuty{Host: o.Host.Name, Incarnation: o.Host.Incarnation})
-	revision, err := o.Space.Write(ctx, storer.Put{Key: dutyKey, Value: value, Lease: lease})
-	if err != nil {
-		o.lostCampaign(ctx, lease, err)
-		return false
-	}
-	o.Mirror.Wrote(informer.Record{Key: dutyKey, Value: value, Revision: revision})
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.duty, o.token = held{id: lease, ttl: leaseTime, until: asked.Add(leaseTime)}, revision
-	o.Logger.Info("duty_taken", "token", revision)
-	return true
-}
-
-// chosen lets hosts of a large fleet try at different times: first those of the
-// largest capacity that have run for long, which can speak for all.
-func (o *Overseer) chosen() bool {
-	catalog := o.Catalog()
-	if catalog == nil || !catalog.Large() {
-		return true
-	}
-	largest, peers := int64(0), 0
-	for _, host := range catalog.Sharers {
-		switch {
-		case host.Capacity > largest:
-			largest, peers = host.Capacity, 1
-		case host.Capacity == largest:
-			peers++
-		}
-	}
-	if o.Host.Capacity < largest {
-		peers = catalog.FleetSize() * weakDelay
-	}
-	if o.Young() {
-		peers *= youngDelay
-	}
-	return rand.N(max(1, peers)) < campaigners
-}
-
-// lostCampaign gives back the lease of a campaign that another host has won, or
-// whose outcome is not known.
-func (o *Overseer) lostCampaign(ctx context.Context, lease storer.LeaseID, err error) {
-	o.adopt(err)
-	if err := o.Space.Revoke(ctx, lease); err != nil {
-		o.Logger.Warn("lease_not_revoked", "error", err.Error())
-	}
-}
-
 // judge looks at every service and replaces primaries where that is due.
 func (o *Overseer) judge(ctx context.Context) {
 	catalog := o.Catalog()
