Age the opinions of silent hosts in full

Only the time from sending to reading is capped now. TestOpinionAge fails with the former cap ('silent host').

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -33,8 +33,8 @@
 	// Heard is when the request was sent that brought the report, or when it
 	// arrived unasked.
 	Heard time.Time
-	// arrived is when the last report arrived.
-	arrived time.Time
+	// Arrived is when the last report was read.
+	Arrived time.Time
 	// answered is when this host last answered a report of the other one, and
 	// sequence numbers that answer.
 	answered time.Time
@@ -177,7 +177,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.Now().Sub(e.peers[name].arrived) > silentTime
+	return e.Now().Sub(e.peers[name].Arrived) > silentTime
 }
 
 // run exchanges with one host until ctx ends.
@@ -289,7 +289,7 @@
 	}
 	peer := e.peers[message.Report.Host]
 	peer.Report = message.Report
-	peer.arrived = e.Now()
+	peer.Arrived = e.Now()
 	if sent.After(peer.Heard) {
 		peer.Heard = sent
 	}
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -123,7 +123,7 @@
 		member.Ended = func(since time.Time) bool { return peer.Refused.After(since) }
 		if peer.Report.Incarnation == host.Incarnation || peer.Report.Incarnation != "" {
 			member.Released = peer.Report.Released
-			addOpinions(member.Opinions, peer.Report.Primaries, timekeeper.Now().Sub(peer.Heard))
+			addOpinions(member.Opinions, peer.Report.Primaries, opinionAge(peer, timekeeper.Now()))
 		}
 		members = append(members, member)
 	}
@@ -144,13 +144,17 @@
 // staleOpinion is the age after which a report says nothing about a primary.
 const staleOpinion = 2 * time.Second
 
+// opinionAge returns how old the opinions of a report are. A report that took longer
+// than usual to be read tells of a slow reader, not of a silent primary, so that
+// the time on its way counts for one exchange at most.
+func opinionAge(peer exchanger.Peer, now time.Time) time.Duration {
+	return now.Sub(peer.Arrived) + min(peer.Arrived.Sub(peer.Heard), exchanger.Interval)
+}
+
 func addOpinions(opinions map[string]overseer.HostOpinion, primaries map[string]exchanger.PrimaryHealth, age time.Duration) {
 	if age > staleOpinion {
 		return
 	}
-	// A report that is older than usual tells of a slow reader, not of a silent
-	// primary.
-	age = min(age, exchanger.Interval)
 	for service, p := range primaries {
 		o := overseer.Opinion{SinceSuccess: p.SinceSuccess, SinceFailure: p.SinceFailure}
 		if o.SinceSuccess >= 0 {
--- a/hoster/topology_test.go
+++ b/hoster/topology_test.go
@@ -154,3 +154,28 @@
 		t.Errorf("two hosts vouch for the view of 17, as of %v ago", age)
 	}
 }
+
+// TestOpinionAge guards against a slow holder of the duty that takes every primary
+// to be silent, and against the last words of hosts that are gone, by which a
+// primary that went with them seems to answer.
+func TestOpinionAge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	tests := []struct {
+		name           string
+		heard, arrived time.Time
+		want           time.Duration
+	}{
+		{name: "as usual", heard: ago(100 * time.Millisecond), arrived: ago(80 * time.Millisecond), want: 100 * time.Millisecond},
+		{name: "slow reader", heard: ago(1500 * time.Millisecond), arrived: ago(50 * time.Millisecond), want: 300 * time.Millisecond},
+		{name: "silent host", heard: ago(1500 * time.Millisecond), arrived: ago(1400 * time.Millisecond), want: 1500 * time.Millisecond},
+		{name: "instant of sending not known", arrived: ago(50 * time.Millisecond), want: 300 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := opinionAge(exchanger.Peer{Heard: test.heard, Arrived: test.arrived}, now); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
