Tell a host what was known before the first exchange with it

Cause, found in a read of the exchange: the first question over a connection brings no records, but the next ones were sent as if it had, so that a host that is asked and lacks older records was never told them by the one that asks. It counted that one as heard all the same. Small fleets are safe, since the host that replaces a primary has to be heard itself and sends its own writes; in large ones a host that vouches could have counted a host whose knowledge of a change had not come along. TestAskedHostLearnsOlderRecords fails on the former code.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -251,6 +251,10 @@
 	}
 	l.echo = answer.Sequence
 	e.Note(answer, sent)
+	if known == 0 {
+		// The question brought no records, so that the next one has to.
+		return answer.Report.Revision, nil
+	}
 	return max(answer.Report.Revision, request.Report.Revision), nil
 }
 
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -169,3 +169,12 @@
 	b.stop()
 	await(t, "the end of the other process is noticed", func() bool { return !a.exchanger.Reports()["b"].Refused.IsZero() })
 }
+
+// TestAskedHostLearnsOlderRecords guards against a host that is asked, lacks what
+// the other one knew before their first exchange, and is never told.
+func TestAskedHostLearnsOlderRecords(t *testing.T) {
+	asked := newNode(t, "b", func() map[string]string { return map[string]string{"b": ""} })
+	asker := newNode(t, "a", func() map[string]string { return map[string]string{"a": "", "b": asked.address} })
+	asker.put("k", 9)
+	await(t, "b has the record that a knew before", func() bool { return asked.has("k") })
+}
