Take in what a host told before it counts as heard

Cause, found in the last read: a report set the instant at which its host was heard, by which views are vouched for, before the records that came with it were taken in. A request in between could use a view as current that lacked a change of primary which had just arrived; on a slow host the gap is as long as the wait for the processor. TestRecordsComeBeforeHearing fails on the former order.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -282,12 +282,15 @@
 }
 
 // Note takes in a report that was sent at the instant; the zero time stands for
-// unknown.
+// unknown. What came with it is taken in before the host counts as heard, since
+// others conclude from that that they know what the host knew.
 func (e *Exchanger) Note(message Message, sent time.Time) {
 	if message.Report.Host == e.Host {
 		return
 	}
+	e.Received(message, sent)
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.peers == nil {
 		e.peers = make(map[string]Peer)
 	}
@@ -298,8 +301,6 @@
 		peer.Heard = sent
 	}
 	e.peers[message.Report.Host] = peer
-	e.mu.Unlock()
-	e.Received(message, sent)
 }
 
 // answer takes in a report and returns this host's, with what the other lacks.
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -178,3 +178,21 @@
 	asker.put("k", 9)
 	await(t, "b has the record that a knew before", func() bool { return asked.has("k") })
 }
+
+// TestRecordsComeBeforeHearing guards against a host that counts another one as
+// heard before it has taken in what that one told.
+func TestRecordsComeBeforeHearing(t *testing.T) {
+	var e *Exchanger
+	heard := time.Now()
+	calls := 0
+	e = &Exchanger{Host: "a", Now: time.Now, Received: func(message Message, sent time.Time) {
+		calls++
+		if got := e.Reports()[message.Report.Host].Heard; !got.Before(sent) {
+			t.Errorf("the host counts as heard at %v before its records are taken in", got)
+		}
+	}}
+	e.Note(Message{Report: Report{Host: "b"}}, heard)
+	if got := e.Reports()["b"].Heard; !got.Equal(heard) || calls != 1 {
+		t.Errorf("got heard at %v after %d calls, want %v after 1", got, calls, heard)
+	}
+}
