--- a/overseer/duty_test.go
+++ b/overseer/duty_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/informer"
 	"github.com/endiveturn/endiveturn/storer"
 )
 
