--- a/host_test.go
+++ b/host_test.go
@@ -1,12 +1,12 @@
 package main
 
 import (
-	"bytes"
+	"bufio"
+	"io"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -14,33 +14,15 @@
 	"github.com/endiveturn/endiveturn/hoster"
 )
 
-// A lockedBuffer takes log lines from other goroutines.
-type lockedBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.Write(p)
-}
-
-// awaitLine waits until a line with the text was logged.
-func (b *lockedBuffer) awaitLine(t *testing.T, text string) {
+// awaitLine reads lines of a log until one holds the text.
+func awaitLine(t *testing.T, lines *bufio.Scanner, text string) {
 	t.Helper()
-	until := time.Now().Add(10 * time.Second)
-	for time.Now().Before(until) {
-		b.mu.Lock()
-		found := strings.Contains(b.buffer.String(), text)
-		b.mu.Unlock()
-		if found {
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), text) {
 			return
 		}
-		time.Sleep(5 * time.Millisecond)
 	}
-	t.Fatalf("no line with %q was logged", text)
+	t.Fatalf("no line with %q was logged: %v", text, lines.Err())
 }
 
 // TestHangup guards against a host that ends at a hangup signal, or takes settings
@@ -64,16 +46,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var log lockedBuffer
-	host := &hoster.Host{Settings: settings, Logger: slog.New(slog.NewTextHandler(&log, nil))}
+	log, logged := io.Pipe()
+	// A signal that has no effect ends the log instead of the test binary.
+	timeout := time.AfterFunc(10*time.Second, func() { _ = logged.Close() })
+	defer timeout.Stop()
+	lines := bufio.NewScanner(log)
+	host := &hoster.Host{Settings: settings, Logger: slog.New(slog.NewTextHandler(logged, nil))}
 	stop := reloadOnHangup(host, path)
 	defer stop()
 	write(strings.Replace(valid, `"stop_timeout_s": 6`, `"stop_timeout_s": 9`, 1))
 	hangUp()
-	log.awaitLine(t, "settings_reloaded stop_timeout=9s")
+	awaitLine(t, lines, "settings_reloaded stop_timeout=9s")
 	write(strings.Replace(valid, `"stop_timeout_s": 6`, `"stop_timeout_s": -1`, 1))
 	hangUp()
-	log.awaitLine(t, "settings_rejected")
+	awaitLine(t, lines, "settings_rejected")
 	if got, want := host.Settings.StopTimeout, 9*time.Second; got != want {
 		t.Errorf("got stop timeout %v after settings that are not valid, want %v", got, want)
 	}
