Leave out of reports what the leader ignores

Cause: each request and reply of an exchange carried the health and the released assignment of all services: about 2 of 2.6 KB with 20 services, 1,080 times a second with 195 hosts. Only the leader reads them, and it reads only recent or failing observations and the released assignments of services whose primary is being replaced.

Change: reports to hosts other than the leader of a large fleet leave both out, observations of primaries that a host has not used lately and assignments in force are left out everywhere.

--- a/director/service.go
+++ b/director/service.go
@@ -218,8 +218,9 @@
 	delete(s.primaryRefs, ref)
 }
 
-// ReleasedRevisions returns, by service, the revision of the assignment in
-// force here if no operation holds a reference to any other primary.
+// ReleasedRevisions returns, for each service whose primary is being replaced,
+// the revision of the assignment in force here if no operation holds a
+// reference to any primary. No host waits for the other services.
 func (d *Director) ReleasedRevisions() map[string]int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -240,7 +241,7 @@
 			return 0, false
 		}
 	}
-	return s.assignment.Revision, s.assignment.Revision > 0
+	return s.assignment.Revision, s.assignment.Changing
 }
 
 // candidates returns the registered databases that an operation may be routed
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -53,10 +53,11 @@
 	Hosts int
 	// Usages are by customer.
 	Usages map[string]Usage
-	// Primaries are by service.
+	// Primaries are by service. They and ReleasedRevisions are empty in reports to
+	// hosts that do not replace primaries.
 	Primaries map[string]PrimaryHealth
-	// ReleasedRevisions holds, by service, the revision of the last primary
-	// assignment for which the host uses no primary but the assigned one.
+	// ReleasedRevisions holds, for each service whose primary is being replaced, the
+	// revision of the last primary assignment with which the host uses no primary.
 	ReleasedRevisions map[string]int64
 }
 
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -33,8 +33,7 @@
 	r := exchanger.Report{
 		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
 		Revision: revision, Age: -1, Uptime: timekeeper.Now().Sub(h.started),
-		Digest: h.mirror.Digest(), Stopping: h.stopping.Load(), ReleasedRevisions: h.director.ReleasedRevisions(),
-		Usages: usages, Hosts: hosts, Primaries: make(map[string]exchanger.PrimaryHealth),
+		Digest: h.mirror.Digest(), Stopping: h.stopping.Load(), Usages: usages, Hosts: hosts,
 		Listed: h.mirror.Listed(), MajorityHeardAge: -1,
 	}
 	if h.largeFleet() {
@@ -45,13 +44,34 @@
 	if !completeAsOf.IsZero() {
 		r.Age = timekeeper.Now().Sub(completeAsOf)
 	}
-	for service, health := range h.director.PrimaryHealths() {
-		r.Primaries[service] = exchanger.PrimaryHealth{
+	if h.mayReplacePrimaries(receiver) {
+		r.ReleasedRevisions = h.director.ReleasedRevisions()
+		r.Primaries = primaryHealths(h.director.PrimaryHealths())
+	}
+	return r
+}
+
+// mayReplacePrimaries reports whether the receiver of a report may be the leader, as
+// far as this host knows. An empty receiver stands for this host itself.
+func (h *Host) mayReplacePrimaries(receiver string) bool {
+	hub, ok := h.hub()
+	return !ok || receiver == "" || receiver == hub
+}
+
+// primaryHealths returns those of the observations of primaries that matter to the
+// leader.
+func primaryHealths(observed map[string]director.PrimaryHealth) map[string]exchanger.PrimaryHealth {
+	healths := make(map[string]exchanger.PrimaryHealth)
+	for service, health := range observed {
+		if !(overseer.Observation{SinceSuccess: health.SinceSuccess, SinceFailure: health.SinceFailure}).IsRelevant() {
+			continue
+		}
+		healths[service] = exchanger.PrimaryHealth{
 			ID: health.Endpoint.ID, StartedAtMillis: health.Endpoint.StartedAtMillis,
 			SinceSuccess: health.SinceSuccess, SinceFailure: health.SinceFailure,
 		}
 	}
-	return r
+	return healths
 }
 
 func (h *Host) recordsSince(revision int64) []exchanger.Record {
--- a/hoster/topology_test.go
+++ b/hoster/topology_test.go
@@ -179,3 +179,57 @@
 		})
 	}
 }
+
+// TestReportSize guards against reports that fill the links of small hosts: at 195
+// hosts the state of 20 primaries in each request and reply was 2 of 2.6 KB.
+func TestReportSize(t *testing.T) {
+	const hosts = 40
+	tests := []struct {
+		name string
+		// self and receiver are the hosts that send and receive the report. h0 is the
+		// leader.
+		self, receiver string
+		hosts          int
+		want           bool
+	}{
+		{name: "to the leader", self: "h1", receiver: "h0", hosts: hosts, want: true},
+		{name: "reply of the leader", self: "h0", receiver: "h1", hosts: hosts},
+		{name: "to a relay", self: "h1", receiver: "h2", hosts: hosts},
+		{name: "leader to itself", self: "h0", receiver: "", hosts: hosts, want: true},
+		{name: "small fleet", self: "h1", receiver: "h2", hosts: cataloger.MaxSmallFleetSize, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newTestHost(test.hosts)
+			h.Settings.Host = test.self
+			got := h.report(test.receiver).Primaries != nil
+			if got != test.want {
+				t.Errorf("got report with primaries %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestPrimaryHealths guards against observations that the leader ignores in each
+// report, and against a failing primary that is left out.
+func TestPrimaryHealths(t *testing.T) {
+	tests := []struct {
+		name   string
+		health director.PrimaryHealth
+		want   bool
+	}{
+		{name: "never used", health: director.PrimaryHealth{SinceSuccess: -1}},
+		{name: "not used recently", health: director.PrimaryHealth{SinceSuccess: time.Second}},
+		{name: "responds", health: director.PrimaryHealth{SinceSuccess: 50 * time.Millisecond}, want: true},
+		{name: "fails", health: director.PrimaryHealth{SinceSuccess: time.Second, SinceFailure: time.Millisecond}, want: true},
+		{name: "never responded", health: director.PrimaryHealth{SinceSuccess: -1, SinceFailure: time.Second}, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, got := primaryHealths(map[string]director.PrimaryHealth{"s": test.health})["s"]
+			if got != test.want {
+				t.Errorf("got reported %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/overseer/decide.go
+++ b/overseer/decide.go
@@ -56,6 +56,15 @@
 	SinceFailure time.Duration
 }
 
+// responds reports whether the primary has responded to the host recently.
+func (o Observation) responds() bool {
+	return o.SinceSuccess >= 0 && o.SinceSuccess < noResponseThreshold
+}
+
+// IsRelevant reports whether Evaluate takes the observation into account. One of a
+// healthy primary that the host has not used recently shows nothing.
+func (o Observation) IsRelevant() bool { return o.SinceFailure > 0 || o.responds() }
+
 // A ServiceState is the input to the decision whether to replace a service's
 // primary.
 type ServiceState struct {
@@ -90,8 +99,7 @@
 	}
 	failing, longFailing, responding := 0, 0, 0
 	for _, o := range s.Observations {
-		responds := o.SinceSuccess >= 0 && o.SinceSuccess < noResponseThreshold
-		if o.SinceFailure > 0 && !responds {
+		if o.SinceFailure > 0 && !o.responds() {
 			if o.SinceFailure >= failingThreshold {
 				failing++
 			}
@@ -100,7 +108,7 @@
 			}
 			continue
 		}
-		if responds {
+		if o.responds() {
 			responding++
 		}
 	}
