Compress large records between hosts

Cause: the hub of a large fleet sends a new configuration of about 100 KB to every other host, and its link of 200 Mbit/s needs most of a second for 195 copies. Reports behind it come late.

--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -38,6 +38,7 @@
 	fieldEcho
 	fieldListed
 	fieldMajorityHeardAge
+	fieldAcceptsCompression
 )
 
 // Field numbers of the nested messages.
@@ -128,6 +129,9 @@
 	if r.Stopping {
 		b = appendNumber(b, fieldStopping, 1)
 	}
+	if m.AcceptsCompression {
+		b = appendNumber(b, fieldAcceptsCompression, 1)
+	}
 	var nested []byte
 	for name, u := range r.Usages {
 		nested = appendString(nested[:0], fieldName, name)
@@ -156,12 +160,22 @@
 		if record.Deleted {
 			nested = appendNumber(nested, fieldSecond, 1)
 		}
-		nested = appendNested(nested, fieldThird, record.Value)
+		nested = m.appendValue(nested, record)
 		b = appendNested(b, fieldRecord, nested)
 	}
 	return b
 }
 
+// appendValue appends the value of a record, compressed if the receiver accepts that.
+func (m *Message) appendValue(b []byte, record Record) []byte {
+	if m.compress != nil {
+		if data := m.compress(record); data != nil {
+			return appendNested(b, fieldFourth, data)
+		}
+	}
+	return appendNested(b, fieldThird, record.Value)
+}
+
 // fieldLimit is greater than all field numbers in use. Fields from it on are
 // ignored.
 const fieldLimit = 20
@@ -229,6 +243,7 @@
 	r.Listed = f.numbers[fieldListed] != 0
 	r.MajorityHeardAge = decodeDuration(f.numbers[fieldMajorityHeardAge])
 	r.Stopping = f.numbers[fieldStopping] != 0
+	m.AcceptsCompression = f.numbers[fieldAcceptsCompression] != 0
 	return m, nil
 }
 
@@ -255,10 +270,21 @@
 	case fieldReleased:
 		m.Report.ReleasedRevisions[name] = int64(f.numbers[fieldFirst])
 	case fieldRecord:
+		value, err := recordValue(&f)
+		if err != nil {
+			return err
+		}
 		m.Records = append(m.Records, Record{
-			Key: name, Value: append([]byte(nil), f.bytes[fieldThird]...),
-			Revision: int64(f.numbers[fieldFirst]), Deleted: f.numbers[fieldSecond] != 0,
+			Key: name, Value: value, Revision: int64(f.numbers[fieldFirst]), Deleted: f.numbers[fieldSecond] != 0,
 		})
 	}
 	return nil
 }
+
+// recordValue returns the value in the fields of a record.
+func recordValue(f *fields) ([]byte, error) {
+	if compressed := f.bytes[fieldFourth]; compressed != nil {
+		return inflate(compressed)
+	}
+	return append([]byte(nil), f.bytes[fieldThird]...), nil
+}
--- a/exchanger/codec_test.go
+++ b/exchanger/codec_test.go
@@ -26,7 +26,7 @@
 				},
 				ReleasedRevisions: map[string]int64{"s1": 9},
 			},
-			Sequence: 7, Echo: 8,
+			Sequence: 7, Echo: 8, AcceptsCompression: true,
 			Records: []Record{{Key: "k", Value: []byte{0, 255}, Revision: 3}, {Key: "gone", Revision: 4, Deleted: true}},
 		}},
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -80,6 +80,7 @@
 	mu          sync.Mutex
 	peers       map[string]Peer
 	connections map[string]*peerConnection
+	compressor  compressor
 }
 
 // A peerConnection is the connection to one address.
@@ -91,6 +92,8 @@
 	wake chan struct{}
 	// echo is the sequence number of the last reply.
 	echo uint64
+	// compress is set if the host accepts compressed values.
+	compress bool
 }
 
 // Reports returns the state of each host that has reported, with its last report.
@@ -251,7 +254,10 @@
 		}
 		*conn = dialed
 	}
-	request := Message{Report: e.Report(c.name), Echo: c.echo}
+	request := Message{Report: e.Report(c.name), Echo: c.echo, AcceptsCompression: true}
+	if c.compress {
+		request.compress = e.compressor.compress
+	}
 	if peerRevision > 0 {
 		request.Records = e.RecordsSince(peerRevision)
 	}
@@ -260,7 +266,7 @@
 	if err := (*conn).Invoke(ctx, exchangeRPC, encoding{}, &request, &reply); err != nil {
 		return 0, errors.Wrap(err, "exchange")
 	}
-	c.echo = reply.Sequence
+	c.echo, c.compress = reply.Sequence, reply.AcceptsCompression
 	e.RecordMessage(reply, sent)
 	if peerRevision == 0 {
 		// The request carried no records, so the next one has to.
@@ -328,7 +334,10 @@
 	}
 	e.mu.Unlock()
 	e.RecordMessage(*request, sent)
-	reply := &Message{Report: e.Report(name)}
+	reply := &Message{Report: e.Report(name), AcceptsCompression: true}
+	if request.AcceptsCompression {
+		reply.compress = e.compressor.compress
+	}
 	reply.Records = e.RecordsSince(request.Report.Revision)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -78,4 +78,11 @@
 	// request was sent after it.
 	Echo    uint64
 	Records []Record
+	// AcceptsCompression is set if the sender accepts records with compressed values,
+	// as all but former versions do.
+	AcceptsCompression bool
+
+	// compress returns the compressed value of a record, or nil. It is nil if the
+	// receiver does not accept compressed values.
+	compress func(Record) []byte
 }
