Keep the hub's view young after changes and register with a long lease first

Each host also took two leases and registered twice, as the fleet was not yet known to be large.

Change: the hub coalesces changes for 50 ms and asks again with a short wait when its view is old; it lists all keys every 2 s, as no other host would notice a change that its watch missed; a host's first lease is that of a large fleet until the size can be known.

--- a/hoster/freshness.go
+++ b/hoster/freshness.go
@@ -23,6 +23,14 @@
 	// hubWatchWait is how long the hub's watch waits. The other hosts receive the
 	// changes of the hub one exchange later.
 	hubWatchWait = 300 * time.Millisecond
+	// hubStaleAge is the age of the hub's view above which its watch waits for
+	// hubStaleWatchWait only. A response with changes shows that the mirror was complete
+	// when the watch began, the next one without changes that it is complete now.
+	hubStaleAge       = 100 * time.Millisecond
+	hubStaleWatchWait = 50 * time.Millisecond
+	// hubListInterval is the mean time between two lists of all keys by the hub, whose
+	// view all hosts of a large fleet depend on.
+	hubListInterval = 2 * time.Second
 	// The delay after a change, within which further changes are coalesced, is
 	// coalesceDelayPerHost for each host, bounded by minCoalesceDelay and
 	// maxCoalesceDelay.
@@ -43,6 +51,9 @@
 	// digestMismatchTolerance is how long two hosts may hold different records
 	// before each lists all keys again.
 	digestMismatchTolerance = 500 * time.Millisecond
+	// largeFleetMismatchTolerance replaces digestMismatchTolerance in large fleets, where
+	// the hub needs longer to send a configuration to all hosts.
+	largeFleetMismatchTolerance = 1500 * time.Millisecond
 	// maxBackoff and largeFleetMaxBackoff bound the pause after a failed call to the
 	// store. In a large fleet the first host that reaches the store again informs
 	// the others.
@@ -58,7 +69,10 @@
 // from the store often enough for the whole fleet. The wait is randomized,
 // since a change ends the waits of all hosts at once.
 func (h *Host) watchWait() time.Duration {
-	if name, ok := h.hub(); ok && name == h.Settings.Host {
+	if h.isHub() {
+		if timekeeper.Now().Sub(h.mirror.CompleteAsOf()) > hubStaleAge {
+			return hubStaleWatchWait
+		}
 		return hubWatchWait
 	}
 	mean := maxWatchWait
@@ -85,10 +99,11 @@
 }
 
 // coalesceDelay returns how long a host waits for further changes after a change,
-// because each change ends the watches of all hosts.
+// because each change ends the watches of all hosts. The hub waits for the minimum, as
+// the other hosts do not watch and depend on its view.
 func (h *Host) coalesceDelay() time.Duration {
 	catalog := h.latestCatalog()
-	if catalog == nil {
+	if catalog == nil || h.isHub() {
 		return minCoalesceDelay
 	}
 	return min(max(minCoalesceDelay, time.Duration(catalog.FleetSize())*coalesceDelayPerHost), maxCoalesceDelay)
@@ -106,7 +121,7 @@
 func (h *Host) triggerRelists(ctx context.Context, watcher *informer.Watcher) error {
 	ticker := time.NewTicker(freshnessCheckInterval)
 	defer ticker.Stop()
-	wasFresh := true
+	wasFresh, wasHub := true, false
 	nextRelist := timekeeper.Now().Add(h.relistInterval())
 	var mismatchSince time.Time
 	for {
@@ -120,13 +135,16 @@
 			watcher.Relist()
 		}
 		wasFresh = h.viewFresh()
+		if isHub := h.isHub(); isHub != wasHub {
+			wasHub, nextRelist = isHub, now.Add(h.relistInterval())
+		}
 		switch {
 		case !h.digestMismatch():
 			mismatchSince = time.Time{}
 		case mismatchSince.IsZero():
 			mismatchSince = now
 		}
-		if (now.After(nextRelist) && !h.receivesChangesFromHub()) || (!mismatchSince.IsZero() && now.Sub(mismatchSince) > digestMismatchTolerance) {
+		if (now.After(nextRelist) && !h.receivesChangesFromHub()) || (!mismatchSince.IsZero() && now.Sub(mismatchSince) > h.mismatchTolerance()) {
 			nextRelist, mismatchSince = now.Add(h.relistInterval()), time.Time{}
 			watcher.Relist()
 		}
@@ -134,16 +152,28 @@
 }
 
 // relistInterval returns a random interval such that on average some host of the
-// fleet lists all keys once per fleetListInterval.
+// fleet lists all keys once per fleetListInterval, or the hub once per hubListInterval.
 func (h *Host) relistInterval() time.Duration {
 	hosts := 1
 	if catalog := h.latestCatalog(); catalog != nil {
 		hosts = max(1, catalog.FleetSize())
 	}
 	mean := time.Duration(hosts) * fleetListInterval
+	if h.isHub() {
+		mean = hubListInterval
+	}
 	return mean/2 + rand.N(mean)
 }
 
+// mismatchTolerance returns how long another host may hold different records before
+// this one lists all keys again.
+func (h *Host) mismatchTolerance() time.Duration {
+	if h.largeFleet() {
+		return largeFleetMismatchTolerance
+	}
+	return digestMismatchTolerance
+}
+
 // digestMismatch reports whether another host that reported recently holds
 // different records. Comparing revisions does not reveal such a difference if each
 // host has reached the revision of the other.
--- a/hoster/topology.go
+++ b/hoster/topology.go
@@ -28,6 +28,12 @@
 	return name, ok
 }
 
+// isHub reports whether this host is the hub of a large fleet.
+func (h *Host) isHub() bool {
+	name, ok := h.hub()
+	return ok && name == h.Settings.Host
+}
+
 // largeFleet reports whether the fleet is too large for exchanges between all pairs
 // of hosts.
 func (h *Host) largeFleet() bool {
--- a/overseer/lease.go
+++ b/overseer/lease.go
@@ -20,6 +20,9 @@
 	// largeFleetLeaseFactor is how many times longer leases last in a large fleet,
 	// where no decision waits for one of them to expire.
 	largeFleetLeaseFactor = 8
+	// fleetUnknownPeriod is how long after its start a host does not know whether its
+	// fleet is large, because the other hosts may be starting too.
+	fleetUnknownPeriod = 2 * time.Second
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 1200 * time.Millisecond
 )
@@ -51,7 +54,7 @@
 		o.renewLeaderLease(ctx, leaderLease.id)
 	}
 	if lease.renewalDue(o.Now()) && !o.Now().Before(retryAt) {
-		o.renewHostLease(ctx, lease, leaseTTL*o.leaseFactor())
+		o.renewHostLease(ctx, lease, o.hostLeaseTTL())
 	}
 }
 
@@ -74,6 +77,16 @@
 	return 1
 }
 
+// hostLeaseTTL returns the TTL of the host's lease. It is that of a large fleet as long
+// as the size is unknown: when a large fleet starts, replacing the leases of all hosts
+// takes two calls each and ends the watches of all of them.
+func (o *Overseer) hostLeaseTTL() time.Duration {
+	if o.Now().Sub(o.startedAt) < fleetUnknownPeriod {
+		return leaseTTL * largeFleetLeaseFactor
+	}
+	return leaseTTL * o.leaseFactor()
+}
+
 func (o *Overseer) renewLeaderLease(ctx context.Context, id storer.LeaseID) {
 	requestedAt := o.Now()
 	err := o.renew(ctx, id)
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -89,6 +89,9 @@
 	Now    func() time.Time
 	Logger *slog.Logger
 
+	// startedAt is when Run was called.
+	startedAt time.Time
+
 	mu sync.Mutex
 	// hostLease is attached to the host's key.
 	hostLease heldLease
@@ -133,6 +136,7 @@
 	o.changing, o.probeRespondedAt, o.partitionedSince = make(map[string]bool), make(map[string]time.Time), make(map[string]time.Time)
 	o.deferred, o.unreachableAt = make(map[string]bool), make(map[string]time.Time)
 	o.primaryMissingSince = make(map[string]time.Time)
+	o.startedAt = o.Now()
 	go o.evaluateLoop(ctx)
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
