Limit hosts to their share of the refill while the hub is lost

Cause: without reports of the hub each of 195 hosts went on to admit its share of a full bucket in every interval, and took nine tenths of the refill once it had dropped the former hub's report.

Change: while most hosts do not report (a hub's report counts for 450 ms), a host takes its share of the level once and then its share of the refill, with the share that it had. A report of the same hub process gives back what was withheld before it deducts what the others used.

--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -9,6 +9,9 @@
 	// reportTimeout is the age of a host's last report after which its share
 	// of the rate is deducted instead of the usage that it reported.
 	reportTimeout = 1500 * time.Millisecond
+	// hubReportTimeout replaces reportTimeout for the reports of a hub, which cover all
+	// other hosts and arrive several times in this time.
+	hubReportTimeout = 450 * time.Millisecond
 	// minReportedDemand is the demand in operations per second above which a
 	// host reports a customer.
 	minReportedDemand = 0.05
@@ -52,6 +55,9 @@
 	// maxDebt limits how long a customer waits after more operations were
 	// admitted than the bucket had tokens.
 	maxDebt = 2 * time.Second
+	// isolatedAllowance is how many operations beyond its share a host may admit at once
+	// while most hosts do not report: operations don't arrive evenly.
+	isolatedAllowance = 0.8
 	// evenShareWeight is the fraction of the rate that is split evenly among the
 	// hosts, for hosts whose demand has just begun.
 	evenShareWeight = 0.1
@@ -88,6 +94,14 @@
 	Usage map[string]Usage
 }
 
+// timeout returns the age above which the report is not used.
+func (r HostReport) timeout() time.Duration {
+	if r.Hosts > 0 {
+		return hubReportTimeout
+	}
+	return reportTimeout
+}
+
 // A FleetLimiter enforces the limits of customers across all hosts without a
 // shared counter. Each host keeps its own copy of a customer's bucket, deducts
 // its own admissions and those that the other hosts report, and between reports
@@ -106,6 +120,8 @@
 	hosts int
 	// lastSync is when the budgets were last calculated.
 	lastSync time.Time
+	// isolated is set while most hosts do not report.
+	isolated bool
 }
 
 type fleetBucket struct {
@@ -127,11 +143,16 @@
 	usedByHost   map[string]int64
 	// demandOfOthers is the sum of the demand in the last reports of all other hosts.
 	demandOfOthers float64
-	// staleDemand is the part of demandOfOthers in reports older than reportTimeout, as
+	// staleDemand is the part of demandOfOthers in reports older than their timeout, as
 	// of the last sync.
 	staleDemand float64
 	// demand is this host's demand in operations per second.
 	demand float64
+	// lastShare is this host's share of the demand when most hosts last reported.
+	lastShare float64
+	// withheld counts the tokens that others are assumed to have used while most hosts did
+	// not report.
+	withheld float64
 	// arrivals counts the operations requested on this host since the last sync.
 	arrivals float64
 }
@@ -192,6 +213,11 @@
 	}
 	previous, known := f.reports[host]
 	sameProcess := known && previous.Incarnation == report.Incarnation
+	if sameProcess && report.Hosts > 0 {
+		for _, b := range f.buckets {
+			b.restoreWithheld()
+		}
+	}
 	for name, usage := range report.Usage {
 		b, ok := f.buckets[name]
 		if !ok {
@@ -218,6 +244,9 @@
 	f.addDemand(previous, -1)
 	f.addDemand(report, 1)
 	f.reports[host] = report
+	if f.isolated {
+		f.endIsolation(f.Now())
+	}
 }
 
 // addDemand adds the demand in a report, times the sign, to that of the other hosts.
@@ -354,14 +383,35 @@
 	}
 	f.lastSync = now
 	missing := f.missingHosts(now)
+	isolated := 2*missing > f.hosts
 	for _, b := range f.buckets {
 		b.demand += (b.arrivals/elapsed - b.demand) * min(1, elapsed/fleetDemandWindow.Seconds())
 		b.arrivals = 0
 		share, unreported := f.shares(b, missing)
+		if isolated {
+			b.allocateIsolated(share, elapsed, f.hosts, !f.isolated)
+			continue
+		}
+		b.lastShare, b.withheld = share, 0
 		b.level += b.limit.Rate * elapsed * (1 - unreported)
 		b.level = min(b.level, b.limit.Burst)
 		b.allocateBudget(share, elapsed, f.hosts)
 	}
+	f.isolated = isolated
+}
+
+// endIsolation recalculates the budgets once most hosts report again.
+func (f *FleetLimiter) endIsolation(now time.Time) {
+	missing := f.missingHosts(now)
+	if 2*missing > f.hosts {
+		return
+	}
+	f.isolated = false
+	for _, b := range f.buckets {
+		share, _ := f.shares(b, missing)
+		b.lastShare, b.withheld = share, 0
+		b.allocateBudget(share, 0, f.hosts)
+	}
 }
 
 // allocateBudget sets this host's budget for the next interval. While tokens are
@@ -391,6 +441,35 @@
 	b.budget = max(0, min(max(credit, accumulated), maxBudget))
 }
 
+// allocateIsolated refills the bucket and sets this host's budget while most hosts
+// don't report. The others may admit as much as the limit allows, so this host takes
+// its share of the level once, when the isolation begins, and then no more than its
+// share of the refill. Its share does not rise meanwhile, since an overload raises the
+// demand of all hosts.
+func (b *fleetBucket) allocateIsolated(share, elapsed float64, hosts int, begins bool) {
+	if b.lastShare == 0 {
+		b.lastShare = 1 / float64(hosts)
+	}
+	share = min(share, b.lastShare)
+	if begins {
+		assumed := min(b.limit.Rate, b.demandOfOthers) * hubReportTimeout.Seconds()
+		b.level -= assumed
+		b.withheld = assumed
+		b.budget = min(b.budget, max(0, b.level)*share+isolatedAllowance)
+	}
+	refill := b.limit.Rate * elapsed
+	b.level = min(b.level+refill*share, b.limit.Burst)
+	b.withheld += refill * (1 - share)
+	b.budget = min(b.budget+refill*share, max(minBudget, b.limit.Burst*share)+isolatedAllowance)
+}
+
+// restoreWithheld puts back the tokens that were withheld since the last report of the
+// hub, which reports what the others have used in fact.
+func (b *fleetBucket) restoreWithheld() {
+	b.level = min(b.level+b.withheld, b.limit.Burst)
+	b.withheld = 0
+}
+
 // missingHosts returns the number of hosts from which there is no recent report, and
 // updates the buckets' stale demand.
 func (f *FleetLimiter) missingHosts(now time.Time) int {
@@ -399,7 +478,7 @@
 	}
 	reporting := 1
 	for _, report := range f.reports {
-		if now.Sub(report.ReceivedAt) <= reportTimeout {
+		if now.Sub(report.ReceivedAt) <= report.timeout() {
 			reporting += max(1, report.Hosts)
 			continue
 		}
