Reach fallback hubs before views expire after the loss of a hub

Change: relays are contacted from 600 ms on, connections are adapted every 100 ms, and the second exchange of a connection follows after 30 ms.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -20,6 +20,13 @@
 	// Interval is how often a host of a small fleet exchanges reports with each
 	// other host.
 	Interval = 250 * time.Millisecond
+	// reconcileInterval is how often the connections are adapted to the wanted peers. A
+	// view expires a second after its hub is lost, and is confirmed over new
+	// connections by then.
+	reconcileInterval = 100 * time.Millisecond
+	// secondExchangeDelay is the time between the first two exchanges with a host. Only
+	// the second request echoes a reply, and so shows when it was sent.
+	secondExchangeDelay = 30 * time.Millisecond
 	// callTimeout bounds one exchange. Peers reply from memory.
 	callTimeout = 600 * time.Millisecond
 	// silenceTimeout is how long a host that should initiate the exchanges may send
@@ -118,7 +125,7 @@
 
 // Run maintains a connection to each other host until ctx ends.
 func (e *Exchanger) Run(ctx context.Context) error {
-	ticker := time.NewTicker(Interval)
+	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
 	e.connections = make(map[string]*peerConnection)
 	for {
@@ -199,7 +206,11 @@
 	reachable := false
 	for ctx.Err() == nil {
 		pause := e.Pause()
+		first := conn == nil
 		revision, err := e.exchange(ctx, c, &conn, peerRevision)
+		if first && err == nil {
+			pause = min(pause, secondExchangeDelay)
+		}
 		if err != nil {
 			pause = retryInterval
 			// The next request carries no records, so the receiver must not treat
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -24,6 +24,12 @@
 }
 
 func newTestHost(t *testing.T, name string, peers func() map[string]string) *testHost {
+	t.Helper()
+	return newTestHostWithPause(t, name, peers, 20*time.Millisecond)
+}
+
+// newTestHostWithPause returns a host that pauses between two regular exchanges.
+func newTestHostWithPause(t *testing.T, name string, peers func() map[string]string, pause time.Duration) *testHost {
 	t.Helper()
 	var listenConfig net.ListenConfig
 	listener, err := listenConfig.Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -32,7 +38,7 @@
 	}
 	h := &testHost{address: listener.Addr().String(), revision: 1}
 	h.exchanger = &Exchanger{
-		Host: name, Peers: peers, MustInitiate: func(string) bool { return false }, Pause: func() time.Duration { return 20 * time.Millisecond },
+		Host: name, Peers: peers, MustInitiate: func(string) bool { return false }, Pause: func() time.Duration { return pause },
 		Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Report: func(string) Report {
 			h.mu.Lock()
@@ -171,6 +177,16 @@
 	await(t, "the end of the other process is detected", func() bool { return !a.exchanger.Reports()["b"].RefusedAt.IsZero() })
 }
 
+// TestSecondExchangeFollowsAtOnce guards against a host whose view expires after the loss of
+// its hub although it reaches another one: the other host can date a report only if it
+// echoes an earlier reply, and the next regular exchange comes too late.
+func TestSecondExchangeFollowsAtOnce(t *testing.T) {
+	b := newTestHost(t, "b", func() map[string]string { return map[string]string{"b": ""} })
+	peers := func() map[string]string { return map[string]string{"a": "", "b": b.address} }
+	newTestHostWithPause(t, "a", peers, time.Hour)
+	await(t, "the report of the initiator is dated", func() bool { return !b.exchanger.Reports()["a"].HeardAt.IsZero() })
+}
+
 // TestResponderReceivesOlderRecords guards against a responder that lacks records that
 // the initiator had before their first exchange and never receives them.
 func TestResponderReceivesOlderRecords(t *testing.T) {
--- a/hoster/relays.go
+++ b/hoster/relays.go
@@ -22,6 +22,10 @@
 	// contacted while no host confirms the freshness of the view: a host that
 	// receives reports from a majority can confirm it.
 	fallbackHubCount = 2
+	// relayViewAge is the age of the view from which relays and fallback hubs are
+	// contacted. It is above the age that a view reaches behind a working hub, and
+	// leaves time for two exchanges before the view expires.
+	relayViewAge = 600 * time.Millisecond
 	// relayPeriod is how long the same hosts are contacted.
 	relayPeriod = time.Second
 	// fallbackHubAvoidance is how long a fallback hub that did not reply is skipped.
@@ -43,8 +47,8 @@
 func (h *Host) relayNames(catalog *cataloger.Catalog) []string {
 	now := timekeeper.Now()
 	r := &h.relays
-	fresh := now.Sub(h.viewCompleteAsOf()) < freshViewAge
-	if h.viewFresh() {
+	fresh := now.Sub(h.viewCompleteAsOf()) < relayViewAge
+	if now.Sub(h.advertisedCompleteAsOf()) < relayViewAge {
 		r.names, r.fallbackHubs = nil, nil
 		return nil
 	}
--- a/hoster/topology_test.go
+++ b/hoster/topology_test.go
@@ -136,6 +136,31 @@
 	}
 }
 
+// TestRelaysBeforeExpiry guards against hosts that contact others only when their views
+// have expired after the loss of the hub, and against relays beside a working hub.
+func TestRelaysBeforeExpiry(t *testing.T) {
+	oldestBehindHub := hubWatchWait + minCoalesceDelay + hubStaleWatchWait + hubExchangeInterval
+	tests := []struct {
+		name    string
+		viewAge time.Duration
+		want    bool
+	}{
+		{name: "oldest view behind a working hub", viewAge: oldestBehindHub},
+		{name: "hub lost", viewAge: director.MaxViewAge - 2*hubExchangeInterval, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newTestHost(195)
+			h.Settings.Host = "h5"
+			h.mirror.Merge(nil, 3, timekeeper.Now().Add(-test.viewAge))
+			h.peerAddresses()
+			if got := len(h.relays.fallbackHubs) > 0; got != test.want {
+				t.Errorf("got contact with fallback hubs %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // TestFleetStaysLarge guards against a large fleet that counts as a small one, whose
 // hosts confirm freshness by reports from all others, after the store lost the
 // registrations of most hosts in an outage.
