Let few hosts of a large fleet read the store while there is no hub

Cause: when views behind a hub are no longer fresh, all 195 hosts list all keys and then watch the store: some 400 priced calls and 20 MB for each lost leader, and more while all start.

--- a/hoster/freshness.go
+++ b/hoster/freshness.go
@@ -20,8 +20,8 @@
 	// a hub: a change that one host receives takes several exchanges to reach the
 	// others.
 	hublessWatchIntervalShare = 0.03
-	// hubWatchWait is how long the hub's watch waits. The other hosts receive the
-	// changes of the hub one exchange later.
+	// hubWatchWait is how long the hub's watch waits, and that of the fallback hubs while
+	// there is no hub. The other hosts receive the changes one exchange later.
 	hubWatchWait = 300 * time.Millisecond
 	// hubStaleAge is the age of the hub's view above which its watch waits for
 	// hubStaleWatchWait only. A response with changes shows that the mirror was complete
@@ -69,7 +69,7 @@
 // from the store often enough for the whole fleet. The wait is randomized,
 // since a change ends the waits of all hosts at once.
 func (h *Host) watchWait() time.Duration {
-	if h.isHub() {
+	if h.isHub() || h.actsAsHub() {
 		if timekeeper.Now().Sub(h.mirror.CompleteAsOf()) > hubStaleAge {
 			return hubStaleWatchWait
 		}
@@ -131,7 +131,7 @@
 			return ctx.Err()
 		}
 		now := timekeeper.Now()
-		if wasFresh && !h.viewFresh() {
+		if wasFresh && !h.viewFresh() && h.readsStore() {
 			watcher.Relist()
 		}
 		wasFresh = h.viewFresh()
@@ -144,7 +144,7 @@
 		case mismatchSince.IsZero():
 			mismatchSince = now
 		}
-		if (now.After(nextRelist) && !h.receivesChangesFromHub()) || (!mismatchSince.IsZero() && now.Sub(mismatchSince) > h.mismatchTolerance()) {
+		if (now.After(nextRelist) && h.readsStore()) || (!mismatchSince.IsZero() && now.Sub(mismatchSince) > h.mismatchTolerance()) {
 			nextRelist, mismatchSince = now.Add(h.relistInterval()), time.Time{}
 			watcher.Relist()
 		}
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -99,7 +99,7 @@
 	watcher := informer.NewWatcher()
 	watcher.Store, watcher.Mirror, watcher.Prefix = h.Platform.Store, h.mirror, h.Platform.StorePrefix
 	watcher.Wait, watcher.Now, watcher.Logger = h.watchWait, timekeeper.Now, h.Logger
-	watcher.Suspended, watcher.CoalesceDelay, watcher.MaxBackoff = h.receivesChangesFromHub, h.coalesceDelay, h.maxStoreBackoff
+	watcher.Suspended, watcher.CoalesceDelay, watcher.MaxBackoff = func() bool { return !h.readsStore() }, h.coalesceDelay, h.maxStoreBackoff
 	add(watcher.Run)
 	add(func(ctx context.Context) error { return h.triggerRelists(ctx, watcher) })
 	add(h.buildCatalogs)
