Collect usage at a fallback hub while the hub is silent

Change: the fallback hub that a host contacts first collects and reports usage until the hub is heard again; a host accepts usage from one such host only. A host that hears neither admits at least one operation at once.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -114,6 +114,13 @@
 	return peers
 }
 
+// ReceivedAt returns when the last report of a host was received, or the zero time.
+func (e *Exchanger) ReceivedAt(name string) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers[name].ReceivedAt
+}
+
 // Serve replies to exchanges on the listener until ctx ends.
 func (e *Exchanger) Serve(ctx context.Context, listener net.Listener) error {
 	mux := drpcmux.New()
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -66,6 +66,9 @@
 	overseer    *overseer.Overseer
 	changed     chan struct{}
 	relays      relays
+	// fallbackHub is the name of the fallback hub that this host contacts first, nil if
+	// it contacts none.
+	fallbackHub atomic.Pointer[string]
 	stopping    atomic.Bool
 
 	// mu guards the fields below. While it is held, no lock but the mirror's is
--- a/hoster/relays.go
+++ b/hoster/relays.go
@@ -45,6 +45,7 @@
 
 // relayNames returns the hosts to contact in addition to the hub.
 func (h *Host) relayNames(catalog *cataloger.Catalog) []string {
+	defer h.publishFallbackHub()
 	now := timekeeper.Now()
 	r := &h.relays
 	fresh := now.Sub(h.viewCompleteAsOf()) < relayViewAge
@@ -64,6 +65,17 @@
 	return present
 }
 
+// publishFallbackHub makes the fallback hub that this host contacts first known to other
+// goroutines.
+func (h *Host) publishFallbackHub() {
+	if len(h.relays.fallbackHubs) == 0 {
+		h.fallbackHub.Store(nil)
+		return
+	}
+	name := h.relays.fallbackHubs[0]
+	h.fallbackHub.Store(&name)
+}
+
 // choose picks relays at random, and adds the fallback hubs if requested: the hosts
 // of the largest capacity, in an order that is the same on all hosts, without those
 // that did not reply recently.
--- a/hoster/topology.go
+++ b/hoster/topology.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/endiveturn/endiveturn/exchanger"
+	"github.com/endiveturn/endiveturn/limiter"
 	"github.com/endiveturn/endiveturn/overseer"
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // allHostsSuffix is appended to the hub's name for the usage that it reports for all
@@ -82,13 +84,33 @@
 	return ok && name == hub || slices.Contains(h.relays.names, name)
 }
 
-// acceptsUsage reports whether the usage in a report counts on this host. In a large
-// fleet the hub collects the usage of every host and reports it to the others.
+// aggregator returns the name of the host that collects the usage of the customers'
+// rate limits in a large fleet and reports it to the others: the hub or, while the hub
+// is silent, the fallback hub that this host contacts first.
+func (h *Host) aggregator() (name string, ok bool) {
+	name, ok = h.hub()
+	if ok && (name == h.Settings.Host || timekeeper.Now().Sub(h.exchanger.ReceivedAt(name)) < limiter.HubReportTimeout) {
+		return name, true
+	}
+	if fallback := h.fallbackHub.Load(); fallback != nil {
+		return *fallback, true
+	}
+	return name, ok
+}
+
+// aggregates reports whether this host is the aggregator, as far as it knows.
+func (h *Host) aggregates() bool {
+	name, ok := h.aggregator()
+	return ok && name == h.Settings.Host
+}
+
+// acceptsUsage reports whether the usage in a report counts on this host: in a large
+// fleet, that of every host on the aggregator, and that of the aggregator elsewhere.
 func (h *Host) acceptsUsage(report exchanger.Report) bool {
 	if !h.largeFleet() {
 		return true
 	}
-	name, ok := h.hub()
+	name, ok := h.aggregator()
 	return ok && (name == h.Settings.Host || name == report.Host)
 }
 
@@ -106,9 +128,12 @@
 // and the number of hosts that it covers.
 func (h *Host) usages(receiver string) (usages map[string]exchanger.Usage, hosts int) {
 	usageByCustomer := h.limits.Usage()
-	if name, ok := h.hub(); ok && name == h.Settings.Host && receiver != "" {
+	if h.largeFleet() && receiver != "" && h.aggregates() {
 		usageByCustomer = h.limits.UsageOfOthers(receiver)
-		hosts = h.latestCatalog().FleetSize() - 1
+		hosts = h.limits.ReportingHosts()
+		if h.isHub() {
+			hosts = h.latestCatalog().FleetSize() - 1
+		}
 	}
 	usages = make(map[string]exchanger.Usage, len(usageByCustomer))
 	for customer, usage := range usageByCustomer {
@@ -125,9 +150,9 @@
 		return
 	}
 	keep := make(map[string]bool)
-	name, ok := h.hub()
+	name, ok := h.aggregator()
 	switch {
-	case ok && name != h.Settings.Host:
+	case ok && name != h.Settings.Host && catalog.IsLargeFleet():
 		keep[name+allHostsSuffix] = true
 	default:
 		for host := range catalog.Hosts {
--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -9,9 +9,9 @@
 	// reportTimeout is the age of a host's last report after which its share
 	// of the rate is deducted instead of the usage that it reported.
 	reportTimeout = 1500 * time.Millisecond
-	// hubReportTimeout replaces reportTimeout for the reports of a hub, which cover all
-	// other hosts and arrive several times in this time.
-	hubReportTimeout = 450 * time.Millisecond
+	// HubReportTimeout replaces reportTimeout for reports that cover all other hosts. They
+	// arrive several times in this time.
+	HubReportTimeout = 450 * time.Millisecond
 	// minReportedDemand is the demand in operations per second above which a
 	// host reports a customer.
 	minReportedDemand = 0.05
@@ -56,8 +56,9 @@
 	// admitted than the bucket had tokens.
 	maxDebt = 2 * time.Second
 	// isolatedAllowance is how many operations beyond its share a host may admit at once
-	// while most hosts do not report: operations don't arrive evenly.
-	isolatedAllowance = 0.8
+	// while most hosts do not report: operations don't arrive evenly, and the share of a
+	// customer with a low rate is below one operation.
+	isolatedAllowance = 1
 	// evenShareWeight is the fraction of the rate that is split evenly among the
 	// hosts, for hosts whose demand has just begun.
 	evenShareWeight = 0.1
@@ -97,7 +98,7 @@
 // timeout returns the age above which the report is not used.
 func (r HostReport) timeout() time.Duration {
 	if r.Hosts > 0 {
-		return hubReportTimeout
+		return HubReportTimeout
 	}
 	return reportTimeout
 }
@@ -300,6 +301,21 @@
 	return usage
 }
 
+// ReportingHosts returns the number of other hosts from which there is a recent report of
+// their own usage.
+func (f *FleetLimiter) ReportingHosts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	count := 0
+	for _, report := range f.reports {
+		if report.Hosts == 0 && now.Sub(report.ReceivedAt) <= report.timeout() {
+			count++
+		}
+	}
+	return count
+}
+
 // RetainReports removes the reports of hosts that no longer exchange reports with
 // this one, which are those that are not in keep.
 func (f *FleetLimiter) RetainReports(keep map[string]bool) {
@@ -452,7 +468,7 @@
 	}
 	share = min(share, b.lastShare)
 	if begins {
-		assumed := min(b.limit.Rate, b.demandOfOthers) * hubReportTimeout.Seconds()
+		assumed := min(b.limit.Rate, b.demandOfOthers) * HubReportTimeout.Seconds()
 		b.level -= assumed
 		b.withheld = assumed
 		b.budget = min(b.budget, max(0, b.level)*share+isolatedAllowance)
