--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -18,6 +18,7 @@
 
 	"github.com/endiveturn/endiveturn/configurer"
 	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // Defaults for fields of Acceptor that are zero.
@@ -204,7 +205,7 @@
 			// The usual cause is that the process has run out of file
 			// descriptors; the delay allows some connections to end.
 			a.Logger.Warn("client_accept_failed", "error", err)
-			sleepContext(ctx, acceptRetryDelay)
+			timekeeper.Sleep(ctx, acceptRetryDelay)
 		}
 	}
 }
@@ -212,15 +213,6 @@
 // acceptRetryDelay is the delay after a failed accept.
 const acceptRetryDelay = 50 * time.Millisecond
 
-func sleepContext(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // startConnection starts serving nc, or closes it if the acceptor is draining.
 func (a *Acceptor) startConnection(ctx context.Context, nc net.Conn) {
 	c := &connection{acceptor: a, conn: nc, status: statusIdle, startedAt: a.Now()}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // Sentinel errors of a pool.
@@ -176,7 +177,7 @@
 		if conn == nil {
 			conn, err := p.dial(ctx, customer, deadline)
 			mayRetry := errors.Is(err, ErrTooManyConnections) && p.Now().Add(fullRetryDelay).Before(deadline)
-			if mayRetry && sleep(ctx, fullRetryDelay) {
+			if mayRetry && timekeeper.Sleep(ctx, fullRetryDelay) {
 				continue
 			}
 			return conn, err
@@ -188,18 +189,6 @@
 	}
 }
 
-// sleep waits for d and reports whether the context has not ended meanwhile.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (p *Pool) usable(conn *Conn) bool {
 	return p.Now().Sub(conn.returnedAt) < livenessCheckAge || conn.Alive()
 }
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 const (
@@ -56,7 +57,7 @@
 	err := c.replacePrimary(ctx)
 	if err != nil {
 		o.Logger.Warn("primary_change_failed", "service", c.service, "reason", string(c.reason), "error", err.Error(), "took", o.Now().Sub(began))
-		sleep(ctx, evaluateInterval)
+		timekeeper.Sleep(ctx, evaluateInterval)
 		return
 	}
 	o.Logger.Info("primary_change_done", "service", c.service, "to", c.assignment.ID, "reason", string(c.reason),
@@ -187,7 +188,7 @@
 			}
 			return nil
 		}
-		if !sleep(ctx, pollInterval) {
+		if !timekeeper.Sleep(ctx, pollInterval) {
 			return ctx.Err()
 		}
 	}
@@ -273,7 +274,7 @@
 		if !former.Reachable || !ahead(former, candidate) || o.Now().After(deadline) {
 			return candidate, nil
 		}
-		sleep(ctx, 2*pollInterval)
+		timekeeper.Sleep(ctx, 2*pollInterval)
 	}
 }
 
@@ -300,7 +301,7 @@
 		if err == nil && status.Primary {
 			return status.Term, nil
 		}
-		if !sleep(ctx, pollInterval) {
+		if !timekeeper.Sleep(ctx, pollInterval) {
 			return 0, ctx.Err()
 		}
 	}
@@ -324,18 +325,6 @@
 		if err == nil {
 			return
 		}
-		sleep(ctx, time.Second)
-	}
-}
-
-// sleep waits for d and reports whether it did so before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+		timekeeper.Sleep(ctx, time.Second)
 	}
 }
--- a/promoter/fake_test.go
+++ b/promoter/fake_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 var errFakeDown = errors.New("fake database down")
@@ -82,7 +84,7 @@
 func (g *fakeGroup) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		g.replicate()
-		sleep(ctx, time.Millisecond)
+		timekeeper.Sleep(ctx, time.Millisecond)
 	}
 }
 
--- a/promoter/faults_test.go
+++ b/promoter/faults_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // faultSeeds is the number of random runs; each takes about 20 s of virtual
@@ -78,7 +79,7 @@
 		runCtx, cancel := context.WithTimeout(ctx, time.Second+time.Duration(rng.Int64N(int64(4*time.Second))))
 		_ = w.Run(runCtx)
 		cancel()
-		sleep(ctx, time.Duration(rng.Int64N(int64(500*time.Millisecond))))
+		timekeeper.Sleep(ctx, time.Duration(rng.Int64N(int64(500*time.Millisecond))))
 	}
 }
 
--- a/promoter/poller.go
+++ b/promoter/poller.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // runPollers runs one poller per configured database until ctx ends.
@@ -91,7 +93,7 @@
 			return nil
 		}
 		w.markUnreachable(member, err)
-		sleep(ctx, jitter(stepInterval))
+		timekeeper.Sleep(ctx, jitter(stepInterval))
 		return nil
 	}
 	return admin
@@ -109,19 +111,7 @@
 		interval = confirmPollInterval
 	}
 	w.mu.Unlock()
-	sleep(ctx, interval-w.Now().Sub(sentAt))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	timekeeper.Sleep(ctx, interval-w.Now().Sub(sentAt))
 }
 
 func (w *Watcher) recordStatus(name string, status Status, sentAt time.Time) {
--- a/server/forwarder.go
+++ b/server/forwarder.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 const (
@@ -99,7 +100,7 @@
 			"host", e.host, "reason", refusal.Message)
 		e.forwarder.countEvent("repeated")
 		_ = e.Close()
-		sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
+		timekeeper.Sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
 		batch.Timeout = max(time.Millisecond, batchDeadline.Sub(e.forwarder.now()))
 	}
 }
@@ -188,12 +189,3 @@
 	c.written += int64(n)
 	return n, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/soaker/audit.go
+++ b/soaker/audit.go
@@ -6,6 +6,8 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // Statements of the audit.
@@ -33,7 +35,7 @@
 func (c *client) allRows(ctx context.Context) ([]Row, error) {
 	for {
 		rows, err := c.readRows(ctx)
-		if err == nil || !sleep(ctx, retryInterval) {
+		if err == nil || !timekeeper.Sleep(ctx, retryInterval) {
 			return rows, err
 		}
 	}
--- a/soaker/client.go
+++ b/soaker/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 const (
@@ -78,7 +79,7 @@
 		if c.backOff {
 			pause, c.backOff = connectPause, false
 		}
-		sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(pause)))
+		timekeeper.Sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(pause)))
 	}
 }
 
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 const (
@@ -252,7 +254,7 @@
 		case code == exitUnconfirmed:
 			return false, nil
 		}
-		if !sleep(ctx, retryInterval) {
+		if !timekeeper.Sleep(ctx, retryInterval) {
 			return false, errors.New("publication did not succeed in time")
 		}
 	}
@@ -285,13 +287,3 @@
 	}
 	return code, output, nil
 }
-
-// sleep waits for d. It returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/soaker/injector.go
+++ b/soaker/injector.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // Names of the targets of incidents.
@@ -20,7 +22,7 @@
 	start := time.Now()
 	var active sync.WaitGroup
 	for _, fault := range schedule {
-		if !sleep(ctx, time.Until(start.Add(fault.Start))) {
+		if !timekeeper.Sleep(ctx, time.Until(start.Add(fault.Start))) {
 			break
 		}
 		active.Go(func() {
@@ -29,7 +31,7 @@
 			s.logger.Info("fault_healed", "fault", fault.String())
 		})
 	}
-	sleep(ctx, time.Until(start.Add(s.Duration)))
+	timekeeper.Sleep(ctx, time.Until(start.Add(s.Duration)))
 	active.Wait()
 }
 
@@ -90,7 +92,7 @@
 		s.takeOut(ctx, databaseName(fault.Database), fault.Length)
 		return
 	}
-	sleep(ctx, fault.Length)
+	timekeeper.Sleep(ctx, fault.Length)
 }
 
 // partition disturbs the links between a host and all others.
@@ -125,7 +127,7 @@
 	if !ended {
 		s.history.Report(stopTimedOut, "%s did not end within %v of SIGTERM", h.name, hostStopTimeout+stopGrace)
 	}
-	sleep(ctx, length)
+	timekeeper.Sleep(ctx, length)
 	s.restart(h, restart)
 }
 
@@ -204,7 +206,7 @@
 		lift = s.history.Forbid(subject, time.Now().Add(banDelay), holds)
 	}
 	s.logger.Info("subject_forbidden", "subject", subject, "began", began, "confirmed", confirmed)
-	sleep(ctx, banDelay+length)
+	timekeeper.Sleep(ctx, banDelay+length)
 	lift(time.Now())
 	if _, err := s.fleet.publishUntilDone(ctx, func() { set(false) }); err != nil {
 		s.history.Report(notPublished, "reversal of %s: %v", subject, err)
--- a/soaker/operations.go
+++ b/soaker/operations.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // Statements of clients.
@@ -200,7 +202,7 @@
 			return RolledBack, step.sql + ": " + err.Error()
 		}
 		if c.rng.IntN(4) == 0 {
-			sleep(ctx, time.Duration(c.rng.IntN(30))*time.Millisecond)
+			timekeeper.Sleep(ctx, time.Duration(c.rng.IntN(30))*time.Millisecond)
 		}
 	}
 	tag, err := conn.Exec(ctx, end)
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -17,6 +17,8 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 const (
@@ -200,7 +202,7 @@
 				if err == nil {
 					break
 				}
-				if !sleep(ctx, retryInterval) {
+				if !timekeeper.Sleep(ctx, retryInterval) {
 					return errors.Wrapf(err, "%s does not serve key %s", h.name, k.key)
 				}
 			}
--- a/storer/call.go
+++ b/storer/call.go
@@ -7,6 +7,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // maxAttempts bounds the attempts of an idempotent call.
@@ -33,7 +35,7 @@
 		if err == nil || outcomeKnown(err) || policy == noRetry || attempt == maxAttempts {
 			return err
 		}
-		if !c.takeRetry() || !sleep(ctx, backOff.NextBackOff()) {
+		if !c.takeRetry() || !timekeeper.Sleep(ctx, backOff.NextBackOff()) {
 			return err
 		}
 	}
@@ -79,18 +81,6 @@
 	return b
 }
 
-// sleep waits for d, and reports false if ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 const (
 	// retryBurst and retryRate limit the retries of a client, so that retries
 	// do not prevent an overloaded store from recovering.
