--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -63,7 +63,8 @@
 func primaryHealths(observed map[string]director.PrimaryHealth) map[string]exchanger.PrimaryHealth {
 	healths := make(map[string]exchanger.PrimaryHealth)
 	for service, health := range observed {
-		if !(overseer.Observation{SinceSuccess: health.SinceSuccess, SinceFailure: health.SinceFailure}).IsRelevant() {
+		observation := overseer.Observation{SinceSuccess: health.SinceSuccess, SinceFailure: health.SinceFailure}
+		if !observation.IsRelevant() {
 			continue
 		}
 		healths[service] = exchanger.PrimaryHealth{
