--- a/promoter/watcher_test.go
+++ b/promoter/watcher_test.go
@@ -50,7 +50,7 @@
 }
 
 // TestPrimaryFailover guards against a failover that does not happen, exceeds its
-// time limit or loses a confirmed write, for each way in which a primary can fail.
+// limit or loses a confirmed write, for each way in which a primary can fail.
 func TestPrimaryFailover(t *testing.T) {
 	tests := []struct {
 		name   string
