--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -87,7 +87,7 @@
 func TestFleetKeepsLimitUnderOverload(t *testing.T) {
 	const (
 		hosts         = 9
-		window        = 5 * time.Second
+		window        = quotaWindow
 		overage       = 0.1
 		slack         = 20
 		overloadStart = 3 * time.Second
@@ -140,7 +140,7 @@
 				admitted = append(admitted, count)
 			}
 			maxAdmitted := (test.limit.Rate*window.Seconds()+test.limit.Burst)*(1+overage) + slack
-			if got := maxWindowSum(admitted, int(window/modelStep)); float64(got) > maxAdmitted {
+			if got := maxWindowSum(admitted); float64(got) > maxAdmitted {
 				t.Errorf("admitted %d in %v, want at most %.0f", got, window, maxAdmitted)
 			}
 			if got, want := refusedAfter, attemptedAfter/20; got > want {
@@ -184,7 +184,7 @@
 		used = append(used, count)
 	}
 	maxUsed := (limit.Rate*5+limit.Burst)*1.1 + 20
-	if got := maxWindowSum(used, 500); float64(got) > maxUsed {
+	if got := maxWindowSum(used); float64(got) > maxUsed {
 		t.Errorf("used %d in 5s, want at most %.0f", got, maxUsed)
 	}
 }
@@ -281,8 +281,14 @@
 	}
 }
 
-// maxWindowSum returns the largest sum of window consecutive counts.
-func maxWindowSum(counts []int, window int) int {
+// quotaWindow is the time in which a customer may use no more than its limit, with some
+// overage.
+const quotaWindow = 5 * time.Second
+
+// maxWindowSum returns the largest sum of the counts in a window, where each count is that
+// of one step of a model.
+func maxWindowSum(counts []int) int {
+	const window = int(quotaWindow / modelStep)
 	most, sum := 0, 0
 	for i, c := range counts {
 		sum += c
@@ -365,7 +371,7 @@
 				t.Errorf("admitted %.0f of %d on the hosts with little demand, want at least %.0f", got, attemptedLight, want)
 			}
 			maxAdmitted := test.limit.Rate*5 + test.limit.Burst
-			if got := maxWindowSum(admitted, 500); float64(got) > maxAdmitted {
+			if got := maxWindowSum(admitted); float64(got) > maxAdmitted {
 				t.Errorf("admitted %d in 5s, want at most %.0f", got, maxAdmitted)
 			}
 		})
--- a/limiter/hub_test.go
+++ b/limiter/hub_test.go
@@ -123,7 +123,7 @@
 				admitted = append(admitted, count)
 			}
 			most := (limit.Rate*5+limit.Burst)*1.1 + 20
-			if got := maxWindowSum(admitted, int(5*time.Second/modelStep)); float64(got) > most {
+			if got := maxWindowSum(admitted); float64(got) > most {
 				t.Errorf("got %d operations in 5 s, want at most %.0f", got, most)
 			}
 			if got := float64(refused) / float64(requested); got > test.maxRefused {
