--- a/configurer/publisher_store.go
+++ b/configurer/publisher_store.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endiveturn/endiveturn/storer"
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // writeChunks writes the encoded configuration under keys that no other
@@ -163,12 +164,5 @@
 	d := time.Duration(b.random() % uint64(b.limit))
 	b.limit = min(2*b.limit, maxBackoff)
 	b.count++
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timekeeper.Sleep(ctx, d)
 }
