Log and count what the mirror ignores, and the era of the store

The client of the platform's store now reads Store-Era; the watcher logs store_restored and store_list_ignored, the mirror reports records that differ at the same revision, and two metrics show both. No decision changes.

--- a/hoster/count.go
+++ b/hoster/count.go
@@ -19,6 +19,7 @@
 		gometrics.GetOrRegisterCounter("store_calls."+operation+"."+outcome, registry).Inc(1)
 	}
 	return storer.KeyValueStore{
+		Era: store.Era,
 		List: func(ctx context.Context, prefix, after string) (storer.Page, error) {
 			page, err := store.List(ctx, prefix, after)
 			count("list", err)
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -140,7 +140,7 @@
 	h.started = timekeeper.Now()
 	h.Platform.Store = countCalls(h.Platform.Store, h.Registry)
 	h.changed = make(chan struct{}, 1)
-	h.mirror = &informer.Mirror{Now: timekeeper.Now, OnChange: h.notifyChange, InDigest: h.Platform.IsExternalKey}
+	h.mirror = &informer.Mirror{Now: timekeeper.Now, OnChange: h.notifyChange, InDigest: h.Platform.IsExternalKey, OnConflict: h.reportConflict}
 	h.recentHosts = make(recentHosts)
 	h.limits = limiter.NewFleetLimiter(timekeeper.Now)
 	h.director = &director.Director{
--- a/hoster/refresh.go
+++ b/hoster/refresh.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/timekeeper"
 )
@@ -25,6 +27,13 @@
 	}
 }
 
+// reportConflict reports that the mirror ignored a record which differs from the one
+// that it holds at the same revision.
+func (h *Host) reportConflict(key string, revision int64) {
+	gometrics.GetOrRegisterCounter("records_conflicting", h.Registry).Inc(1)
+	h.Logger.Warn("record_conflicts", "key", key, "revision", revision)
+}
+
 // latestCatalog returns the latest catalog, or nil.
 func (h *Host) latestCatalog() *cataloger.Catalog {
 	h.mu.Lock()
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -68,6 +68,7 @@
 	set("log_lines_dropped", h.Writer.Dropped())
 	set("view_age_ms", timekeeper.Now().Sub(h.viewCompleteAsOf()).Milliseconds())
 	set("store_revision", h.mirror.Revision())
+	set("store_era", h.Platform.Store.Era())
 	if catalog := h.latestCatalog(); catalog != nil {
 		set("hosts", int64(len(catalog.Hosts)))
 		if catalog.Configuration != nil {
--- a/informer/mirror.go
+++ b/informer/mirror.go
@@ -4,6 +4,7 @@
 package informer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"hash/fnv"
 	"sort"
@@ -30,6 +31,10 @@
 	Deleted  bool
 }
 
+func (r Record) equal(other Record) bool {
+	return r.Deleted == other.Deleted && bytes.Equal(r.Value, other.Value)
+}
+
 // A Mirror is a local copy of the store's keys. It is safe for concurrent use.
 type Mirror struct {
 	// Now returns a monotonic time that includes the time the machine is suspended.
@@ -38,6 +43,9 @@
 	OnChange func()
 	// InDigest reports whether a key counts for Digest.
 	InDigest func(key string) bool
+	// OnConflict is called, with locks held, when a record is ignored although it
+	// differs from the one that the mirror holds at the same revision. It may be nil.
+	OnConflict func(key string, revision int64)
 
 	mu      sync.Mutex
 	records map[string]Record
@@ -92,12 +100,13 @@
 
 // Replace replaces the records by the listed entries of the store. The list was
 // requested at requestedAt, and its first page was read at revision. Records that
-// are known to be newer stay.
-func (m *Mirror) Replace(entries []storer.Entry, revision int64, requestedAt time.Time) {
+// are known to be newer stay. Replace reports whether it used the list: one that is
+// older than the mirror is ignored.
+func (m *Mirror) Replace(entries []storer.Entry, revision int64, requestedAt time.Time) bool {
 	m.mu.Lock()
 	if m.loaded && revision < m.revision {
 		m.mu.Unlock()
-		return
+		return false
 	}
 	records := make(map[string]Record, len(entries))
 	for _, entry := range entries {
@@ -120,6 +129,7 @@
 	m.listedRevision = revision
 	m.advance(revision, requestedAt)
 	m.unlockAndNotify(true)
+	return true
 }
 
 // Apply applies changes that make the mirror complete up to revision as of
@@ -161,6 +171,9 @@
 func (m *Mirror) mergeRecord(record Record) bool {
 	old, ok := m.records[record.Key]
 	if ok && old.Revision >= record.Revision {
+		if old.Revision == record.Revision && !old.equal(record) && m.OnConflict != nil {
+			m.OnConflict(record.Key, record.Revision)
+		}
 		return false
 	}
 	if !ok && record.Revision <= m.listedRevision {
--- a/informer/watcher.go
+++ b/informer/watcher.go
@@ -59,6 +59,8 @@
 	backoff time.Duration
 	// unavailable is set between a failed call and the next successful one.
 	unavailable bool
+	// era is the era of the store at the last successful call.
+	era int64
 }
 
 // NewWatcher returns a Watcher whose exported fields still have to be set.
@@ -118,7 +120,9 @@
 		after = page.Entries[len(page.Entries)-1].Key
 	}
 	w.recordSuccess()
-	w.Mirror.Replace(entries, revision, requestedAt)
+	if !w.Mirror.Replace(entries, revision, requestedAt) {
+		w.Logger.Warn("store_list_ignored", "revision", revision, "mirror_revision", w.Mirror.Revision())
+	}
 	w.Logger.Debug("store_listed", "keys", len(entries), "revision", revision)
 	return revision, nil
 }
@@ -217,8 +221,16 @@
 	}
 }
 
+// recordSuccess ends the backoff, and logs the end of an outage and a restore of the
+// store.
 func (w *Watcher) recordSuccess() {
 	w.backoff = 0
+	if era := w.Store.Era(); era != w.era {
+		if w.era != 0 {
+			w.Logger.Warn("store_restored", "era", era, "former_era", w.era, "mirror_revision", w.Mirror.Revision())
+		}
+		w.era = era
+	}
 	if w.unavailable {
 		w.unavailable = false
 		w.Logger.Info("dependency_regained", "dependency", "store")
--- a/informer/watcher_test.go
+++ b/informer/watcher_test.go
@@ -101,7 +101,7 @@
 func startWatcher(t *testing.T, s *fakeStore) (*Watcher, *Mirror) {
 	t.Helper()
 	w := NewWatcher()
-	w.Store = storer.KeyValueStore{List: s.list, Changes: s.watch}
+	w.Store = storer.KeyValueStore{List: s.list, Changes: s.watch, Era: func() int64 { return 1 }}
 	w.Mirror = &Mirror{Now: time.Now}
 	w.Wait = func() time.Duration { return 10 * time.Second }
 	w.MaxBackoff = func() time.Duration { return 800 * time.Millisecond }
--- a/storer/key_value_store.go
+++ b/storer/key_value_store.go
@@ -67,6 +67,10 @@
 	Renew func(ctx context.Context, lease LeaseID) error
 	// Revoke ends a lease and deletes its keys.
 	Revoke func(ctx context.Context, lease LeaseID) error
+	// Era returns the latest era that a response has carried. It rises by one each
+	// time the store comes back from an older copy, without what it acknowledged
+	// since that copy, and gives out revisions again.
+	Era func() int64
 }
 
 // A ConflictError is an ErrConflict with the current entry of the key.
