Order the store's changes over all its eras

Cause: the mirror orders lists and records by revision. A store that comes back from an older copy gives revisions out again, so hosts ignored its lists and every record up to the revision that they had; a new configuration was never in force.

A watch or a condition from an earlier era does not hold in a later one. A mirror that moves to a later era through another host deletes what that host does not have; lists that mix two eras are repeated.

--- a/informer/mirror.go
+++ b/informer/mirror.go
@@ -146,10 +146,15 @@
 }
 
 // Merge merges the records of another host, whose mirror is complete up to revision
-// as of completeAsOf.
+// as of completeAsOf. The records of a host in a later era are all that it has, because
+// their revisions are later than any of this mirror.
 func (m *Mirror) Merge(records []Record, revision int64, completeAsOf time.Time) {
 	m.mu.Lock()
 	changed := false
+	if m.loaded && storer.EraOf(revision) > storer.EraOf(m.revision) {
+		m.deleteEarlierEras(records, revision)
+		changed = true
+	}
 	for _, record := range records {
 		changed = m.mergeRecord(record) || changed
 	}
@@ -176,7 +181,7 @@
 		}
 		return false
 	}
-	if !ok && record.Revision <= m.listedRevision {
+	if !ok && (record.Revision <= m.listedRevision || storer.EraOf(record.Revision) < storer.EraOf(m.revision)) {
 		// A host that did not receive the deletion still sends the old record.
 		return false
 	}
@@ -191,6 +196,23 @@
 	return true
 }
 
+// deleteEarlierEras deletes the records of earlier eras than that of revision, except
+// those with the keys of the given records, which replace them.
+func (m *Mirror) deleteEarlierEras(replacements []Record, revision int64) {
+	replaced := make(map[string]bool, len(replacements))
+	for _, record := range replacements {
+		replaced[record.Key] = true
+	}
+	for key, old := range m.records {
+		if replaced[key] || old.Deleted || storer.EraOf(old.Revision) >= storer.EraOf(revision) {
+			continue
+		}
+		m.records[key] = Record{Key: key, Revision: storer.JoinRevision(storer.EraOf(revision), 0), Deleted: true}
+		m.deletionTimes()[key] = m.Now()
+	}
+	m.digestValid = false
+}
+
 func (m *Mirror) advance(revision int64, completeAsOf time.Time) {
 	m.revision = max(m.revision, revision)
 	if completeAsOf.After(m.completeAsOf) {
--- a/informer/watcher.go
+++ b/informer/watcher.go
@@ -113,6 +113,9 @@
 		if after == "" {
 			revision = page.Revision
 		}
+		if storer.EraOf(page.Revision) != storer.EraOf(revision) {
+			return 0, errRelist
+		}
 		entries = append(entries, page.Entries...)
 		if !page.More || len(page.Entries) == 0 {
 			break
--- a/storer/key_value_store.go
+++ b/storer/key_value_store.go
@@ -13,7 +13,7 @@
 	// nothing was changed.
 	ErrConflict = errors.New("revision has changed")
 	// ErrCompacted reports that the requested part of the history was
-	// compacted.
+	// compacted, or belongs to an earlier era.
 	ErrCompacted = errors.New("history compacted")
 	// ErrRejected reports that the store rejected the call without executing it.
 	ErrRejected = errors.New("store rejected the call")
@@ -46,7 +46,8 @@
 }
 
 // A KeyValueStore is a key-value service that numbers the changes of all its keys
-// with a single revision and serves its history by revision. Its functions must be
+// with a single revision and serves its history by revision. Its revisions are those of
+// JoinRevision: they rise also when the service comes back from an older copy. Its functions must be
 // set before first use. Their errors wrap the sentinels of this package; after an
 // error that is neither ErrRejected nor a response of the store, the outcome of the
 // call is unknown.
@@ -67,9 +68,9 @@
 	Renew func(ctx context.Context, lease LeaseID) error
 	// Revoke ends a lease and deletes its keys.
 	Revoke func(ctx context.Context, lease LeaseID) error
-	// Era returns the latest era that a response has carried. It rises by one each
-	// time the store comes back from an older copy, without what it acknowledged
-	// since that copy, and gives out revisions again.
+	// Era returns the latest era that a response has carried. It rises each time the
+	// store comes back from an older copy, without what it acknowledged since that
+	// copy.
 	Era func() int64
 }
 
