End leadership with the era of the store

Cause: leadership, its fencing token and a host's registration rest on what the store acknowledged. A store that comes back from an older copy has lost leases, or restores those of a former leader; another host could lead while the former leader acted until its own clock ended its lease, and a restored lease renewed by a host without a key left that host unknown.

Change: a leader resigns as soon as any response shows another era, and no host campaigns in a new era until each lease of the former one has expired; only a leader whose own lease is still valid may do so at once. Hosts register again once per era.

The new tests fail without the wait (TestNoCampaignWhileFormerLeaderMayAct), without the resignation (TestLeadershipEndsWithEra) and without the registration (TestHostRegistersAgainAfterRestore).

--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,6 +41,9 @@
 	endpoints  []cataloger.Endpoint
 	evacuated  map[string]bool
 
+	// era is the era of the store.
+	era int64
+
 	mirror   *informer.Mirror
 	overseer *Overseer
 }
@@ -65,10 +70,10 @@
 		},
 	}
 	env.mirror = &informer.Mirror{Now: time.Now}
-	env.mirror.Replace(nil, env.revision, time.Now())
+	env.listStore()
 	env.overseer = &Overseer{
 		Host: cataloger.Host{Name: "h1", Incarnation: "i1"}, Mirror: env.mirror, Catalog: env.catalog,
-		Store:   storer.KeyValueStore{Write: env.write, Grant: env.grant, Renew: env.renew, Revoke: env.revoke},
+		Store:   storer.KeyValueStore{Write: env.write, Grant: env.grant, Renew: env.renew, Revoke: env.revoke, Era: env.currentEra},
 		Members: env.otherMembers, Self: env.self, TriggerExchanges: func() {}, Status: env.status, Demote: env.demote, Promote: env.promote,
 		MaxViewAge: time.Second, HasQuorum: func(func(string) bool) bool { return true }, RecentlyStarted: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
@@ -92,6 +97,37 @@
 	synctest.Wait()
 }
 
+// listStore makes the mirror list all keys of the store.
+func (env *testEnv) listStore() {
+	env.mu.Lock()
+	entries := slices.Collect(maps.Values(env.entries))
+	revision := storer.JoinRevision(env.era, env.revision)
+	env.mu.Unlock()
+	env.mirror.Replace(entries, revision, time.Now())
+}
+
+// restore brings the store back in the next era from a copy of entries, which have the
+// revisions of the copy.
+func (env *testEnv) restore(entries map[string]storer.Entry, revision int64) {
+	env.update(func() {
+		env.era++
+		env.revision = revision
+		env.entries = make(map[string]storer.Entry)
+		for key, entry := range entries {
+			_, written := storer.SplitRevision(entry.ModRevision)
+			entry.ModRevision = storer.JoinRevision(env.era, written)
+			env.entries[key] = entry
+		}
+	})
+	env.listStore()
+}
+
+func (env *testEnv) currentEra() int64 {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return env.era
+}
+
 func (env *testEnv) write(_ context.Context, put storer.Put) (int64, error) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
@@ -104,8 +140,9 @@
 		return 0, &storer.ConflictError{Current: current}
 	}
 	env.revision++
-	env.entries[put.Key] = storer.Entry{Key: put.Key, Value: put.Value, ModRevision: env.revision}
-	return env.revision, nil
+	revision := storer.JoinRevision(env.era, env.revision)
+	env.entries[put.Key] = storer.Entry{Key: put.Key, Value: put.Value, ModRevision: revision}
+	return revision, nil
 }
 
 func (env *testEnv) grant(context.Context, time.Duration) (storer.LeaseID, error) {
--- a/overseer/leadership.go
+++ b/overseer/leadership.go
@@ -30,7 +30,8 @@
 func (o *Overseer) leaderToken() (int64, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.token, o.token > 0 && o.Now().Before(o.leaderLease.expiresAt)
+	valid := o.token > 0 && o.Now().Before(o.leaderLease.expiresAt) && storer.EraOf(o.token) == o.Store.Era()
+	return o.token, valid
 }
 
 // Stop resigns leadership and revokes the host's lease. Leases that are being granted
@@ -93,12 +94,14 @@
 // campaign takes leadership if there is no leader, and reports whether this host is
 // the leader.
 func (o *Overseer) campaign(ctx context.Context) bool {
+	o.resignFormerEra(ctx)
+	era, campaignFrom := o.observeEra()
 	if _, ok := o.leaderToken(); ok {
 		return true
 	}
 	_, taken := o.Mirror.Get(leaderKey)
 	o.mu.Lock()
-	registered, ineligible := o.hostLease.id != 0, o.stopping || o.Now().Before(o.campaignAfter)
+	registered, ineligible := o.hostLease.id != 0, o.stopping || o.Now().Before(o.campaignAfter) || o.Now().Before(campaignFrom)
 	o.mu.Unlock()
 	if taken || !registered || ineligible || !o.Mirror.Loaded() || !o.shouldCampaign() {
 		return false
@@ -117,7 +120,7 @@
 		return false
 	}
 	o.Mirror.ApplyWrite(informer.Record{Key: leaderKey, Value: value, Revision: revision})
-	if !o.acceptLeadership(heldLease{id: lease, ttl: leaseTTL, expiresAt: requestedAt.Add(leaseTTL)}, revision) {
+	if storer.EraOf(revision) != era || !o.acceptLeadership(heldLease{id: lease, ttl: leaseTTL, expiresAt: requestedAt.Add(leaseTTL)}, revision) {
 		o.revoke(ctx, lease)
 		return false
 	}
--- a/overseer/lease.go
+++ b/overseer/lease.go
@@ -33,6 +33,8 @@
 	id        storer.LeaseID
 	ttl       time.Duration
 	expiresAt time.Time
+	// era is the era of the store in which the lease was granted.
+	era int64
 }
 
 // renewalDue reports whether to renew: after a quarter of the lease's TTL.
@@ -111,7 +113,12 @@
 	if id != 0 && lease.ttl == ttl {
 		err := o.renew(ctx, id)
 		if err == nil {
-			o.setHostLease(heldLease{id: id, ttl: ttl, expiresAt: requestedAt.Add(ttl)})
+			era := o.Store.Era()
+			o.setHostLease(heldLease{id: id, ttl: ttl, expiresAt: requestedAt.Add(ttl), era: era})
+			if era != lease.era {
+				// The store restored the lease, but maybe not the host's key.
+				o.register(ctx, id)
+			}
 			return
 		}
 		if !errors.Is(err, storer.ErrLeaseExpired) {
@@ -127,7 +134,7 @@
 		o.deferHostLeaseRetry()
 		return
 	}
-	if !o.setHostLease(heldLease{id: id, ttl: ttl, expiresAt: requestedAt.Add(ttl)}) {
+	if !o.setHostLease(heldLease{id: id, ttl: ttl, expiresAt: requestedAt.Add(ttl), era: o.Store.Era()}) {
 		o.revoke(ctx, id)
 		return
 	}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -124,6 +124,10 @@
 	unreachableAt map[string]time.Time
 	// campaignAfter is the time before which this host does not campaign.
 	campaignAfter time.Time
+	// era is the latest era of the store that this host has seen, and eraCampaignFrom
+	// the earliest time to campaign in it.
+	era             int64
+	eraCampaignFrom time.Time
 	// stopping is set once this host shuts down and no longer campaigns.
 	stopping bool
 	// stopped is set by Stop. The host then takes and renews no lease.
