Confirm primaries anew after the store came back from an older copy

Cause: a primary assignment rests on what the store acknowledged, and the store's word in the next era says nothing about what it lost.

Change: an assignment carries the era in which a leader wrote it. Until a leader has written it in the present era, the latest one that any host knows stays in the mirrors and is exchanged, and only other hosts that ran before the restore confirm views, as in an outage. The leader writes it again if they confirm its view; if none can, it fences the service and promotes the most advanced database, which has no effect on a primary that is in place. Hosts whose keys were lost stay members until they can have registered again.

TestFreshnessAfterRestore fails in 6 cases if the store confirms views in between, and TestPrimaryIsConfirmedAfterRestore if mirrors drop the record.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -85,6 +85,10 @@
 	Evacuated map[string]bool
 	// Hosts maps names to hosts.
 	Hosts map[string]Host
+	// AwaitsConfirmation is set while the store, which came back from an older copy,
+	// may have lost changes of a primary: until a leader has confirmed the assignment
+	// of each service in use, the store does not show which primaries are in force.
+	AwaitsConfirmation bool
 	// RecentHosts are the hosts among which connections are divided, sorted by
 	// name: Hosts, and hosts that left a short while ago and may still use
 	// their connections.
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -37,7 +37,8 @@
 	// Age is the time since the mirror was last known to be complete, negative if it
 	// never was.
 	Age time.Duration
-	// Listed is set once the process itself has listed all keys of the store.
+	// Listed is set once the process itself has listed all keys of the store, unless it
+	// did so only after the store lost changes of primaries that are not confirmed yet.
 	Listed bool
 	// MajorityHeardAge is the time since the sending of the oldest of the latest
 	// reports from a majority of a large fleet, negative if no majority has reported.
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -140,7 +140,10 @@
 	h.started = timekeeper.Now()
 	h.Platform.Store = countCalls(h.Platform.Store, h.Registry)
 	h.changed = make(chan struct{}, 1)
-	h.mirror = &informer.Mirror{Now: timekeeper.Now, OnChange: h.notifyChange, InDigest: h.Platform.IsExternalKey, OnConflict: h.reportConflict}
+	h.mirror = &informer.Mirror{
+		Now: timekeeper.Now, OnChange: h.notifyChange, InDigest: h.Platform.IsExternalKey,
+		WrittenIn: overseer.WrittenIn, OnConflict: h.reportConflict,
+	}
 	h.recentHosts = make(recentHosts)
 	h.limits = limiter.NewFleetLimiter(timekeeper.Now)
 	h.director = &director.Director{
@@ -163,7 +166,7 @@
 		Promote: func(ctx context.Context, service, id string, token int64) error {
 			return h.Platform.Promote(ctx, h.Settings.Host, service, id, token)
 		},
-		MaxViewAge: director.MaxViewAge, HasQuorum: h.hasQuorum, QuorumExpiry: quorumExpiry, RecentlyStarted: h.recentlyStarted, Now: timekeeper.Now, Logger: h.Logger,
+		ViewCompleteAsOf: h.viewCompleteAsOf, MaxViewAge: director.MaxViewAge, HasQuorum: h.hasQuorum, QuorumExpiry: quorumExpiry, RecentlyStarted: h.recentlyStarted, Now: timekeeper.Now, Logger: h.Logger,
 	}
 }
 
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -34,7 +34,7 @@
 		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
 		Revision: revision, Age: -1, Uptime: timekeeper.Now().Sub(h.started),
 		Digest: h.mirror.Digest(), Stopping: h.stopping.Load(), Usages: usages, Hosts: hosts,
-		Listed: h.mirror.Listed(), MajorityHeardAge: -1,
+		Listed: h.knowsChanges(), MajorityHeardAge: -1,
 	}
 	if h.largeFleet() {
 		if at := h.majorityReportedAsOf(); !at.IsZero() {
@@ -137,7 +137,7 @@
 	}
 	reports := h.exchanger.Reports()
 	var members []overseer.Member
-	for name, host := range catalog.Hosts {
+	for name, host := range h.fleet(catalog) {
 		if name == h.Settings.Host {
 			continue
 		}
@@ -196,7 +196,7 @@
 // of the other hosts. The latter is sufficient because only a host of the fleet
 // replaces primaries.
 func (h *Host) viewCompleteAsOf() time.Time {
-	byStore := h.mirror.CompleteAsOf()
+	byStore := h.primariesCompleteAsOf()
 	if timekeeper.Now().Sub(byStore) < storeFreshAge {
 		return byStore
 	}
@@ -230,13 +230,18 @@
 		return time.Time{}
 	}
 	reports := h.exchanger.Reports()
-	asOf := timekeeper.Now()
-	for name := range catalog.Hosts {
+	asOf, known := timekeeper.Now(), h.knowsChanges()
+	unconfirmed := h.awaitsConfirmation()
+	for name := range h.fleet(catalog) {
 		if name == h.Settings.Host {
 			continue
 		}
 		peer := reports[name]
 		sent := peer.HeardAt
+		if unconfirmed && !peer.Report.Listed {
+			sent = time.Time{}
+		}
+		known = known || peer.Report.Listed
 		if peer.RefusedAt.After(sent) {
 			sent = peer.RefusedAt
 		}
@@ -244,5 +249,8 @@
 			asOf = sent
 		}
 	}
+	if unconfirmed && !known {
+		return time.Time{}
+	}
 	return asOf
 }
--- a/hoster/quorum.go
+++ b/hoster/quorum.go
@@ -40,8 +40,9 @@
 
 // A voter is a host as its report shows it.
 type voter struct {
-	// listed is set if the process has listed the store itself since its start, so
-	// that it has every change that a former process of the same name acknowledged.
+	// listed is set if the process has every change that a former process of the same
+	// name acknowledged: it has listed the store itself since its start, before the
+	// store lost changes that are not confirmed yet.
 	listed     bool
 	reportedAt time.Time
 }
@@ -86,11 +87,12 @@
 // a large fleet have reported to this host, or the zero time.
 func (h *Host) majorityReportedAsOf() time.Time {
 	now := timekeeper.Now()
-	byStore := h.mirror.CompleteAsOf()
+	byStore := h.primariesCompleteAsOf()
 	if age := now.Sub(byStore); age < storeFreshAge || age > maxMajorityViewAge {
 		return time.Time{}
 	}
 	reports := h.exchanger.Reports()
+	knowsChanges := h.knowsChanges()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if byStore.Sub(h.fleetKnownSince) < absenceTolerance {
@@ -100,7 +102,7 @@
 	for name := range h.recentHosts {
 		v := voter{listed: reports[name].Report.Listed, reportedAt: reports[name].HeardAt}
 		if name == h.Settings.Host {
-			v = voter{listed: h.mirror.Listed(), reportedAt: now}
+			v = voter{listed: knowsChanges, reportedAt: now}
 		}
 		voters = append(voters, v)
 	}
--- /dev/null
+++ b/hoster/restore.go
@@ -0,0 +1,65 @@
+package hoster
+
+import (
+	"maps"
+	"time"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/storer"
+	"github.com/endiveturn/endiveturn/timekeeper"
+)
+
+// A store that comes back from an older copy may have lost changes of primaries. Until a
+// leader has confirmed the assignments in the new era, hosts go on with what they knew
+// before, as during an outage of the store: only other hosts confirm that a view is
+// complete, and only those that ran before the restore.
+
+// awaitsConfirmation reports whether the store may have lost changes of primaries that no
+// leader has confirmed since.
+func (h *Host) awaitsConfirmation() bool {
+	catalog := h.latestCatalog()
+	if catalog == nil {
+		return false
+	}
+	// The catalog of an earlier era does not show yet what is to be confirmed.
+	return catalog.AwaitsConfirmation || storer.EraOf(catalog.Revision) < storer.EraOf(h.mirror.Revision())
+}
+
+// primariesCompleteAsOf returns the latest instant as of which the store showed all
+// changes of primaries.
+func (h *Host) primariesCompleteAsOf() time.Time {
+	completeAsOf := h.mirror.CompleteAsOf()
+	if h.awaitsConfirmation() {
+		return h.mirror.FormerCompleteAsOf()
+	}
+	return completeAsOf
+}
+
+// knowsChanges reports whether this process has all changes of primaries that the store
+// held when it listed the store first, and that were acknowledged before.
+func (h *Host) knowsChanges() bool {
+	if h.awaitsConfirmation() && h.mirror.LoadedInThisEra() {
+		return false
+	}
+	return h.mirror.Listed()
+}
+
+// fleet returns the hosts that may use primaries: those in the catalog and, for a while
+// after a restore of the store, those whose keys it lost and that have not registered
+// again yet.
+func (h *Host) fleet(catalog *cataloger.Catalog) map[string]cataloger.Host {
+	now := timekeeper.Now()
+	restoredAt := h.mirror.EraEnteredAt()
+	if restoredAt.IsZero() || now.Sub(restoredAt) > absenceTolerance {
+		return catalog.Hosts
+	}
+	hosts := maps.Clone(catalog.Hosts)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, known := range h.recentHosts {
+		if _, ok := hosts[name]; !ok && now.Sub(known.seenAt) < absenceTolerance {
+			hosts[name] = known.host
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/hoster/restore_test.go
@@ -0,0 +1,93 @@
+package hoster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/director"
+	"github.com/endiveturn/endiveturn/exchanger"
+	"github.com/endiveturn/endiveturn/storer"
+	"github.com/endiveturn/endiveturn/timekeeper"
+)
+
+// newRestoredHost returns a host of a fleet whose store came back from an older copy after
+// it had been away for a while. The first reporting others have all changes of primaries
+// from before.
+func newRestoredHost(hosts, reporting int, storeAge time.Duration, startedBefore, confirmed bool) *Host {
+	h := newTestHost(hosts)
+	now := timekeeper.Now()
+	if startedBefore {
+		h.mirror.Merge(nil, storer.JoinRevision(1, 30), now.Add(-storeAge))
+	} else {
+		h.prepare()
+		h.mirror.Replace(nil, storer.JoinRevision(2, 19), now)
+	}
+	h.mirror.Replace(nil, storer.JoinRevision(2, 20), now)
+	written := storer.JoinRevision(1, 12)
+	if confirmed {
+		written = storer.JoinRevision(2, 21)
+	}
+	h.catalog.Revision = h.mirror.Revision()
+	h.catalog.Configuration = &cataloger.Configuration{Services: map[string]cataloger.Service{"s": {}}}
+	h.catalog.Endpoints = map[string][]cataloger.Endpoint{"s": {{ID: "p"}}}
+	h.catalog.Assignments = map[string]cataloger.PrimaryAssignment{"s": {Service: "s", ID: "p", Revision: written}}
+	h.catalog.AwaitsConfirmation = awaitsConfirmation(h.catalog)
+	h.fleetKnownSince = now.Add(-time.Minute)
+	h.recentHosts.update(h.catalog.Hosts, now)
+	for i := 1; i < hosts; i++ {
+		report := exchanger.Report{Host: fmt.Sprint("h", i), Age: -1, MajorityHeardAge: -1, Listed: i <= reporting}
+		h.exchanger.RecordMessage(exchanger.Message{Report: report}, now)
+	}
+	return h
+}
+
+// TestFreshnessAfterRestore guards against a host that goes on with a former primary
+// because the store, which lost the record of its replacement, confirms the view.
+func TestFreshnessAfterRestore(t *testing.T) {
+	tests := []struct {
+		name string
+		// reporting is how many of the other hosts ran before the restore.
+		hosts, reporting         int
+		storeAge                 time.Duration
+		startedAfter, confirmed  bool
+		fresh, reportsAllChanges bool
+	}{
+		{name: "all hosts ran before", hosts: 3, reporting: 2, storeAge: time.Minute, fresh: true, reportsAllChanges: true},
+		{name: "another host started after the restore", hosts: 3, reporting: 1, storeAge: time.Minute, reportsAllChanges: true},
+		{name: "this host started after the restore", hosts: 3, reporting: 2, startedAfter: true, fresh: true},
+		{name: "all hosts started after the restore", hosts: 3, startedAfter: true},
+		{name: "only host, started after the restore", hosts: 1, startedAfter: true},
+		{name: "only host, ran before", hosts: 1, fresh: true, reportsAllChanges: true},
+		{name: "confirmed by a leader", hosts: 3, startedAfter: true, confirmed: true, fresh: true, reportsAllChanges: true},
+		{name: "large, majority ran before", hosts: 18, reporting: 9, storeAge: 2 * time.Second, fresh: true, reportsAllChanges: true},
+		{name: "large, half ran before", hosts: 18, reporting: 8, storeAge: 2 * time.Second, reportsAllChanges: true},
+		{name: "large, store was away for too long", hosts: 18, reporting: 17, storeAge: maxMajorityViewAge + time.Second, reportsAllChanges: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newRestoredHost(test.hosts, test.reporting, test.storeAge, !test.startedAfter, test.confirmed)
+			if got := timekeeper.Now().Sub(h.viewCompleteAsOf()) < director.MaxViewAge; got != test.fresh {
+				t.Errorf("fresh view: got %v, want %v", got, test.fresh)
+			}
+			if got := h.report("h1").Listed; got != test.reportsAllChanges {
+				t.Errorf("reports that it has all changes: got %v, want %v", got, test.reportsAllChanges)
+			}
+		})
+	}
+}
+
+// TestLostHostsStayMembers guards against a change of primary that does not wait for a host
+// whose key the store lost, and which has not registered again yet.
+func TestLostHostsStayMembers(t *testing.T) {
+	h := newRestoredHost(3, 2, time.Second, true, false)
+	delete(h.catalog.Hosts, "h2")
+	names := make(map[string]bool)
+	for _, member := range h.members() {
+		names[member.Name] = true
+	}
+	if !names["h2"] {
+		t.Errorf("members: got %v, want h2 among them", names)
+	}
+}
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -69,6 +69,7 @@
 	set("view_age_ms", timekeeper.Now().Sub(h.viewCompleteAsOf()).Milliseconds())
 	set("store_revision", h.mirror.Revision())
 	set("store_era", h.Platform.Store.Era())
+	set("primaries_unconfirmed", boolGauge(h.awaitsConfirmation()))
 	if catalog := h.latestCatalog(); catalog != nil {
 		set("hosts", int64(len(catalog.Hosts)))
 		if catalog.Configuration != nil {
@@ -81,6 +82,13 @@
 	}
 }
 
+func boolGauge(value bool) int64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/hoster/view.go
+++ b/hoster/view.go
@@ -6,6 +6,7 @@
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/informer"
 	"github.com/endiveturn/endiveturn/overseer"
+	"github.com/endiveturn/endiveturn/storer"
 )
 
 // missingEndpointRetention is how long a database is still used after its
@@ -71,9 +72,26 @@
 		cataloger.SortEndpoints(endpoints)
 	}
 	c.Configuration = b.configuration
+	c.AwaitsConfirmation = awaitsConfirmation(c)
 	return c, next
 }
 
+// awaitsConfirmation reports whether a service in use has a primary assignment that was
+// written in an earlier era of the store than the present one.
+func awaitsConfirmation(c *cataloger.Catalog) bool {
+	if c.Configuration == nil {
+		return false
+	}
+	for service, assignment := range c.Assignments {
+		_, configured := c.Configuration.Services[service]
+		inUse := configured && len(c.Endpoints[service]) > 0
+		if inUse && storer.EraOf(assignment.Revision) < storer.EraOf(c.Revision) {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *catalogBuilder) addRecord(c *cataloger.Catalog, record informer.Record, present map[string]bool) {
 	if dataCentre, ok := b.decoder.EvacuatedDataCentre(record.Key); ok {
 		c.Evacuated[dataCentre] = true
--- a/informer/era_test.go
+++ b/informer/era_test.go
@@ -98,3 +98,47 @@
 		t.Error("the mirror has a record of the earlier era")
 	}
 }
+
+// TestRecordsOutlastRestore guards against a change of primary that is forgotten because
+// the store came back from a copy without it: the record stays in the mirrors, also of
+// hosts that receive it later, until a host writes the key in the new era.
+func TestRecordsOutlastRestore(t *testing.T) {
+	now := time.Unix(100, 0)
+	restored := []storer.Entry{eraEntry("kept", "1 older", 2, 5)}
+	tests := []struct {
+		name   string
+		listed []storer.Entry
+		update func(m *Mirror)
+		want   string
+	}{
+		{name: "copy with an older record", listed: restored, want: "1 newer"},
+		{name: "copy without the record", want: "1 newer"},
+		{name: "another host in the new era", listed: restored, want: "1 newer", update: func(m *Mirror) {
+			m.Merge([]Record{eraRecord("kept", "1 older", 1, 5)}, storer.JoinRevision(2, 8), now)
+		}},
+		{name: "a still later record of another host", listed: restored, want: "1 latest", update: func(m *Mirror) {
+			m.Merge([]Record{eraRecord("kept", "1 latest", 1, 24)}, storer.JoinRevision(1, 24), now)
+		}},
+		{name: "written in the new era", listed: restored, want: "2 new", update: func(m *Mirror) {
+			m.Apply([]storer.Change{{Entry: eraEntry("kept", "2 new", 2, 9)}}, storer.JoinRevision(2, 9), now)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newMirror(&now)
+			m.WrittenIn = func(key string, value []byte) (int64, bool) { return int64(value[0] - '0'), key == "kept" }
+			m.Replace([]storer.Entry{eraEntry("kept", "1 newer", 1, 21)}, storer.JoinRevision(1, 22), now)
+			m.Replace(test.listed, storer.JoinRevision(2, 6), now)
+			if test.update != nil {
+				test.update(m)
+			}
+			if got, ok := m.Get("kept"); !ok || string(got.Value) != test.want {
+				t.Errorf("got %q, %v, want %q", got.Value, ok, test.want)
+			}
+			records, _, _ := m.Since(storer.JoinRevision(2, 7))
+			if sent := len(records) > 0; !sent {
+				t.Error("the record is not sent to a host that has listed the restored store")
+			}
+		})
+	}
+}
--- a/informer/mirror.go
+++ b/informer/mirror.go
@@ -43,6 +43,12 @@
 	OnChange func()
 	// InDigest reports whether a key counts for Digest.
 	InDigest func(key string) bool
+	// WrittenIn returns the era in which a host wrote a record, for the keys whose
+	// records outlast a restore of the store: a record that the store restored from its
+	// copy keeps the era in which it was written, so that later ones of that era, which
+	// the store lost, stay in the mirror until a host writes the key in the new era. ok
+	// is false for other keys. It may be nil.
+	WrittenIn func(key string, value []byte) (era int64, ok bool)
 	// OnConflict is called, with locks held, when a record is ignored although it
 	// differs from the one that the mirror holds at the same revision. It may be nil.
 	OnConflict func(key string, revision int64)
@@ -58,6 +64,11 @@
 	// completeAsOf is the latest instant as of which the mirror is known to have
 	// held everything that the store had committed.
 	completeAsOf time.Time
+	// formerCompleteAsOf is completeAsOf when the mirror left the previous era, and
+	// eraEnteredAt is when that was.
+	formerCompleteAsOf, eraEnteredAt time.Time
+	// firstEra is the era in which the mirror was complete first.
+	firstEra int64
 	// loaded is set once the mirror has been complete.
 	loaded bool
 	// listedRevision is the revision at which this process last listed all keys of
@@ -84,6 +95,29 @@
 	return m.completeAsOf
 }
 
+// FormerCompleteAsOf returns the latest instant as of which the mirror is known to have
+// been complete when it left the previous era, or the zero time.
+func (m *Mirror) FormerCompleteAsOf() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.formerCompleteAsOf
+}
+
+// EraEnteredAt returns when the mirror left the previous era, or the zero time.
+func (m *Mirror) EraEnteredAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.eraEnteredAt
+}
+
+// LoadedInThisEra reports whether the mirror was complete first in the present era, so
+// that it never held what the store lost before.
+func (m *Mirror) LoadedInThisEra() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.firstEra == storer.EraOf(m.revision)
+}
+
 // Loaded reports whether the mirror has ever been complete.
 func (m *Mirror) Loaded() bool {
 	m.mu.Lock()
@@ -110,14 +144,14 @@
 	}
 	records := make(map[string]Record, len(entries))
 	for _, entry := range entries {
-		records[entry.Key] = Record{Key: entry.Key, Value: entry.Value, Revision: entry.ModRevision}
+		records[entry.Key] = m.dated(Record{Key: entry.Key, Value: entry.Value, Revision: entry.ModRevision})
 	}
 	now := m.Now()
 	for key, old := range m.records {
 		listed, ok := records[key]
 		switch {
 		case ok && listed.Revision >= old.Revision:
-		case ok || old.Deleted || old.Revision > revision:
+		case ok || old.Deleted || old.Revision > revision || m.outlasts(old, revision):
 			records[key] = old
 		default:
 			records[key] = Record{Key: key, Revision: revision, Deleted: true}
@@ -138,7 +172,7 @@
 	m.mu.Lock()
 	changed := false
 	for _, change := range changes {
-		record := Record{Key: change.Key, Value: change.Value, Revision: change.ModRevision, Deleted: change.Deleted}
+		record := m.dated(Record{Key: change.Key, Value: change.Value, Revision: change.ModRevision, Deleted: change.Deleted})
 		changed = m.mergeRecord(record) || changed
 	}
 	m.advance(revision, completeAsOf)
@@ -170,7 +204,7 @@
 		m.ownWrites = make(map[string]time.Time)
 	}
 	m.ownWrites[record.Key] = m.Now()
-	m.unlockAndNotify(m.mergeRecord(record))
+	m.unlockAndNotify(m.mergeRecord(m.dated(record)))
 }
 
 func (m *Mirror) mergeRecord(record Record) bool {
@@ -181,7 +215,8 @@
 		}
 		return false
 	}
-	if !ok && (record.Revision <= m.listedRevision || storer.EraOf(record.Revision) < storer.EraOf(m.revision)) {
+	obsolete := record.Revision <= m.listedRevision || storer.EraOf(record.Revision) < storer.EraOf(m.revision)
+	if !ok && obsolete && !m.outlasts(record, m.revision) {
 		// A host that did not receive the deletion still sends the old record.
 		return false
 	}
@@ -204,7 +239,7 @@
 		replaced[record.Key] = true
 	}
 	for key, old := range m.records {
-		if replaced[key] || old.Deleted || storer.EraOf(old.Revision) >= storer.EraOf(revision) {
+		if replaced[key] || old.Deleted || storer.EraOf(old.Revision) >= storer.EraOf(revision) || m.outlasts(old, revision) {
 			continue
 		}
 		m.records[key] = Record{Key: key, Revision: storer.JoinRevision(storer.EraOf(revision), 0), Deleted: true}
@@ -213,7 +248,35 @@
 	m.digestValid = false
 }
 
+// dated returns the record with the era in which a host wrote it, if the key is one for
+// which that matters.
+func (m *Mirror) dated(record Record) Record {
+	if m.WrittenIn == nil || record.Deleted {
+		return record
+	}
+	if era, ok := m.WrittenIn(record.Key, record.Value); ok {
+		storeEra, revision := storer.SplitRevision(record.Revision)
+		record.Revision = storer.JoinRevision(min(era, storeEra), revision)
+	}
+	return record
+}
+
+// outlasts reports whether a record is of an earlier era than revision and stays in the
+// mirror until a host writes its key again.
+func (m *Mirror) outlasts(record Record, revision int64) bool {
+	if m.WrittenIn == nil || record.Deleted || storer.EraOf(record.Revision) >= storer.EraOf(revision) {
+		return false
+	}
+	_, ok := m.WrittenIn(record.Key, record.Value)
+	return ok
+}
+
 func (m *Mirror) advance(revision int64, completeAsOf time.Time) {
+	if !m.loaded {
+		m.firstEra = storer.EraOf(revision)
+	} else if storer.EraOf(revision) > storer.EraOf(m.revision) {
+		m.formerCompleteAsOf, m.eraEnteredAt = m.completeAsOf, m.Now()
+	}
 	m.revision = max(m.revision, revision)
 	if completeAsOf.After(m.completeAsOf) {
 		m.completeAsOf = completeAsOf
@@ -249,8 +312,8 @@
 	}
 }
 
-// Since returns the records later than revision, and those that this host wrote
-// recently: other mirrors may lack those even if they are complete up to a later
+// Since returns the records later than revision, those of earlier eras that outlast a
+// restore of the store, and those that this host wrote recently: other mirrors may lack those even if they are complete up to a later
 // revision. It also returns the revision up to which this mirror is complete and the
 // instant as of which it is known to have been.
 func (m *Mirror) Since(revision int64) ([]Record, int64, time.Time) {
@@ -259,7 +322,7 @@
 	var records []Record
 	for _, record := range m.records {
 		_, own := m.ownWrites[record.Key]
-		if record.Revision > revision || own {
+		if record.Revision > revision || own || m.outlasts(record, m.revision) {
 			records = append(records, record)
 		}
 	}
--- a/overseer/decide.go
+++ b/overseer/decide.go
@@ -41,6 +41,7 @@
 	ReasonFailing      Reason = "primary_failing"
 	ReasonPartitioned  Reason = "primary_cut_from_hosts"
 	ReasonInterrupted  Reason = "change_was_interrupted"
+	ReasonRestored     Reason = "store_was_restored"
 )
 
 // Planned reports whether the former primary still works.
@@ -135,14 +136,17 @@
 }
 
 // MostAdvanced returns the index of the reachable candidate with the highest log
-// position, or -1 if none is reachable.
+// position, the primary if it is among several, or -1 if none is reachable.
 func MostAdvanced(candidates []Candidate) int {
 	best := -1
 	for i, c := range candidates {
 		if !c.Reachable {
 			continue
 		}
-		if best < 0 || ahead(c, candidates[best]) {
+		switch {
+		case best < 0 || ahead(c, candidates[best]):
+			best = i
+		case c.IsPrimary && !ahead(candidates[best], c):
 			best = i
 		}
 	}
--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -41,8 +41,10 @@
 	endpoints  []cataloger.Endpoint
 	evacuated  map[string]bool
 
-	// era is the era of the store.
-	era int64
+	// era is the era of the store, and viewCompleteAsOf is when the other hosts last
+	// confirmed the view of the overseer's host.
+	era              int64
+	viewCompleteAsOf time.Time
 
 	mirror   *informer.Mirror
 	overseer *Overseer
@@ -69,13 +71,14 @@
 			{ID: "a", Service: service}, {ID: "b", Service: service}, {ID: "p", Service: service, ClaimsPrimary: true},
 		},
 	}
-	env.mirror = &informer.Mirror{Now: time.Now}
+	env.mirror = &informer.Mirror{Now: time.Now, WrittenIn: WrittenIn}
 	env.listStore()
 	env.overseer = &Overseer{
 		Host: cataloger.Host{Name: "h1", Incarnation: "i1"}, Mirror: env.mirror, Catalog: env.catalog,
 		Store:   storer.KeyValueStore{Write: env.write, Grant: env.grant, Renew: env.renew, Revoke: env.revoke, Era: env.currentEra},
 		Members: env.otherMembers, Self: env.self, TriggerExchanges: func() {}, Status: env.status, Demote: env.demote, Promote: env.promote,
-		MaxViewAge: time.Second, HasQuorum: func(func(string) bool) bool { return true }, RecentlyStarted: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		ViewCompleteAsOf: func() time.Time { return env.viewCompleteAsOf },
+		MaxViewAge:       time.Second, HasQuorum: func(func(string) bool) bool { return true }, RecentlyStarted: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	return env
 }
--- a/overseer/era_test.go
+++ b/overseer/era_test.go
@@ -1,10 +1,13 @@
 package overseer
 
 import (
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/storer"
 )
 
@@ -85,6 +88,77 @@
 	})
 }
 
+// TestPrimaryIsConfirmedAfterRestore guards against a former primary that is in force again
+// because the store lost the record of its replacement, and against a needless change.
+func TestPrimaryIsConfirmedAfterRestore(t *testing.T) {
+	tests := []struct {
+		name string
+		// confirmed is set if the other hosts confirm the leader's view.
+		confirmed bool
+		// lost is set if the copy has no assignment.
+		lost bool
+		// promoted are the databases that are promoted after the restore.
+		promoted []string
+	}{
+		{name: "view confirmed by the other hosts", confirmed: true},
+		{name: "assignment lost, view confirmed", confirmed: true, lost: true},
+		{name: "view not confirmed", promoted: []string{"b"}},
+		{name: "assignment lost, view not confirmed", lost: true, promoted: []string{"b"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t)
+				env.startInEra()
+				older, olderRevision := maps.Clone(env.entries), env.revision
+				delete(older, leaderKey)
+				if test.lost {
+					delete(older, assignmentsPrefix+service)
+				}
+				env.promoteReplica()
+				env.restore(older, olderRevision)
+				before := len(env.promotions())
+				for range 40 {
+					time.Sleep(evaluateInterval)
+					env.update(func() {
+						if test.confirmed {
+							env.viewCompleteAsOf = time.Now()
+						}
+					})
+				}
+				synctest.Wait()
+				got := env.assignment()
+				if got.ID != "b" || got.Changing || storer.EraOf(got.Revision) != 2 {
+					t.Errorf("got assignment %+v, want b in era 2", got)
+				}
+				promotions := env.promotions()[before:]
+				if len(promotions) != len(test.promoted) {
+					t.Fatalf("got promotions %+v, want %v", promotions, test.promoted)
+				}
+				for i, want := range test.promoted {
+					if promotions[i].id != want {
+						t.Errorf("promotion %d: got %s, want %s", i, promotions[i].id, want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// promoteReplica makes database b the primary of the service in place of p, which takes no
+// notice.
+func (env *testEnv) promoteReplica() {
+	env.update(func() {
+		env.statuses["b"] = executor.DatabaseStatus{Primary: true, Term: 2, Received: executor.Position{Term: 2, Offset: 21}}
+	})
+	written, err := env.overseer.writeAssignment(env.t.Context(), cataloger.PrimaryAssignment{
+		Service: service, ID: "b", Term: 2, Revision: env.assignment().Revision,
+	})
+	if err != nil || written.ID != "b" {
+		env.t.Fatalf("assign b: got %+v, %v", written, err)
+	}
+}
+
 // TestHostRegistersAgainAfterRestore guards against a host that stays unknown to others
 // because the store restored its lease but not its key.
 func TestHostRegistersAgainAfterRestore(t *testing.T) {
--- a/overseer/leadership.go
+++ b/overseer/leadership.go
@@ -135,7 +135,7 @@
 	if o.stopped {
 		return false
 	}
-	o.leaderLease, o.token = lease, token
+	o.leaderLease, o.token, o.ledSince = lease, token, o.Now()
 	clear(o.primaryMissingSince)
 	clear(o.partitionedSince)
 	return true
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -83,6 +83,9 @@
 	// RecentlyStarted reports whether this host started recently. Such hosts leave
 	// leadership to others if there are any.
 	RecentlyStarted func() bool
+	// ViewCompleteAsOf returns the latest instant at which this host's view of the
+	// primaries is known to have been complete.
+	ViewCompleteAsOf func() time.Time
 	// MaxViewAge is the age of a host's view at which it stops using primaries.
 	MaxViewAge time.Duration
 	// Now returns a monotonic time that includes the time the machine is suspended.
@@ -128,6 +131,8 @@
 	// the earliest time to campaign in it.
 	era             int64
 	eraCampaignFrom time.Time
+	// ledSince is when this host acquired its leadership.
+	ledSince time.Time
 	// stopping is set once this host shuts down and no longer campaigns.
 	stopping bool
 	// stopped is set by Stop. The host then takes and renews no lease.
@@ -205,9 +210,13 @@
 
 func (o *Overseer) evaluateService(ctx context.Context, catalog *cataloger.Catalog, service string, members []Member) {
 	assignment, assigned := catalog.Assignments[service]
-	if !assigned {
+	switch {
+	case !assigned:
 		o.recordInitialPrimary(ctx, catalog, service)
 		return
+	case o.fromEarlierEra(assignment) && !assignment.Changing:
+		o.confirmPrimary(ctx, catalog, assignment)
+		return
 	}
 	state := serviceStateOf(catalog, assignment, members)
 	reason := Evaluate(state)
@@ -299,14 +308,23 @@
 func (o *Overseer) writeAssignment(ctx context.Context, assignment cataloger.PrimaryAssignment) (cataloger.PrimaryAssignment, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	key := assignmentsPrefix + assignment.Service
-	revision, err := o.Store.Write(ctx, storer.Put{Key: key, Value: encodeAssignment(assignment), ExpectedRevision: assignment.Revision})
+	token, ok := o.leaderToken()
+	if !ok {
+		return assignment, errLeadershipLost
+	}
+	era := storer.EraOf(token)
+	put := storer.Put{Key: assignmentsPrefix + assignment.Service, Value: encodeAssignment(assignment, era), ExpectedRevision: assignment.Revision}
+	revision, err := o.Store.Write(ctx, put)
+	if restored, ok := restoredRevision(err, era); ok && assignment.Revision > 0 {
+		put.ExpectedRevision = restored
+		revision, err = o.Store.Write(ctx, put)
+	}
 	if err != nil {
 		o.applyConflict(err)
 		return assignment, err
 	}
 	assignment.Revision = revision
-	o.Mirror.ApplyWrite(informer.Record{Key: key, Value: encodeAssignment(assignment), Revision: revision})
+	o.Mirror.ApplyWrite(informer.Record{Key: put.Key, Value: put.Value, Revision: revision})
 	o.TriggerExchanges()
 	return assignment, nil
 }
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -229,11 +229,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t)
 		assignment := cataloger.PrimaryAssignment{Service: service, ID: "p", Changing: true}
-		revision, err := env.write(t.Context(), storer.Put{Key: assignmentsPrefix + service, Value: encodeAssignment(assignment)})
+		revision, err := env.write(t.Context(), storer.Put{Key: assignmentsPrefix + service, Value: encodeAssignment(assignment, 0)})
 		if err != nil {
 			t.Fatal(err)
 		}
-		env.mirror.ApplyWrite(informer.Record{Key: assignmentsPrefix + service, Value: encodeAssignment(assignment), Revision: revision})
+		env.mirror.ApplyWrite(informer.Record{Key: assignmentsPrefix + service, Value: encodeAssignment(assignment, 0), Revision: revision})
 		env.start()
 		time.Sleep(time.Second)
 		synctest.Wait()
@@ -253,14 +253,14 @@
 		changing := cataloger.PrimaryAssignment{Service: service, ID: "p", Changing: true}
 		done := cataloger.PrimaryAssignment{Service: service, ID: "a", Term: 2}
 		key := assignmentsPrefix + service
-		first, err := env.write(t.Context(), storer.Put{Key: key, Value: encodeAssignment(changing)})
+		first, err := env.write(t.Context(), storer.Put{Key: key, Value: encodeAssignment(changing, 0)})
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := env.write(t.Context(), storer.Put{Key: key, Value: encodeAssignment(done), ExpectedRevision: first}); err != nil {
+		if _, err := env.write(t.Context(), storer.Put{Key: key, Value: encodeAssignment(done, 0), ExpectedRevision: first}); err != nil {
 			t.Fatal(err)
 		}
-		env.mirror.ApplyWrite(informer.Record{Key: key, Value: encodeAssignment(changing), Revision: first})
+		env.mirror.ApplyWrite(informer.Record{Key: key, Value: encodeAssignment(changing, 0), Revision: first})
 		env.start()
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
@@ -328,7 +328,7 @@
 // that make a host fail.
 func TestRecords(t *testing.T) {
 	assignment := cataloger.PrimaryAssignment{Service: service, ID: "p", StartedAtMillis: 7, Term: 3, Changing: true, GracePeriod: time.Second, Revision: 4}
-	got, ok, err := DecodeAssignment(assignmentsPrefix+service, encodeAssignment(assignment), 4)
+	got, ok, err := DecodeAssignment(assignmentsPrefix+service, encodeAssignment(assignment, 0), 4)
 	if !ok || err != nil || got != assignment {
 		t.Errorf("got %+v, %v, %v, want %+v", got, ok, err, assignment)
 	}
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/storer"
 	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
@@ -80,7 +81,7 @@
 	} else {
 		candidate, err = c.selectCandidate(ctx, nil)
 	}
-	if errors.Is(err, errNoCandidate) && c.reason != ReasonInterrupted {
+	if errors.Is(err, errNoCandidate) && c.reason != ReasonInterrupted && c.reason != ReasonRestored {
 		return c.restoreFormer(ctx)
 	}
 	if err != nil {
@@ -156,7 +157,7 @@
 		return errors.Wrap(err, "fence the former primary")
 	}
 	c.fenceRevision = c.assignment.Revision
-	if !c.assignment.Changing {
+	if !c.assignment.Changing || storer.EraOf(c.assignment.Revision) < storer.EraOf(written.Revision) {
 		c.fenceRevision = written.Revision
 	}
 	c.assignment = written
@@ -219,9 +220,8 @@
 // advanced one.
 func (c *primaryChange) selectCandidate(ctx context.Context, excluded map[string]bool) (Candidate, error) {
 	catalog := c.overseer.Catalog()
-	assignment := c.assignment
 	var endpoints []cataloger.Endpoint
-	for _, endpoint := range eligible(catalog, assignment) {
+	for _, endpoint := range c.candidates(catalog) {
 		if !excluded[endpoint.ID] {
 			endpoints = append(endpoints, endpoint)
 		}
@@ -237,6 +237,16 @@
 	return candidates[best], nil
 }
 
+// candidates returns the databases that may be promoted. After a restore of the store it
+// is not known which database is the primary, so that any may be promoted: that has no
+// effect if it is the primary already.
+func (c *primaryChange) candidates(catalog *cataloger.Catalog) []cataloger.Endpoint {
+	if c.reason == ReasonRestored {
+		return catalog.Endpoints[c.service]
+	}
+	return eligible(catalog, c.assignment)
+}
+
 // queryStatuses queries databases concurrently.
 func (o *Overseer) queryStatuses(ctx context.Context, endpoints []cataloger.Endpoint) []Candidate {
 	candidates := make([]Candidate, len(endpoints))
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -31,6 +31,8 @@
 	Term   uint64 `json:"term"`
 	Moving bool   `json:"moving"`
 	Grace  string `json:"grace"`
+	// Era is the era of the store in which the leader wrote the record.
+	Era int64 `json:"era"`
 }
 
 type leaderRecord struct {
@@ -50,8 +52,24 @@
 	return encode(hostRecord{Incarnation: h.Incarnation, Address: h.Address, DataCentre: h.DataCentre, Capacity: h.Capacity})
 }
 
-func encodeAssignment(a cataloger.PrimaryAssignment) []byte {
-	return encode(assignmentRecord{ID: a.ID, Born: a.StartedAtMillis, Term: a.Term, Moving: a.Changing, Grace: a.GracePeriod.String()})
+func encodeAssignment(a cataloger.PrimaryAssignment, era int64) []byte {
+	return encode(assignmentRecord{
+		ID: a.ID, Born: a.StartedAtMillis, Term: a.Term, Moving: a.Changing, Grace: a.GracePeriod.String(), Era: era,
+	})
+}
+
+// WrittenIn returns the era of the store in which a leader wrote a primary assignment; ok
+// is false for other records.
+func WrittenIn(key string, value []byte) (era int64, ok bool) {
+	if !strings.HasPrefix(key, assignmentsPrefix) {
+		return 0, false
+	}
+	var record assignmentRecord
+	if err := json.Unmarshal(value, &record); err != nil {
+		// The catalog rejects and reports a malformed record.
+		return 0, false
+	}
+	return record.Era, true
 }
 
 // LeaderKey is the key of the record that names the leader.
