--- a/storeemulator/emulator.go
+++ b/storeemulator/emulator.go
@@ -121,6 +121,7 @@
 			return errors.Wrap(err, "serve the store emulator")
 		case <-ticker.C:
 			e.keyspace.expire(e.Now())
+			e.keyspace.recordRevision(e.Now())
 		}
 	}
 }
@@ -132,6 +133,7 @@
 		return nil, err
 	}
 	response, err := handle(ctx, request)
+	e.keyspace.recordRevision(e.Now())
 	if err != nil {
 		return nil, err
 	}
--- a/storeemulator/keyspace.go
+++ b/storeemulator/keyspace.go
@@ -39,6 +39,10 @@
 	compacted int64
 	// changed is closed and replaced with each new revision.
 	changed chan struct{}
+	// cluster is the cluster ID in responses. It rises by one with each restore.
+	cluster uint64
+	// revisions holds which revision the store had, in the order of time.
+	revisions []datedRevision
 }
 
 // A historyEntry is an event with its size in bytes.
@@ -50,6 +54,7 @@
 func newKeyspace() *keyspace {
 	return &keyspace{
 		revision: 1,
+		cluster:  1,
 		keys:     make(map[string]*storer.KeyValue),
 		leases:   make(map[int64]*lease),
 		changed:  make(chan struct{}),
@@ -58,7 +63,7 @@
 
 // header returns a response header. The caller holds mu.
 func (s *keyspace) header() *storer.ResponseHeader {
-	return &storer.ResponseHeader{ClusterId: 1, MemberId: 1, Revision: s.revision, RaftTerm: 1}
+	return &storer.ResponseHeader{ClusterId: s.cluster, MemberId: 1, Revision: s.revision, RaftTerm: 1}
 }
 
 // inRange reports whether key lies in [start, end). As in the etcd API, an empty
--- a/storeemulator/lease.go
+++ b/storeemulator/lease.go
@@ -15,9 +15,10 @@
 
 // A lease deletes its keys if it is not renewed in time.
 type lease struct {
-	ttl     time.Duration
-	expires time.Time
-	keys    map[string]bool
+	ttl       time.Duration
+	grantedAt time.Time
+	expires   time.Time
+	keys      map[string]bool
 }
 
 // expire deletes the expired leases. All keys of a lease are deleted in one
@@ -68,7 +69,7 @@
 		}
 	}
 	ttl := time.Duration(request.TTL) * time.Second
-	s.leases[id] = &lease{ttl: ttl, expires: now.Add(ttl), keys: make(map[string]bool)}
+	s.leases[id] = &lease{ttl: ttl, grantedAt: now, expires: now.Add(ttl), keys: make(map[string]bool)}
 	return &storer.LeaseGrantResponse{Header: s.header(), ID: id, TTL: request.TTL}, nil
 }
 
