--- a/configurer/subscriber.go
+++ b/configurer/subscriber.go
@@ -54,6 +54,11 @@
 	// may be nil.
 	OnConfig func(Config)
 
+	// OnRejectedHead is called when this host has rejected the head of the store twice in
+	// a row, with the configuration that it uses and its head: the store came back from
+	// an older copy. It may be nil.
+	OnRejectedHead func(ctx context.Context, head Head, config Config)
+
 	// applyMu is held while a configuration is applied and OnConfig runs. It is
 	// locked before mu.
 	applyMu sync.Mutex
@@ -162,11 +167,11 @@
 	revision, digest := s.Digest()
 	switch {
 	case head.Revision < revision:
-		s.rejectHead(head, revision, "older revision: the store may have been restored from a backup")
+		s.rejectHead(ctx, head, revision, "older revision: the store may have been restored from a backup")
 		return nil
 	case head.Revision == revision:
 		if revision > 0 && head.Digest != digest {
-			s.rejectHead(head, revision, "another set of the same revision")
+			s.rejectHead(ctx, head, revision, "another set of the same revision")
 		}
 		return nil
 	}
@@ -194,9 +199,9 @@
 	return s.config.Revision > head.Revision || s.config.Revision == head.Revision && s.digest == head.Digest
 }
 
-// rejectHead records that a head of the store is not applied. It logs this once
-// per head, when the same head is rejected twice in a row.
-func (s *Subscriber) rejectHead(head Head, revision uint64, reason string) {
+// rejectHead records that a head of the store is not applied. When the same head is
+// rejected twice in a row, it calls OnRejectedHead, and logs this once per head.
+func (s *Subscriber) rejectHead(ctx context.Context, head Head, revision uint64, reason string) {
 	id := head.PublishID + "/" + head.Digest
 	s.mu.Lock()
 	repeated, logged := s.rejectedID == id, s.loggedID == id
@@ -204,7 +209,11 @@
 	if repeated {
 		s.loggedID = id
 	}
+	own, config, digest := s.head, s.config, s.digest
 	s.mu.Unlock()
+	if repeated && s.OnRejectedHead != nil && own.Revision == config.Revision && own.Digest == digest {
+		s.OnRejectedHead(ctx, own, config)
+	}
 	// A single rejection is expected: a delayed response or watch event can
 	// contain an older head.
 	if repeated && !logged {
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -51,6 +51,15 @@
 		Logger:         s.Logger,
 		OnStoreContact: s.gossip.RecordStoreContact,
 		OnConfig:       s.adopt,
+		OnRejectedHead: s.restoreHead,
+	}
+}
+
+// restoreHead publishes again what the store lost when it came back from an older copy.
+func (s *Server) restoreHead(ctx context.Context, head configurer.Head, config configurer.Config) {
+	publisher := &configurer.Publisher{Store: s.Store, Logger: s.Logger}
+	if err := publisher.RestoreHead(ctx, head, config); err != nil {
+		s.Logger.Warn("head_not_restored", "host", s.Settings.Host, "revision", head.Revision, "error", err.Error())
 	}
 }
 
