--- a/measurer/consistency_faults.go
+++ b/measurer/consistency_faults.go
@@ -52,6 +52,7 @@
 	repeat(time.Second, s.partitionLinks)
 	repeat(4*time.Second, s.failStore)
 	repeat(500*time.Millisecond, s.publishLimit)
+	repeat(8*time.Second, s.restoreStore)
 	loops.Go(func() { s.takeOutDataCentre(ctx) })
 	loops.Wait()
 }
@@ -183,6 +184,13 @@
 	store.DropResponsesWithProbability(0)
 }
 
+// restoreStore makes the store come back from a copy that is some seconds old.
+func (s *faultInjector) restoreStore(_ context.Context, rng *rand.Rand) {
+	age := time.Second + time.Duration(rng.Int64N(int64(3*time.Second)))
+	s.fleet.Store.Restore(age)
+	s.fleet.Spec.Logger.Info("store_restored", "age", age)
+}
+
 // publishLimit publishes a change of a customer's rate that should affect no
 // client.
 func (s *faultInjector) publishLimit(ctx context.Context, rng *rand.Rand) {
