Keep the cause of a store call that a host ends itself

A host that interrupts its watch to list all keys logged dependency_lost and paused up to 50 ms: the client of the platform's store kept only the text of the error, so that the watcher could not tell the interruption from an outage. The logs of the restored store were full of it (two lines a second). The error now matches its cause.

--- a/storer/errors.go
+++ b/storer/errors.go
@@ -30,6 +30,22 @@
 	return &callError{operation: operation, sentinel: ErrUnavailable, cause: cause}
 }
 
+// Unavailable returns an error that matches both ErrUnavailable and its cause, for
+// implementations of a KeyValueStore.
+func Unavailable(cause error) error { return &unavailableError{cause: cause} }
+
+// An unavailableError is the failure of a call without a response.
+type unavailableError struct{ cause error }
+
+// Error returns the texts of the cause and of ErrUnavailable.
+func (e *unavailableError) Error() string { return e.cause.Error() + ": " + ErrUnavailable.Error() }
+
+// Is makes the error match ErrUnavailable.
+func (e *unavailableError) Is(target error) bool { return target == ErrUnavailable }
+
+// Unwrap returns the cause.
+func (e *unavailableError) Unwrap() error { return e.cause }
+
 // outcomeKnown reports whether err is a response of the store, so that the outcome
 // of the call is known.
 func outcomeKnown(err error) bool {
