Do not confirm views across a second restore that no leader confirmed

A host now knows what was acknowledged only if it listed the store in an era of which nothing is unconfirmed, and the age of a former view is that of the last such era.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -85,10 +85,11 @@
 	Evacuated map[string]bool
 	// Hosts maps names to hosts.
 	Hosts map[string]Host
-	// AwaitsConfirmation is set while the store, which came back from an older copy,
-	// may have lost changes of a primary: until a leader has confirmed the assignment
-	// of each service in use, the store does not show which primaries are in force.
-	AwaitsConfirmation bool
+	// AssignmentsEra is the earliest era of the store in which the assignment of a
+	// service in use was written, or the era of Revision if there is none. While it is
+	// below that, the store, which came back from an older copy, may have lost changes
+	// that no leader has confirmed yet, and does not show which primaries are in force.
+	AssignmentsEra int64
 	// RecentHosts are the hosts among which connections are divided, sorted by
 	// name: Hosts, and hosts that left a short while ago and may still use
 	// their connections.
--- a/hoster/restore.go
+++ b/hoster/restore.go
@@ -18,11 +18,7 @@
 // leader has confirmed since.
 func (h *Host) awaitsConfirmation() bool {
 	catalog := h.latestCatalog()
-	if catalog == nil {
-		return false
-	}
-	// The catalog of an earlier era does not show yet what is to be confirmed.
-	return catalog.AwaitsConfirmation || storer.EraOf(catalog.Revision) < storer.EraOf(h.mirror.Revision())
+	return catalog != nil && catalog.AssignmentsEra < storer.EraOf(h.mirror.Revision())
 }
 
 // primariesCompleteAsOf returns the latest instant as of which the store showed all
@@ -36,9 +32,11 @@
 }
 
 // knowsChanges reports whether this process has all changes of primaries that the store
-// held when it listed the store first, and that were acknowledged before.
+// acknowledged before it listed the store first: it did so in an era of which the store
+// has lost nothing that is not confirmed.
 func (h *Host) knowsChanges() bool {
-	if h.awaitsConfirmation() && h.mirror.LoadedInThisEra() {
+	catalog := h.latestCatalog()
+	if catalog != nil && h.mirror.FirstEra() > catalog.AssignmentsEra {
 		return false
 	}
 	return h.mirror.Listed()
--- a/hoster/restore_test.go
+++ b/hoster/restore_test.go
@@ -13,18 +13,21 @@
 )
 
 // newRestoredHost returns a host of a fleet whose store came back from an older copy after
-// it had been away for a while. The first reporting others have all changes of primaries
-// from before.
-func newRestoredHost(hosts, reporting int, storeAge time.Duration, startedBefore, confirmed bool) *Host {
+// it had been away for a while, or twice in a row. The first reporting others have all
+// changes of primaries from before.
+func newRestoredHost(hosts, reporting int, storeAge time.Duration, startedBefore, confirmed, again bool) *Host {
 	h := newTestHost(hosts)
 	now := timekeeper.Now()
 	if startedBefore {
 		h.mirror.Merge(nil, storer.JoinRevision(1, 30), now.Add(-storeAge))
 	} else {
 		h.prepare()
-		h.mirror.Replace(nil, storer.JoinRevision(2, 19), now)
 	}
-	h.mirror.Replace(nil, storer.JoinRevision(2, 20), now)
+	restored := []storer.Entry{{Key: "endiveturn/leads/s", Value: []byte(`{"id":"p","grace":"0s","era":1}`), ModRevision: storer.JoinRevision(2, 12)}}
+	h.mirror.Replace(restored, storer.JoinRevision(2, 20), now)
+	if again {
+		h.mirror.Replace(nil, storer.JoinRevision(3, 15), now)
+	}
 	written := storer.JoinRevision(1, 12)
 	if confirmed {
 		written = storer.JoinRevision(2, 21)
@@ -33,7 +36,7 @@
 	h.catalog.Configuration = &cataloger.Configuration{Services: map[string]cataloger.Service{"s": {}}}
 	h.catalog.Endpoints = map[string][]cataloger.Endpoint{"s": {{ID: "p"}}}
 	h.catalog.Assignments = map[string]cataloger.PrimaryAssignment{"s": {Service: "s", ID: "p", Revision: written}}
-	h.catalog.AwaitsConfirmation = awaitsConfirmation(h.catalog)
+	h.catalog.AssignmentsEra = assignmentsEra(h.catalog)
 	h.fleetKnownSince = now.Add(-time.Minute)
 	h.recentHosts.update(h.catalog.Hosts, now)
 	for i := 1; i < hosts; i++ {
@@ -52,6 +55,7 @@
 		hosts, reporting         int
 		storeAge                 time.Duration
 		startedAfter, confirmed  bool
+		again                    bool
 		fresh, reportsAllChanges bool
 	}{
 		{name: "all hosts ran before", hosts: 3, reporting: 2, storeAge: time.Minute, fresh: true, reportsAllChanges: true},
@@ -60,6 +64,8 @@
 		{name: "all hosts started after the restore", hosts: 3, startedAfter: true},
 		{name: "only host, started after the restore", hosts: 1, startedAfter: true},
 		{name: "only host, ran before", hosts: 1, fresh: true, reportsAllChanges: true},
+		{name: "all hosts started between two restores", hosts: 3, startedAfter: true, again: true},
+		{name: "two restores, all hosts ran before", hosts: 3, reporting: 2, storeAge: time.Minute, again: true, fresh: true, reportsAllChanges: true},
 		{name: "confirmed by a leader", hosts: 3, startedAfter: true, confirmed: true, fresh: true, reportsAllChanges: true},
 		{name: "large, majority ran before", hosts: 18, reporting: 9, storeAge: 2 * time.Second, fresh: true, reportsAllChanges: true},
 		{name: "large, half ran before", hosts: 18, reporting: 8, storeAge: 2 * time.Second, reportsAllChanges: true},
@@ -67,7 +73,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			h := newRestoredHost(test.hosts, test.reporting, test.storeAge, !test.startedAfter, test.confirmed)
+			h := newRestoredHost(test.hosts, test.reporting, test.storeAge, !test.startedAfter, test.confirmed, test.again)
 			if got := timekeeper.Now().Sub(h.viewCompleteAsOf()) < director.MaxViewAge; got != test.fresh {
 				t.Errorf("fresh view: got %v, want %v", got, test.fresh)
 			}
@@ -81,7 +87,7 @@
 // TestLostHostsStayMembers guards against a change of primary that does not wait for a host
 // whose key the store lost, and which has not registered again yet.
 func TestLostHostsStayMembers(t *testing.T) {
-	h := newRestoredHost(3, 2, time.Second, true, false)
+	h := newRestoredHost(3, 2, time.Second, true, false, false)
 	delete(h.catalog.Hosts, "h2")
 	names := make(map[string]bool)
 	for _, member := range h.members() {
--- a/hoster/view.go
+++ b/hoster/view.go
@@ -72,24 +72,24 @@
 		cataloger.SortEndpoints(endpoints)
 	}
 	c.Configuration = b.configuration
-	c.AwaitsConfirmation = awaitsConfirmation(c)
+	c.AssignmentsEra = assignmentsEra(c)
 	return c, next
 }
 
-// awaitsConfirmation reports whether a service in use has a primary assignment that was
-// written in an earlier era of the store than the present one.
-func awaitsConfirmation(c *cataloger.Catalog) bool {
+// assignmentsEra returns the earliest era in which the primary assignment of a service in
+// use was written, or the era of the catalog.
+func assignmentsEra(c *cataloger.Catalog) int64 {
+	era := storer.EraOf(c.Revision)
 	if c.Configuration == nil {
-		return false
+		return era
 	}
 	for service, assignment := range c.Assignments {
 		_, configured := c.Configuration.Services[service]
-		inUse := configured && len(c.Endpoints[service]) > 0
-		if inUse && storer.EraOf(assignment.Revision) < storer.EraOf(c.Revision) {
-			return true
+		if configured && len(c.Endpoints[service]) > 0 {
+			era = min(era, storer.EraOf(assignment.Revision))
 		}
 	}
-	return false
+	return era
 }
 
 func (b *catalogBuilder) addRecord(c *cataloger.Catalog, record informer.Record, present map[string]bool) {
--- a/informer/mirror.go
+++ b/informer/mirror.go
@@ -64,8 +64,8 @@
 	// completeAsOf is the latest instant as of which the mirror is known to have
 	// held everything that the store had committed.
 	completeAsOf time.Time
-	// formerCompleteAsOf is completeAsOf when the mirror left the previous era, and
-	// eraEnteredAt is when that was.
+	// formerCompleteAsOf is completeAsOf when the mirror left the last era in which no
+	// record was outdated, and eraEnteredAt is when it entered the present one.
 	formerCompleteAsOf, eraEnteredAt time.Time
 	// firstEra is the era in which the mirror was complete first.
 	firstEra int64
@@ -96,7 +96,8 @@
 }
 
 // FormerCompleteAsOf returns the latest instant as of which the mirror is known to have
-// been complete when it left the previous era, or the zero time.
+// held everything that the store acknowledged, when a restore of the store had lost
+// nothing that outlasts it, or the zero time.
 func (m *Mirror) FormerCompleteAsOf() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -110,12 +111,12 @@
 	return m.eraEnteredAt
 }
 
-// LoadedInThisEra reports whether the mirror was complete first in the present era, so
-// that it never held what the store lost before.
-func (m *Mirror) LoadedInThisEra() bool {
+// FirstEra returns the era in which the mirror was complete first, 0 before. It never held
+// what the store lost before that.
+func (m *Mirror) FirstEra() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.firstEra == storer.EraOf(m.revision)
+	return m.firstEra
 }
 
 // Loaded reports whether the mirror has ever been complete.
@@ -248,6 +249,16 @@
 	m.digestValid = false
 }
 
+// hasOutdated reports whether a record of an earlier era has not been written again.
+func (m *Mirror) hasOutdated() bool {
+	for _, record := range m.records {
+		if m.outlasts(record, m.revision) {
+			return true
+		}
+	}
+	return false
+}
+
 // dated returns the record with the era in which a host wrote it, if the key is one for
 // which that matters.
 func (m *Mirror) dated(record Record) Record {
@@ -275,7 +286,10 @@
 	if !m.loaded {
 		m.firstEra = storer.EraOf(revision)
 	} else if storer.EraOf(revision) > storer.EraOf(m.revision) {
-		m.formerCompleteAsOf, m.eraEnteredAt = m.completeAsOf, m.Now()
+		if !m.hasOutdated() {
+			m.formerCompleteAsOf = m.completeAsOf
+		}
+		m.eraEnteredAt = m.Now()
 	}
 	m.revision = max(m.revision, revision)
 	if completeAsOf.After(m.completeAsOf) {
