--- a/soaker/injector.go
+++ b/soaker/injector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/endiveturn/endiveturn/timekeeper"
@@ -77,6 +78,9 @@
 	case PauseStore:
 		defer s.incidents.Begin(storeProcess)()
 		defer s.fleet.store.Pause()()
+	case RestoreStore:
+		defer s.incidents.Begin(storeProcess)()
+		s.fleet.store.Signal(syscall.SIGUSR1)
 	case PauseGroup:
 		defer s.fleet.group.Pause()()
 	case WithdrawKey:
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// Signal sends a signal if the process runs.
+func (p *Process) Signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.signal(signal)
+}
+
 // Pause suspends the process until the returned function is called.
 func (p *Process) Pause() (resume func()) {
 	p.mu.Lock()
--- a/soaker/schedule.go
+++ b/soaker/schedule.go
@@ -46,6 +46,8 @@
 	// TakeOutHost and TakeOutDatabase do the same with one host or database.
 	TakeOutHost
 	TakeOutDatabase
+	// RestoreStore makes the store come back from an older copy.
+	RestoreStore
 	faultKinds
 )
 
@@ -54,7 +56,7 @@
 	return [...]string{
 		"pause_host", "kill_host", "stop_host", "client_link", "store_link", "database_link", "host_database_link",
 		"peer_link", "partition_host", "isolate_host", "kill_all_hosts", "pause_store", "pause_group", "withdraw_key", "take_out_data_centre",
-		"take_out_host", "take_out_database",
+		"take_out_host", "take_out_database", "restore_store",
 	}[k]
 }
 
@@ -62,6 +64,7 @@
 var weights = [faultKinds]int{
 	PauseHost: 3, KillHost: 3, StopHost: 3, ClientLink: 3, StoreLink: 3, DatabaseLink: 4, HostDatabaseLink: 4,
 	PeerLink: 4, PartitionHost: 3, IsolateHost: 3, KillAllHosts: 1, PauseStore: 1, PauseGroup: 1, WithdrawKey: 4, TakeOutDataCentre: 2, TakeOutHost: 2, TakeOutDatabase: 2,
+	RestoreStore: 1,
 }
 
 const (
--- a/standin.go
+++ b/standin.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,14 +27,30 @@
 func (c *standinCommand) Execute([]string) error { return errors.New("store or group is required") }
 
 type standinStoreCommand struct {
-	Address string `long:"address" default:"127.0.0.1:2379" description:"address to listen on"`
+	Address string        `long:"address" default:"127.0.0.1:2379" description:"address to listen on"`
+	CopyAge time.Duration `long:"copy-age" default:"3s" description:"age of the copy from which the store comes back at SIGUSR1"`
 
 	env *environment
 }
 
 // Execute implements flags.Commander.
 func (c *standinStoreCommand) Execute([]string) error {
-	e := &storeemulator.Emulator{Address: c.Address, Logger: c.env.logger(slog.LevelInfo)}
+	logger := c.env.logger(slog.LevelInfo)
+	e := &storeemulator.Emulator{Address: c.Address, Logger: logger}
+	restore := make(chan os.Signal, 1)
+	signal.Notify(restore, syscall.SIGUSR1)
+	defer signal.Stop(restore)
+	go func() {
+		for {
+			select {
+			case <-restore:
+				e.Restore(c.CopyAge)
+				logger.Info("store_emulator_restored", "copy_age", c.CopyAge)
+			case <-c.env.ctx.Done():
+				return
+			}
+		}
+	}()
 	return e.Run(c.env.ctx)
 }
 
