--- a/overseer/era_test.go
+++ b/overseer/era_test.go
@@ -28,11 +28,11 @@
 		name string
 		// away is how long the store is away before it comes back.
 		away time.Duration
-		// ledBy is the time within which the former leader leads again.
-		ledBy time.Duration
+		// The former leader leads again after notBefore and by ledBy.
+		notBefore, ledBy time.Duration
 	}{
 		{name: "lease still valid", ledBy: 2 * renewInterval},
-		{name: "lease expired", away: 2 * leaseTTL, ledBy: leaseTTL + 2*renewInterval},
+		{name: "lease expired", away: 2 * leaseTTL, notBefore: leaseTTL - evaluateInterval, ledBy: leaseTTL + 2*renewInterval},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -50,7 +50,12 @@
 				if _, ok := env.overseer.leaderToken(); ok {
 					t.Error("still the leader right after the restore")
 				}
-				time.Sleep(test.ledBy)
+				time.Sleep(test.notBefore)
+				synctest.Wait()
+				if _, ok := env.overseer.leaderToken(); ok && test.notBefore > 0 {
+					t.Error("leads while another leader of the former era may act")
+				}
+				time.Sleep(test.ledBy - test.notBefore)
 				synctest.Wait()
 				if token, ok := env.overseer.leaderToken(); !ok || token <= former {
 					t.Errorf("after the restore: got token %d, leader %v, want one above %d", token, ok, former)
--- a/overseer/lease.go
+++ b/overseer/lease.go
@@ -95,6 +95,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
+	case err == nil && storer.EraOf(o.token) != o.Store.Era():
+		// The store restored the lease, which does not show that it was valid all the time.
 	case err == nil && o.leaderLease.id == id:
 		o.leaderLease.expiresAt = requestedAt.Add(leaseTTL)
 	case errors.Is(err, storer.ErrLeaseExpired):
