Take assignments of a former version as they are

While a leader of a former version is in office during a roll, its records carry no era; taken as written in era 0 they would await a confirmation that it never gives, and hosts of this version would use no primary. TestWrittenIn checks it; no run with two versions in one fleet was made.

--- a/overseer/era_test.go
+++ b/overseer/era_test.go
@@ -179,3 +179,26 @@
 		}
 	})
 }
+
+// TestWrittenIn guards against hosts that use no primary while a leader of a former version,
+// which writes no eras, is in office.
+func TestWrittenIn(t *testing.T) {
+	tests := []struct {
+		name, key, value string
+		era              int64
+		ok               bool
+	}{
+		{name: "assignment", key: assignmentsPrefix + "s", value: `{"id":"p","grace":"0s","era":3}`, era: 3, ok: true},
+		{name: "store without eras", key: assignmentsPrefix + "s", value: `{"id":"p","grace":"0s","era":0}`, ok: true},
+		{name: "former version", key: assignmentsPrefix + "s", value: `{"id":"p","grace":"0s"}`},
+		{name: "malformed", key: assignmentsPrefix + "s", value: `{`},
+		{name: "other record", key: hostsPrefix + "h1", value: `{"era":3}`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if era, ok := WrittenIn(test.key, []byte(test.value)); era != test.era || ok != test.ok {
+				t.Errorf("got %d, %v, want %d, %v", era, ok, test.era, test.ok)
+			}
+		})
+	}
+}
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -31,8 +31,9 @@
 	Term   uint64 `json:"term"`
 	Moving bool   `json:"moving"`
 	Grace  string `json:"grace"`
-	// Era is the era of the store in which the leader wrote the record.
-	Era int64 `json:"era"`
+	// Era is the era of the store in which the leader wrote the record. Leaders of a
+	// former version leave it out.
+	Era *int64 `json:"era"`
 }
 
 type leaderRecord struct {
@@ -54,12 +55,12 @@
 
 func encodeAssignment(a cataloger.PrimaryAssignment, era int64) []byte {
 	return encode(assignmentRecord{
-		ID: a.ID, Born: a.StartedAtMillis, Term: a.Term, Moving: a.Changing, Grace: a.GracePeriod.String(), Era: era,
+		ID: a.ID, Born: a.StartedAtMillis, Term: a.Term, Moving: a.Changing, Grace: a.GracePeriod.String(), Era: &era,
 	})
 }
 
 // WrittenIn returns the era of the store in which a leader wrote a primary assignment; ok
-// is false for other records.
+// is false for other records and for those of a former version.
 func WrittenIn(key string, value []byte) (era int64, ok bool) {
 	if !strings.HasPrefix(key, assignmentsPrefix) {
 		return 0, false
@@ -69,7 +70,10 @@
 		// The catalog rejects and reports a malformed record.
 		return 0, false
 	}
-	return record.Era, true
+	if record.Era == nil {
+		return 0, false
+	}
+	return *record.Era, true
 }
 
 // LeaderKey is the key of the record that names the leader.
