--- a/hoster/restore_model_test.go
+++ b/hoster/restore_model_test.go
@@ -397,6 +397,7 @@
 	}{{hosts: 1}, {hosts: 2}, {hosts: 3}, {hosts: 5}, {hosts: 7}, {hosts: 17, large: true}}
 	for _, test := range tests {
 		t.Run(fmt.Sprint(test.hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
 			changes := 0
 			for seed := range uint64(20) {
 				m := newRestoreModel(seed, test.hosts, test.large)
