--- a/informer/era.go
+++ b/informer/era.go
@@ -6,8 +6,9 @@
 	"github.com/endiveturn/endiveturn/storer"
 )
 
-// This file holds what a mirror does when the store comes back from an older copy, in the
-// next era.
+// When the store comes back from an older copy, in the next era, a mirror gives up the
+// records of the former one. Those that outlast a restore stay, ordered by the era in which
+// a host wrote them, until a host writes their keys again.
 
 // FormerCompleteAsOf returns the latest instant as of which the mirror is known to have
 // held everything that the store acknowledged, when a restore of the store had lost
--- a/storer/revision.go
+++ b/storer/revision.go
@@ -4,6 +4,9 @@
 // that makes 10,000 changes a second takes three years to use them.
 const revisionBits = 40
 
+// MaxRevision is above every revision that a service gives out in an era.
+const MaxRevision = 1<<revisionBits - 1
+
 // JoinRevision returns the revision of a KeyValueStore for a revision that the service
 // gave out in an era. A service that comes back from an older copy gives out revisions
 // again, in the next era; joined revisions of a later era are greater than all of an
@@ -12,7 +15,7 @@
 
 // SplitRevision returns the era and the service's own revision of a joined revision.
 func SplitRevision(joined int64) (era, revision int64) {
-	return joined >> revisionBits, joined & (1<<revisionBits - 1)
+	return joined >> revisionBits, joined & MaxRevision
 }
 
 // EraOf returns the era of a joined revision.
