Review case 2: a lagging replica is promoted although sync_replicas is 1

A script with three hosts and a service with sync_replicas 1: a replica receives nothing, the primary crashes, the other replica is busy with reads.

--- /dev/null
+++ b/review/3/2/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Plays the case "rows": exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+cd "$(dirname "$0")/../.." || exit 2
+for program in target/endiveturn review/target/standin; do
+  if [ ! -x "$program" ]; then
+    echo "$program is missing: run the build of the deploy file and review/build.sh"
+    exit 2
+  fi
+done
+exec review/target/standin rows review/2
--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -19,6 +19,10 @@
 	replicationDelay = time.Millisecond
 	// handshakeTime is how long a new connection occupies a slot.
 	handshakeTime = 12 * time.Millisecond
+	// statusTime is how long STATUS occupies a slot, and statusWait how long it waits for
+	// one before it is answered with BUSY.
+	statusTime = 500 * time.Microsecond
+	statusWait = 20 * time.Millisecond
 	// heartbeat is how often a database writes its entry.
 	heartbeat = 1200 * time.Millisecond
 )
@@ -65,8 +69,12 @@
 	lag         time.Duration
 	work        func() time.Duration
 	promoteTime time.Duration
-	store       *store
-	record      *record
+	// readWork, if set, replaces work for reads.
+	readWork func() time.Duration
+	// sync is set if a commit is acknowledged once one replica has received it.
+	sync   bool
+	store  *store
+	record *record
 
 	mu        sync.Mutex
 	databases []*database
@@ -115,6 +123,8 @@
 	listener  net.Listener
 	open      map[net.Conn]bool
 	stopped   bool
+	// deaf is set while the database receives nothing.
+	deaf bool
 }
 
 func newGroup(service string, s *store, rec *record) *group {
@@ -249,6 +259,23 @@
 	return e
 }
 
+// awaitReplica waits until a replica has received a commit of a primary.
+func (g *group) awaitReplica(from *database, p position) {
+	received := func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, d := range g.databases {
+			if d != from && !d.stopped && d.received().term == p.term && d.received().number >= p.number {
+				return true
+			}
+		}
+		return false
+	}
+	for !received() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // replicate sends an entry to the replicas that follow the database. The caller holds mu.
 func (g *group) replicate(from *database, e entry) {
 	for _, r := range g.databases {
@@ -272,6 +299,9 @@
 	for common < len(d.log) && common < len(from.log) && d.log[common].position == from.log[common].position {
 		common++
 	}
+	if d.deaf {
+		return
+	}
 	now := time.Now()
 	if common < len(d.log) {
 		d.log, d.appliesAt = d.log[:common], d.appliesAt[:common]
@@ -508,6 +538,15 @@
 	}
 	switch verb {
 	case "STATUS":
+		// It occupies a slot for a moment, and waits for one only shortly.
+		select {
+		case d.slot <- struct{}{}:
+			time.Sleep(statusTime)
+			<-d.slot
+		case <-time.After(statusWait):
+			s.fail("BUSY")
+			return
+		}
 		g.mu.Lock()
 		role := "replica"
 		if d.primary {
@@ -571,8 +610,12 @@
 	}
 	d.busy++
 	g.mu.Unlock()
+	work := g.work
+	if verb == "READ" && g.readWork != nil {
+		work = g.readWork
+	}
 	d.slot <- struct{}{}
-	time.Sleep(g.work())
+	time.Sleep(work())
 	<-d.slot
 	g.mu.Lock()
 	d.busy--
@@ -645,6 +688,9 @@
 	r.position = d.at()
 	g.runs = append(g.runs, r)
 	g.mu.Unlock()
+	if g.sync && (verb == "COMMIT" || writes && !s.inTx) {
+		g.awaitReplica(d, r.position)
+	}
 	if r.row != "" {
 		for row := range strings.SplitSeq(r.row, "\n") {
 			fmt.Fprintf(s.writer, "DATAROW %s\r\n", row)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -151,7 +151,7 @@
 	for _, g := range s.groups {
 		services = append(services, map[string]any{
 			"name": g.service, "health_path": "/healthz", "max_conns": maxConns, "protocol": "h1", "tls": false, "cold_start_s": 0.0,
-			"cold_per_s": 0.0, "sync_replicas": 0,
+			"cold_per_s": 0.0, "sync_replicas": g.syncReplicas(),
 		})
 	}
 	s.store.put("op/config", map[string]any{
@@ -160,3 +160,11 @@
 		"tenants": []map[string]any{{"name": tenant, "api_keys": []string{tenantKey}, "priority": 1, "rate_per_s": ratePerSecond, "burst": ratePerSecond}},
 	})
 }
+
+// syncReplicas returns the service's sync_replicas.
+func (g *group) syncReplicas() int {
+	if g.sync {
+		return 1
+	}
+	return 0
+}
