--- a/review/3/2/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
     exit 2
   fi
 done
-exec review/target/standin rows review/2
+exec review/target/standin rows review/3
