Do not take a refused connection as proof that a host has ended

Hypotheses: (a) the cut-off hosts go on using their primaries, (b) the leader promotes without waiting for them, (c) a promotion is carried out late. So (a) and (b), both by Peer.RefusedAt; (c) is ruled out, each change was asked for and done by the present leader.

Cause: ECONNREFUSED was taken as proof that the other process has ended. A partition that resets connections refuses new ones too, so both sides drew the wrong conclusion at once.

Change: a refused connection says nothing. Peer.RefusedAt and Member.Ended are gone. A host that does not report delays a change of primary until its view has expired, as a silent one did before; a restarted process still ends the wait by its own acknowledgment.

Why it works: without the refusal a cut-off host has neither the store nor reports of all hosts, so its view expires within a second, and the leader waits longer than that.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -50,9 +50,6 @@
 	// sequence is the sequence number of that reply.
 	repliedAt time.Time
 	sequence  uint64
-	// RefusedAt is when the host's machine last refused a connection, which shows
-	// that its process has ended.
-	RefusedAt time.Time
 }
 
 // An Exchanger exchanges reports with the other hosts and keeps the last one of
@@ -297,25 +294,11 @@
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
-		if isRefused(err) {
-			e.recordRefusal(c.name)
-		}
 		return nil, errors.Wrap(err, "connect to host")
 	}
 	return drpcconn.New(conn), nil
 }
 
-func (e *Exchanger) recordRefusal(name string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.peers == nil {
-		e.peers = make(map[string]Peer)
-	}
-	peer := e.peers[name]
-	peer.RefusedAt = e.Now()
-	e.peers[name] = peer
-}
-
 // RecordMessage processes a message that was not sent before the instant sent; the
 // zero time stands for unknown. OnMessage is called before HeardAt is advanced,
 // because callers of Reports conclude from HeardAt that they have the records that
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"reflect"
 	"sync"
 	"testing"
 	"time"
@@ -173,8 +174,41 @@
 	await(t, "the responder has the record", func() bool { return b.hasReceived("of a") })
 	b.addRecord("of b", 9)
 	await(t, "the initiator has the record", func() bool { return a.hasReceived("of b") })
-	b.stop()
-	await(t, "the end of the other process is detected", func() bool { return !a.exchanger.Reports()["b"].RefusedAt.IsZero() })
+}
+
+// TestRefusedConnectionIsNoReport guards against a refused connection that counts as a sign
+// of what the other host knows or does: a partition that resets connections refuses them too.
+func TestRefusedConnectionIsNoReport(t *testing.T) {
+	var listenConfig net.ListenConfig
+	listener, err := listenConfig.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	attempted := make(chan struct{}, 16)
+	e := &Exchanger{
+		Host: "a", Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Peers:        func() map[string]string { return map[string]string{"a": "", "b": address} },
+		MustInitiate: func(string) bool { return false },
+		Pause:        func() time.Duration { attempted <- struct{}{}; return time.Hour },
+		Report:       func(string) Report { return Report{Host: "a"} }, OnMessage: func(Message, time.Time) {},
+	}
+	e.RecordMessage(Message{Report: Report{Host: "b", Revision: 7}}, time.Now())
+	want := e.Reports()["b"]
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	for range 3 {
+		<-attempted
+	}
+	cancel()
+	<-done
+	if got := e.Reports()["b"]; !reflect.DeepEqual(got, want) {
+		t.Errorf("after refused connections: got %+v, want %+v", got, want)
+	}
 }
 
 // TestSecondExchangeFollowsAtOnce guards against a host whose view expires after the loss of
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -144,7 +144,6 @@
 		peer := reports[name]
 		member := overseer.Member{Name: name, Observations: make(map[string]overseer.HostObservation)}
 		member.RecentlyHeard = timekeeper.Now().Sub(peer.HeardAt) < director.MaxViewAge
-		member.Ended = func(since time.Time) bool { return peer.RefusedAt.After(since) }
 		if peer.Report.Incarnation == host.Incarnation {
 			member.ReleasedRevisions = peer.Report.ReleasedRevisions
 			addObservations(member.Observations, peer.Report.Primaries, observationAge(peer, timekeeper.Now()))
@@ -159,7 +158,6 @@
 	report := h.report("")
 	member := overseer.Member{
 		Name: h.Settings.Host, RecentlyHeard: true, ReleasedRevisions: report.ReleasedRevisions, Observations: make(map[string]overseer.HostObservation),
-		Ended: func(time.Time) bool { return false },
 	}
 	addObservations(member.Observations, report.Primaries, 0)
 	return member
@@ -242,9 +240,6 @@
 			sent = time.Time{}
 		}
 		known = known || peer.Report.Listed
-		if peer.RefusedAt.After(sent) {
-			sent = peer.RefusedAt
-		}
 		if sent.Before(asOf) {
 			asOf = sent
 		}
--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -218,7 +218,6 @@
 func (env *testEnv) self() Member {
 	return Member{
 		Name: "h1", ReleasedRevisions: map[string]int64{service: env.assignment().Revision},
-		Ended: func(time.Time) bool { return false },
 	}
 }
 
@@ -268,7 +267,7 @@
 // memberReporting returns a member that reports the observation of the primary.
 func memberReporting(observation Observation, released func() int64) Member {
 	return Member{
-		Name: "h2", ReleasedRevisions: map[string]int64{service: released()}, Ended: func(time.Time) bool { return false },
+		Name: "h2", ReleasedRevisions: map[string]int64{service: released()},
 		Observations: map[string]HostObservation{service: {ID: "p", Observation: observation}},
 	}
 }
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -37,9 +37,6 @@
 	// ReleasedRevisions holds, by service, the revision of the last primary
 	// assignment for which the host uses no other primary.
 	ReleasedRevisions map[string]int64
-	// Ended reports whether the host's process was seen to have ended after since,
-	// the start of the change.
-	Ended func(since time.Time) bool
 	// Observations are the host's observations of primaries by service.
 	Observations map[string]HostObservation
 }
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -64,13 +64,15 @@
 // host may still use the former primary.
 func TestFenceWaitsForUnreachableHost(t *testing.T) {
 	tests := []struct {
-		name  string
-		ended bool
+		name string
+		// restartedAfter is when a new process of the host acknowledges the change, 0 if none
+		// does.
+		restartedAfter time.Duration
 		// atLeast and atMost bound the time to the promotion.
 		atLeast, atMost time.Duration
 	}{
 		{name: "no reports", atLeast: time.Second, atMost: 2000 * time.Millisecond},
-		{name: "process has ended", ended: true, atMost: 700 * time.Millisecond},
+		{name: "new process acknowledges", restartedAfter: 400 * time.Millisecond, atLeast: 400 * time.Millisecond, atMost: 700 * time.Millisecond},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -80,10 +82,12 @@
 				began := time.Now()
 				env.update(func() {
 					delete(env.statuses, "p")
-					unreachable := memberReporting(failedObservation, func() int64 { return 0 })
-					unreachable.Ended = func(time.Time) bool { return test.ended }
-					env.members = []Member{unreachable}
+					env.members = []Member{memberReporting(failedObservation, func() int64 { return 0 })}
 				})
+				if test.restartedAfter > 0 {
+					time.Sleep(test.restartedAfter)
+					env.update(func() { env.members = []Member{memberReporting(failedObservation, func() int64 { return 1 << 40 })} })
+				}
 				time.Sleep(4 * time.Second)
 				synctest.Wait()
 				got := env.promotions()
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -174,7 +174,7 @@
 	var quorumAt time.Time
 	for {
 		now := o.Now()
-		unreleased := c.unreleasedHosts(began)
+		unreleased := c.unreleasedHosts()
 		// In a large fleet a host that is not in the view of this one may still
 		// receive reports from other hosts.
 		if len(unreleased) == 0 && o.leaseFactor() == 1 {
@@ -206,10 +206,10 @@
 }
 
 // unreleasedHosts returns the hosts that may still use the former primary.
-func (c *primaryChange) unreleasedHosts(since time.Time) []string {
+func (c *primaryChange) unreleasedHosts() []string {
 	var unreleased []string
 	for _, member := range append(c.overseer.Members(), c.overseer.Self()) {
-		if member.ReleasedRevisions[c.service] < c.fenceRevision && !member.Ended(since) {
+		if member.ReleasedRevisions[c.service] < c.fenceRevision {
 			unreleased = append(unreleased, member.Name)
 		}
 	}
