--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -85,6 +85,8 @@
 	Evacuated map[string]bool
 	// Hosts maps names to hosts.
 	Hosts map[string]Host
+	// Voters are the hosts that confirm views while the store is out of reach.
+	Voters Voters
 	// AssignmentsEra is the earliest era of the store in which the assignment of a
 	// service in use was written, or the era of Revision if there is none. While it is
 	// below that, the store, which came back from an older copy, may have lost changes
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -39,6 +39,7 @@
 	fieldListed
 	fieldMajorityHeardAge
 	fieldAcceptsCompression
+	fieldVotersRevision
 )
 
 // Field numbers of the nested messages.
@@ -123,6 +124,7 @@
 	b = appendNumber(b, fieldHosts, uint64(max(0, r.Hosts)))
 	b = appendNumber(b, fieldUptime, encodeDuration(r.Uptime))
 	b = appendNumber(b, fieldMajorityHeardAge, encodeDuration(r.MajorityHeardAge))
+	b = appendNumber(b, fieldVotersRevision, uint64(r.VotersRevision))
 	if r.Listed {
 		b = appendNumber(b, fieldListed, 1)
 	}
@@ -178,7 +180,7 @@
 
 // fieldLimit is greater than all field numbers in use. Fields from it on are
 // ignored.
-const fieldLimit = 20
+const fieldLimit = fieldVotersRevision + 1
 
 // fields holds the last value of each field of one message by field number.
 type fields struct {
@@ -242,6 +244,7 @@
 	r.Digest = f.numbers[fieldDigest]
 	r.Listed = f.numbers[fieldListed] != 0
 	r.MajorityHeardAge = decodeDuration(f.numbers[fieldMajorityHeardAge])
+	r.VotersRevision = int64(f.numbers[fieldVotersRevision])
 	r.Stopping = f.numbers[fieldStopping] != 0
 	m.AcceptsCompression = f.numbers[fieldAcceptsCompression] != 0
 	return m, nil
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -44,12 +44,18 @@
 	// when this host sent the request that the report replies to, or the reply that
 	// the request with the report echoes.
 	HeardAt time.Time
+	// HeardListed is Listed of the report that HeardAt belongs to. Report may be an older
+	// one that was held up on the way.
+	HeardListed bool
 	// ReceivedAt is when the last report was received.
 	ReceivedAt time.Time
 	// repliedAt is when this host last replied to a request of the peer, and
 	// sequence is the sequence number of that reply.
 	repliedAt time.Time
 	sequence  uint64
+	// formerIncarnation is the incarnation before that of Report, if the latter's process
+	// is known to have sent its report later.
+	formerIncarnation string
 }
 
 // An Exchanger exchanges reports with the other hosts and keeps the last one of
@@ -302,9 +308,10 @@
 // RecordMessage processes a message that was not sent before the instant sent; the
 // zero time stands for unknown. OnMessage is called before HeardAt is advanced,
 // because callers of Reports conclude from HeardAt that they have the records that
-// the other host had.
+// the other host had. A message of a former process of a host, which a partition held
+// up, is ignored.
 func (e *Exchanger) RecordMessage(message Message, sent time.Time) {
-	if message.Report.Host == e.Host {
+	if message.Report.Host == e.Host || e.isFormer(message.Report) {
 		return
 	}
 	e.OnMessage(message, sent)
@@ -314,14 +321,26 @@
 		e.peers = make(map[string]Peer)
 	}
 	peer := e.peers[message.Report.Host]
-	peer.Report = message.Report
-	peer.ReceivedAt = e.Now()
 	if sent.After(peer.HeardAt) {
-		peer.HeardAt = sent
+		peer.HeardAt, peer.HeardListed = sent, message.Report.Listed
+		if peer.Report.Incarnation != message.Report.Incarnation {
+			peer.formerIncarnation = peer.Report.Incarnation
+		}
 	}
+	peer.Report = message.Report
+	peer.ReceivedAt = e.Now()
 	e.peers[message.Report.Host] = peer
 }
 
+// isFormer reports whether a report is of a process that another one of the same name has
+// replaced.
+func (e *Exchanger) isFormer(report Report) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	former := e.peers[report.Host].formerIncarnation
+	return former != "" && former == report.Incarnation
+}
+
 // replyTo processes the report of another host and returns this host's report, with
 // the records that the other one lacks. It is not known when the request was sent,
 // but if it echoes this host's last reply, it was sent after that one.
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -211,6 +211,27 @@
 	}
 }
 
+// TestLateMessageOfFormerProcess guards against a restarted host that counts as one which has
+// every change, because a message of its former process was held up by a partition and
+// arrives after the first report of the new process.
+func TestLateMessageOfFormerProcess(t *testing.T) {
+	handled := 0
+	e := &Exchanger{Host: "a", Now: time.Now, OnMessage: func(Message, time.Time) { handled++ }}
+	now := time.Now()
+	former := Message{Report: Report{Host: "b", Incarnation: "1", Listed: true, Revision: 9}}
+	current := Message{Report: Report{Host: "b", Incarnation: "2"}}
+	e.RecordMessage(former, now.Add(-5*time.Second))
+	if peer := e.Reports()["b"]; !peer.HeardListed {
+		t.Fatalf("got %+v, want the former process as one that has listed", peer)
+	}
+	e.RecordMessage(current, now)
+	e.RecordMessage(former, time.Time{})
+	got := e.Reports()["b"]
+	if got.HeardListed || !got.HeardAt.Equal(now) || got.Report.Incarnation != "2" || handled != 2 {
+		t.Errorf("got %+v after %d handled messages, want the report of the new process after 2", got, handled)
+	}
+}
+
 // TestSecondExchangeFollowsAtOnce guards against a host whose view expires after the loss of
 // its hub although it reaches another one: the other host can date a report only if it
 // echoes an earlier reply, and the next regular exchange comes too late.
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -40,8 +40,11 @@
 	// Listed is set once the process itself has listed all keys of the store, unless it
 	// did so only after the store lost changes of primaries that are not confirmed yet.
 	Listed bool
+	// VotersRevision is the revision of the list of voters that the host has, 0 if it has
+	// none.
+	VotersRevision int64
 	// MajorityHeardAge is the time since the sending of the oldest of the latest
-	// reports from a majority of a large fleet, negative if no majority has reported.
+	// reports from a majority of the voters, negative if no majority has reported.
 	MajorityHeardAge time.Duration
 	// Digest is equal for two hosts that hold the same records of operators and
 	// databases.
--- a/hoster/freshness.go
+++ b/hoster/freshness.go
@@ -112,7 +112,11 @@
 // viewFresh reports whether the view was recently confirmed to be complete. In a large
 // fleet only responses of the store count.
 func (h *Host) viewFresh() bool {
-	return timekeeper.Now().Sub(h.advertisedCompleteAsOf()) < freshViewAge
+	completeAsOf := h.mirror.CompleteAsOf()
+	if !h.largeFleet() {
+		completeAsOf = h.viewCompleteAsOf()
+	}
+	return timekeeper.Now().Sub(completeAsOf) < freshViewAge
 }
 
 // triggerRelists has the watcher list all keys again when the view ceases to be
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -76,9 +76,6 @@
 	mu          sync.Mutex
 	catalog     *cataloger.Catalog
 	recentHosts recentHosts
-	// fleetKnownSince is since when this host has had the list of hosts from the
-	// store.
-	fleetKnownSince time.Time
 	// majorityFreshAsOf is the latest instant as of which another host that has heard
 	// a majority confirmed the freshness of the view.
 	majorityFreshAsOf time.Time
@@ -166,12 +163,15 @@
 		Promote: func(ctx context.Context, service, id string, token int64) error {
 			return h.Platform.Promote(ctx, h.Settings.Host, service, id, token)
 		},
-		ViewCompleteAsOf: h.viewCompleteAsOf, MaxViewAge: director.MaxViewAge, HasQuorum: h.hasQuorum, QuorumExpiry: quorumExpiry, RecentlyStarted: h.recentlyStarted, Now: timekeeper.Now, Logger: h.Logger,
+		ViewCompleteAsOf: h.viewCompleteAsOf, MaxViewAge: director.MaxViewAge, MajorityExpiry: majorityExpiry, FleetExpiry: fleetExpiry,
+		RecentlyStarted: h.recentlyStarted, Now: timekeeper.Now, Logger: h.Logger,
 	}
 }
 
-// recentlyStarted reports whether this host has not run for long enough for
-// every host that may count a majority to have it in its list.
+// establishedAge is the time after which a host counts as one that runs reliably.
+const establishedAge = 15 * time.Second
+
+// recentlyStarted reports whether this host leaves leadership to others if there are any.
 func (h *Host) recentlyStarted() bool { return timekeeper.Now().Sub(h.started) < establishedAge }
 
 func otherSeeds(s Settings) []string {
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -29,17 +29,18 @@
 // report is not specific to any.
 func (h *Host) report(receiver string) exchanger.Report {
 	usages, hosts := h.usages(receiver)
-	revision, completeAsOf := h.mirror.Revision(), h.advertisedCompleteAsOf()
+	revision, completeAsOf := h.mirror.Revision(), h.mirror.CompleteAsOf()
 	r := exchanger.Report{
 		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
 		Revision: revision, Age: -1, Uptime: timekeeper.Now().Sub(h.started),
 		Digest: h.mirror.Digest(), Stopping: h.stopping.Load(), Usages: usages, Hosts: hosts,
 		Listed: h.knowsChanges(), MajorityHeardAge: -1,
 	}
-	if h.largeFleet() {
-		if at := h.majorityReportedAsOf(); !at.IsZero() {
-			r.MajorityHeardAge = timekeeper.Now().Sub(at)
-		}
+	if catalog := h.latestCatalog(); catalog != nil {
+		r.VotersRevision = catalog.Voters.Revision
+	}
+	if at := h.majorityReportedAsOf(); !at.IsZero() {
+		r.MajorityHeardAge = timekeeper.Now().Sub(at)
 	}
 	if !completeAsOf.IsZero() {
 		r.Age = timekeeper.Now().Sub(completeAsOf)
@@ -108,9 +109,7 @@
 	if len(records) > 0 || !completeAsOf.IsZero() {
 		h.mirror.Merge(records, report.Revision, completeAsOf)
 	}
-	if h.largeFleet() {
-		h.recordMajorityFreshness(report, sent)
-	}
+	h.recordMajorityFreshness(report, sent)
 }
 
 // recordUsage records what a host has used of the customers' rate limits, or, if it
@@ -145,7 +144,7 @@
 		member := overseer.Member{Name: name, Observations: make(map[string]overseer.HostObservation)}
 		member.RecentlyHeard = timekeeper.Now().Sub(peer.HeardAt) < director.MaxViewAge
 		if peer.Report.Incarnation == host.Incarnation {
-			member.ReleasedRevisions = peer.Report.ReleasedRevisions
+			member.ReleasedRevisions, member.VotersRevision = peer.Report.ReleasedRevisions, peer.Report.VotersRevision
 			addObservations(member.Observations, peer.Report.Primaries, observationAge(peer, timekeeper.Now()))
 		}
 		members = append(members, member)
@@ -191,61 +190,31 @@
 
 // viewCompleteAsOf returns the latest instant at which this host's view of the
 // primaries is known to have been complete, either from the store or by confirmation
-// of the other hosts. The latter is sufficient because only a host of the fleet
-// replaces primaries.
+// of a majority of the hosts. The latter is sufficient because only a host of the
+// fleet replaces primaries, and only once enough hosts have acknowledged the change.
+//
+// Without its own key in the view a host is unknown to the leader, which would not wait for
+// it, so that the view counts as outdated.
 func (h *Host) viewCompleteAsOf() time.Time {
+	if !h.registered() {
+		return time.Time{}
+	}
 	byStore := h.primariesCompleteAsOf()
 	if timekeeper.Now().Sub(byStore) < storeFreshAge {
 		return byStore
 	}
-	byHosts := time.Time{}
-	if h.largeFleet() {
-		byHosts = h.majorityCompleteAsOf()
-	} else {
-		byHosts = h.allReportedAsOf()
-	}
-	if byHosts.After(byStore) {
+	if byHosts := h.majorityCompleteAsOf(); byHosts.After(byStore) {
 		return byHosts
 	}
 	return byStore
 }
 
-// advertisedCompleteAsOf returns the instant as of which other hosts may treat this
-// host's mirror as complete. In a large fleet it is based on the store alone, since
-// hosts count a majority only with a view whose age by the store is known.
-func (h *Host) advertisedCompleteAsOf() time.Time {
-	if h.largeFleet() {
-		return h.mirror.CompleteAsOf()
-	}
-	return h.viewCompleteAsOf()
-}
-
-// allReportedAsOf returns the latest instant up to which all other hosts have
-// reported their state to this one, or the zero time.
-func (h *Host) allReportedAsOf() time.Time {
+// registered reports whether the view has a key of this host.
+func (h *Host) registered() bool {
 	catalog := h.latestCatalog()
-	if catalog == nil || len(catalog.Hosts) == 0 {
-		return time.Time{}
-	}
-	reports := h.exchanger.Reports()
-	asOf, known := timekeeper.Now(), h.knowsChanges()
-	unconfirmed := h.awaitsConfirmation()
-	for name := range h.fleet(catalog) {
-		if name == h.Settings.Host {
-			continue
-		}
-		peer := reports[name]
-		sent := peer.HeardAt
-		if unconfirmed && !peer.Report.Listed {
-			sent = time.Time{}
-		}
-		known = known || peer.Report.Listed
-		if sent.Before(asOf) {
-			asOf = sent
-		}
-	}
-	if unconfirmed && !known {
-		return time.Time{}
+	if catalog == nil {
+		return false
 	}
-	return asOf
+	_, ok := catalog.Hosts[h.Settings.Host]
+	return ok
 }
--- a/hoster/quorum.go
+++ b/hoster/quorum.go
@@ -4,35 +4,33 @@
 	"slices"
 	"time"
 
+	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/exchanger"
+	"github.com/endiveturn/endiveturn/overseer"
 	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
-// In a large fleet a host that receives reports from a majority of the hosts
-// may confirm the freshness of views without the store. This is safe because a
-// primary is replaced only once a quorum of hosts has acknowledged the change: so
-// many that every majority includes a host which reports the change. If too few
-// hosts reply, the change waits until no host's list of the fleet is recent enough
-// to count a majority.
+// A host that receives reports from a majority of the voters may confirm the freshness of
+// views without the store. This is safe because a primary is replaced only once enough
+// voters have acknowledged the change that every majority includes one which reports it. If
+// too few reply, the change waits until no view without it is recent enough to be confirmed.
 const (
-	// maxMajorityViewAge is the age of a view, by the store, up to which its list of
-	// hosts is used to count a majority. It bounds how long primaries are used
-	// without the store.
+	// maxMajorityViewAge is the age of a view, by the store, up to which a majority of the
+	// voters confirms it, and maxFleetViewAge the age up to which all voters together do.
+	// They bound how long primaries are used without the store, and how long a leader that
+	// reaches too few hosts waits before it replaces a primary.
 	maxMajorityViewAge = 8 * time.Second
-	// quorumExpiry is the time after which no host counts a majority with a list of
-	// hosts from before a change. It includes the time during which a watch may miss
-	// changes.
-	quorumExpiry = maxMajorityViewAge + 2*time.Second
-	// absenceTolerance is how long a host may be missing from the store and still
-	// counts: leases expire early during an outage of the store. A host counts
-	// others only after it has had the fleet in its view for as long.
+	maxFleetViewAge    = 2 * time.Minute
+	// missedChangeTime is the time during which a watch may miss changes while the store
+	// compacts its history.
+	missedChangeTime = 2 * time.Second
+	// majorityExpiry and fleetExpiry are the times after which no host confirms a view from
+	// before a change.
+	majorityExpiry = maxMajorityViewAge + missedChangeTime
+	fleetExpiry    = maxFleetViewAge + missedChangeTime
+	// absenceTolerance is how long a host whose key the store lost is still a member.
 	absenceTolerance = 5 * time.Second
-	// establishedAge is the time after which a host is in the list of every host
-	// that may count a majority.
-	establishedAge = quorumExpiry + absenceTolerance
-	// maxFleetGrowth bounds the factor by which a fleet grows within quorumExpiry.
-	maxFleetGrowth = 2
 	// storeFreshAge is the age up to which a view that is fresh by the store needs
 	// no confirmation by other hosts.
 	storeFreshAge = director.MaxViewAge / 4
@@ -47,91 +45,83 @@
 	reportedAt time.Time
 }
 
-// majorityReportedAt returns the latest instant since which more than half of
-// the hosts have reported, or the zero time.
-func majorityReportedAt(voters []voter) time.Time {
+// reportedAt returns the latest instant since which the needed number of voters have
+// reported, or the zero time.
+func reportedAt(voters []voter, needed int) time.Time {
 	instants := make([]time.Time, 0, len(voters))
 	for _, v := range voters {
 		if v.listed && !v.reportedAt.IsZero() {
 			instants = append(instants, v.reportedAt)
 		}
 	}
-	needed := len(voters)/2 + 1
-	if len(instants) < needed {
+	if needed == 0 || len(instants) < needed {
 		return time.Time{}
 	}
 	slices.SortFunc(instants, func(a, b time.Time) int { return b.Compare(a) })
 	return instants[needed-1]
 }
 
-// A fleetTally is the view of the fleet of a host that replaces a primary.
-type fleetTally struct {
-	// knownFor is how long the host has had the list of hosts from the store.
-	knownFor time.Duration
-	// known is the number of hosts, and established the number of those that are in
-	// the list of every host that may count a majority.
-	known, established int
-	// unacknowledged is the number of hosts that may not have received the change.
-	unacknowledged int
-}
-
-// hasQuorum reports whether the hosts that have not acknowledged the change are too
-// few to form a majority of any fleet that a host may count with. Each such fleet
-// includes the established hosts, and at least half of the known hosts, since a
-// fleet at most doubles within quorumExpiry.
-func (f fleetTally) hasQuorum() bool {
-	return 2*f.unacknowledged < f.established || f.knownFor > absenceTolerance && 2*maxFleetGrowth*f.unacknowledged < f.known
+// votersNeeded returns how many of the voters have to report to confirm a view of an age by
+// the store, and false if it is too old.
+func votersNeeded(voters int, age time.Duration) (needed int, ok bool) {
+	switch {
+	case age <= maxMajorityViewAge:
+		return voters/2 + 1, true
+	case age <= maxFleetViewAge:
+		return voters, true
+	default:
+		return 0, false
+	}
 }
 
-// majorityReportedAsOf returns the latest instant since which more than half of
-// a large fleet have reported to this host, or the zero time.
+// majorityReportedAsOf returns the latest instant since which enough voters have reported to
+// this host to confirm the freshness of its view, or the zero time. The list of voters has to
+// be one that this process has read, and the host has to be registered and in it, so that a
+// leader knows whom it may count.
 func (h *Host) majorityReportedAsOf() time.Time {
-	now := timekeeper.Now()
-	byStore := h.primariesCompleteAsOf()
-	if age := now.Sub(byStore); age < storeFreshAge || age > maxMajorityViewAge {
+	catalog := h.latestCatalog()
+	if catalog == nil || !h.mirror.Listed() || !h.registered() {
 		return time.Time{}
 	}
-	reports := h.exchanger.Reports()
-	knowsChanges := h.knowsChanges()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if byStore.Sub(h.fleetKnownSince) < absenceTolerance {
+	if catalog.Voters.Version == 0 {
+		return h.allReportedAsOf(catalog, timekeeper.Now())
+	}
+	if !catalog.Voters.Has(h.Settings.Host) {
 		return time.Time{}
 	}
-	voters := make([]voter, 0, len(h.recentHosts))
-	for name := range h.recentHosts {
-		v := voter{listed: reports[name].Report.Listed, reportedAt: reports[name].HeardAt}
-		if name == h.Settings.Host {
-			v = voter{listed: knowsChanges, reportedAt: now}
-		}
-		voters = append(voters, v)
+	now := timekeeper.Now()
+	age := now.Sub(h.primariesCompleteAsOf())
+	needed, ok := votersNeeded(len(catalog.Voters.Since), age)
+	if !ok || age < storeFreshAge {
+		return time.Time{}
 	}
-	return majorityReportedAt(voters)
+	return reportedAt(voters(h, catalog.Voters.Since, now), needed)
 }
 
-// hasQuorum reports whether the hosts for which acknowledged is true are enough that
-// no host still confirms the freshness of a view without the change that they
-// acknowledged.
-func (h *Host) hasQuorum(acknowledged func(name string) bool) bool {
-	if !h.largeFleet() {
-		return true
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := timekeeper.Now()
-	f := fleetTally{known: len(h.recentHosts)}
-	if !h.fleetKnownSince.IsZero() {
-		f.knownFor = now.Sub(h.fleetKnownSince)
+// allReportedAsOf returns the latest instant since which all hosts have reported to this one,
+// or the zero time. It counts before the first leader has written a list of voters, and only
+// while the store is sure to keep the key that this process has registered with, so that the
+// first leader waits for it.
+func (h *Host) allReportedAsOf(catalog *cataloger.Catalog, now time.Time) time.Time {
+	byStore := h.primariesCompleteAsOf()
+	if age := now.Sub(byStore); age < storeFreshAge || age > maxMajorityViewAge || byStore.Sub(h.started) > overseer.FirstLeasePeriod {
+		return time.Time{}
 	}
-	for name, known := range h.recentHosts {
-		if now.Sub(known.memberSince) >= establishedAge {
-			f.established++
-		}
-		if !acknowledged(name) {
-			f.unacknowledged++
+	return reportedAt(voters(h, catalog.Hosts, now), len(catalog.Hosts))
+}
+
+// voters returns hosts as their reports show them.
+func voters[T any](h *Host, names map[string]T, now time.Time) []voter {
+	reports := h.exchanger.Reports()
+	voters := make([]voter, 0, len(names))
+	for name := range names {
+		v := voter{listed: reports[name].HeardListed, reportedAt: reports[name].HeardAt}
+		if name == h.Settings.Host {
+			v = voter{listed: h.knowsChanges(), reportedAt: now}
 		}
+		voters = append(voters, v)
 	}
-	return f.hasQuorum()
+	return voters
 }
 
 // recordMajorityFreshness records as of when a majority had reported to another
@@ -147,8 +137,8 @@
 	}
 }
 
-// majorityCompleteAsOf returns the instant as of which a host to which a majority
-// has reported, possibly this one, confirms the freshness of the view without
+// majorityCompleteAsOf returns the instant as of which a host to which enough voters
+// have reported, possibly this one, confirms the freshness of the view without
 // the store.
 func (h *Host) majorityCompleteAsOf() time.Time {
 	own := h.majorityReportedAsOf()
--- a/hoster/quorum_test.go
+++ b/hoster/quorum_test.go
@@ -2,20 +2,26 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/director"
+	"github.com/endiveturn/endiveturn/overseer"
 )
 
-func TestMajorityReportedAt(t *testing.T) {
+// TestReportedAt guards against a view that is confirmed by too few hosts, or by processes
+// that may lack what their former processes acknowledged.
+func TestReportedAt(t *testing.T) {
 	base := time.Unix(1000, 0)
 	at := func(seconds int) time.Time { return base.Add(time.Duration(seconds) * time.Second) }
 	tests := []struct {
 		name   string
 		voters []voter
+		age    time.Duration
 		want   time.Time
 	}{
 		{name: "no hosts"},
@@ -25,19 +31,29 @@
 			{listed: true, reportedAt: at(1)}, {listed: true, reportedAt: at(5)}, {listed: true, reportedAt: at(3)},
 		}, want: at(3)},
 		{name: "process that has not listed the store", voters: []voter{{reportedAt: at(1)}, {listed: true, reportedAt: at(1)}}},
+		{
+			name: "majority, old view", age: maxMajorityViewAge + time.Second,
+			voters: []voter{{listed: true, reportedAt: at(1)}, {listed: true, reportedAt: at(5)}, {}},
+		},
+		{
+			name: "all, old view", age: maxMajorityViewAge + time.Second, want: at(1),
+			voters: []voter{{listed: true, reportedAt: at(1)}, {listed: true, reportedAt: at(5)}, {listed: true, reportedAt: at(3)}},
+		},
+		{name: "all, too old view", age: maxFleetViewAge + time.Second, voters: []voter{{listed: true, reportedAt: at(1)}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if got := majorityReportedAt(test.voters); !got.Equal(test.want) {
+			needed, _ := votersNeeded(len(test.voters), test.age)
+			if got := reportedAt(test.voters, needed); !got.Equal(test.want) {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
 		})
 	}
 }
 
-// A fleetModel simulates a large fleet, its store and the network between them in
-// discrete steps. The rules for counting a majority (majorityReportedAt, fleetTally and
-// recentHosts) are those of the product, the rest is modelled.
+// A fleetModel simulates a fleet, its store and the network between them in discrete steps.
+// The rules for counting a majority (reportedAt, votersNeeded and cataloger.Voters) are those
+// of the product, the rest is modelled.
 type fleetModel struct {
 	random *rand.Rand
 	now    time.Time
@@ -50,17 +66,24 @@
 	// is down.
 	storePartition int
 	storeDown      bool
-	leaderToken    int64
-	leader         string
+	downSince      time.Time
+	store          modelStore
 	renewedAt      time.Time
-	revision       int64
-	registry       map[string]string
-	assignment     int64
-	promotedAt     time.Time
-	// grownAt is when hosts were last added.
-	grownAt time.Time
-	// promotions counts the promotions.
-	promotions int
+	// promoted is the assignment of the last change that promoted a database.
+	promoted int64
+	// promotions counts the promotions, confirmations the steps in which a host used a
+	// primary without the store.
+	promotions, confirmations int
+}
+
+// A modelStore is the content of the store, and of a host's mirror.
+type modelStore struct {
+	revision    int64
+	leaderToken int64
+	leader      string
+	registry    map[string]string
+	assignment  int64
+	voters      cataloger.Voters
 }
 
 // A modelHost is one process.
@@ -68,32 +91,39 @@
 	name, incarnation string
 	startedAt         time.Time
 	listed            bool
-	// These fields are the host's mirror of the store, and when the store was read.
-	leaderToken       int64
-	leader            string
-	registry          map[string]string
-	assignment        int64
+	suspendedUntil    time.Time
+	// mirror is the host's mirror of the store, read at storeReadAt.
+	mirror            modelStore
 	storeReadAt       time.Time
-	recentHosts       recentHosts
 	majorityFreshAsOf time.Time
-	fleetKnownSince   time.Time
-	// voters holds what others reported to this host.
-	voters map[string]voter
-	// acknowledged holds the newest assignment that each other host reported to have.
-	acknowledged map[string]int64
+	// heard holds what others reported to this host.
+	heard map[string]voter
+	// acknowledged and votersRevisions hold the newest assignment and list of voters that
+	// each other host reported to have.
+	acknowledged, votersRevisions map[string]int64
+	// departedAt holds when the mirror lost the registration of a host.
+	departedAt map[string]time.Time
+	// token is the leadership that the host won, votersToken the one in which it wrote the
+	// list of voters, and voters that list.
+	token, votersToken int64
+	voters             cataloger.Voters
+	absentSince        map[string]time.Time
 	// fencing is the assignment that the host writes to replace a primary, written
-	// at fencedAt and acknowledged by a quorum at quorumAt.
+	// at fencedAt and acknowledged by enough hosts at quorumAt.
 	fencing            int64
 	fencedAt, quorumAt time.Time
-	wonLeadership      bool
 }
 
-const stepDuration = 50 * time.Millisecond
+const (
+	stepDuration = 50 * time.Millisecond
+	// firstLease is how long the registration of a new process lasts in the store.
+	firstLease = 14 * time.Second
+)
 
 func newFleetModel(seed uint64, hosts int) *fleetModel {
 	m := &fleetModel{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), hosts: make(map[string]*modelHost),
-		partition: make(map[string]int), registry: make(map[string]string), revision: 1,
+		partition: make(map[string]int), store: modelStore{revision: 1, registry: make(map[string]string)},
 	}
 	for i := range hosts {
 		m.start(fmt.Sprint("h", i))
@@ -102,24 +132,31 @@
 }
 
 func (m *fleetModel) start(name string) {
-	m.revision++
-	if _, ok := m.hosts[name]; !ok {
+	m.store.revision++
+	if !slices.Contains(m.names, name) {
 		m.names = append(m.names, name)
 	}
 	m.hosts[name] = &modelHost{
-		name: name, incarnation: fmt.Sprint(m.revision), startedAt: m.now, registry: make(map[string]string), recentHosts: make(recentHosts),
-		voters: make(map[string]voter), acknowledged: make(map[string]int64),
+		name: name, incarnation: fmt.Sprint(m.store.revision), startedAt: m.now, mirror: modelStore{registry: make(map[string]string)},
+		heard: make(map[string]voter), acknowledged: make(map[string]int64), votersRevisions: make(map[string]int64),
+		departedAt: make(map[string]time.Time), absentSince: make(map[string]time.Time),
 	}
 }
 
+// remove takes a host away for good. Its registration expires later, in step.
+func (m *fleetModel) remove(name string) {
+	delete(m.hosts, name)
+	m.names = slices.DeleteFunc(m.names, func(other string) bool { return other == name })
+}
+
 func (m *fleetModel) reachesStore(host string) bool {
 	return !m.storeDown && m.partition[host] == m.storePartition
 }
 
-// injectFault partitions or heals the network, stops the store, loses its
-// registrations, or restarts or adds hosts.
+// injectFault partitions or heals the network, stops the store, loses its registrations,
+// suspends or restarts hosts, or replaces or adds some.
 func (m *fleetModel) injectFault() {
-	switch m.random.IntN(8) {
+	switch m.random.IntN(10) {
 	case 0, 1:
 		share := m.random.Float64()
 		for _, name := range m.names {
@@ -129,39 +166,75 @@
 			}
 		}
 		m.storePartition = m.random.IntN(2)
-	case 2, 3:
+	case 2, 3, 4:
 		clear(m.partition)
 		m.storePartition, m.storeDown = 0, false
-	case 4:
-		m.storeDown = m.random.IntN(2) == 0
 	case 5:
+		if m.random.IntN(2) == 0 && !m.storeDown {
+			m.storeDown, m.downSince = true, m.now
+		}
+	case 6:
 		if m.random.IntN(3) == 0 {
-			clear(m.registry)
-			m.renewedAt = time.Time{}
+			m.expireLeases()
 		}
-		share := []int{10, 10, 1}[m.random.IntN(3)]
+		share := []int{10, 10, 3, 1}[m.random.IntN(4)]
 		for _, name := range m.names {
 			if m.random.IntN(share) == 0 {
 				m.start(name)
 			}
 		}
-	case 6:
-		if len(m.hosts) < 34 && m.now.Sub(m.grownAt) > establishedAge {
-			m.grownAt = m.now
-			for range m.random.IntN(len(m.hosts)) {
-				m.start(fmt.Sprint("n", len(m.hosts)))
+	case 7:
+		for _, name := range m.names {
+			if m.random.IntN(4) == 0 {
+				m.hosts[name].suspendedUntil = m.now.Add(time.Duration(m.random.IntN(8)) * time.Second)
+			}
+		}
+	case 8:
+		if m.random.IntN(4) == 0 {
+			m.remove(m.names[m.random.IntN(len(m.names))])
+			m.start(fmt.Sprint("n", m.store.revision))
+		}
+	case 9:
+		if len(m.names) < 34 && m.random.IntN(8) == 0 {
+			for range m.random.IntN(len(m.names)) {
+				m.start(fmt.Sprint("n", m.store.revision))
 			}
 		}
 	}
 }
 
+// expireLeases makes the store lose the registrations whose leases end during an outage.
+func (m *fleetModel) expireLeases() {
+	if !m.storeDown || m.now.Sub(m.downSince) < modelLease {
+		return
+	}
+	for _, name := range m.names {
+		if m.now.Sub(m.hosts[name].startedAt) > firstLease {
+			delete(m.store.registry, name)
+		}
+	}
+	m.renewedAt = time.Time{}
+}
+
 func (m *fleetModel) step() {
 	m.now = m.now.Add(stepDuration)
 	if m.random.IntN(20) == 0 {
 		m.injectFault()
 	}
+	for _, name := range slices.Sorted(maps.Keys(m.store.registry)) {
+		// The registration of a host that does not reach the store expires, but not the first
+		// one of a process within the first lease.
+		h := m.hosts[name]
+		expires := h == nil || !m.reachesStore(name) && m.now.Sub(h.startedAt) > firstLease
+		if !m.storeDown && expires && m.random.IntN(40) == 0 {
+			delete(m.store.registry, name)
+		}
+	}
 	for _, name := range m.names {
 		h := m.hosts[name]
+		if m.now.Before(h.suspendedUntil) {
+			continue
+		}
 		if m.reachesStore(name) && m.random.IntN(4) == 0 {
 			m.readStore(h)
 		}
@@ -169,141 +242,247 @@
 			m.exchange(h)
 		}
 		m.runLeader(h)
-		if m.random.IntN(10) != 0 {
-			continue
-		}
-		hosts := make(map[string]cataloger.Host, len(h.registry))
-		for other := range h.registry {
-			hosts[other] = cataloger.Host{Name: other}
-		}
-		h.recentHosts.update(hosts, m.now)
 	}
 }
 
 // readStore makes a host read the store, and register from its second read on.
 func (m *fleetModel) readStore(h *modelHost) {
-	if h.listed {
-		m.registry[h.name] = h.incarnation
-	} else {
-		h.fleetKnownSince = m.now
+	if h.listed && m.random.IntN(3) > 0 {
+		m.store.registry[h.name] = h.incarnation
+	}
+	h.setMirror(m.store, m.now)
+	h.listed = true
+}
+
+// setMirror replaces the mirror by a state of the store as of readAt.
+func (h *modelHost) setMirror(s modelStore, readAt time.Time) {
+	for name := range h.mirror.registry {
+		if _, ok := s.registry[name]; !ok {
+			h.departedAt[name] = readAt
+		}
 	}
-	h.leaderToken, h.leader, h.assignment, h.storeReadAt, h.listed = m.leaderToken, m.leader, m.assignment, m.now, true
-	h.registry = make(map[string]string, len(m.registry))
-	for name, incarnation := range m.registry {
-		h.registry[name] = incarnation
+	s.registry = maps.Clone(s.registry)
+	s.assignment = max(s.assignment, h.mirror.assignment)
+	if h.mirror.voters.Revision > s.voters.Revision {
+		s.voters = h.mirror.voters
 	}
+	h.mirror, h.storeReadAt = s, readAt
 }
 
 // exchange makes a host exchange reports with the leader in its mirror, or with a
 // random host.
 func (m *fleetModel) exchange(h *modelHost) {
-	other := m.hosts[h.leader]
+	other := m.hosts[h.mirror.leader]
 	if other == nil || m.random.IntN(3) == 0 {
 		other = m.hosts[m.names[m.random.IntN(len(m.names))]]
 	}
-	if other == h || m.partition[other.name] != m.partition[h.name] {
+	if other == h || m.partition[other.name] != m.partition[h.name] || m.now.Before(other.suspendedUntil) {
 		return
 	}
 	h.merge(other)
 	other.merge(h)
-	other.voters[h.name] = voter{listed: h.listed, reportedAt: m.now}
-	other.acknowledged[h.name] = max(other.acknowledged[h.name], h.assignment)
+	m.report(h, other)
+	m.report(other, h)
+}
+
+// report makes a host receive the report of another one.
+func (m *fleetModel) report(h, other *modelHost) {
+	h.heard[other.name] = voter{listed: other.listed, reportedAt: m.now}
+	h.acknowledged[other.name] = 0
+	if h.mirror.registry[other.name] == other.incarnation {
+		h.acknowledged[other.name], h.votersRevisions[other.name] = other.mirror.assignment, other.mirror.voters.Revision
+	}
 	if at := other.majorityReportedAsOf(m.now); at.After(h.majorityFreshAsOf) {
 		h.majorityFreshAsOf = at
 	}
 }
 
-// merge applies the state of another host. An assignment is taken over with every
-// report, since hosts always report their own writes.
+// merge applies the state of another host. Records that the other one wrote itself are taken
+// over with every report.
 func (h *modelHost) merge(other *modelHost) {
-	h.assignment = max(h.assignment, other.assignment)
+	h.mirror.assignment = max(h.mirror.assignment, other.mirror.assignment)
+	if other.mirror.voters.Revision > h.mirror.voters.Revision {
+		h.mirror.voters = other.mirror.voters
+	}
 	if other.storeReadAt.After(h.storeReadAt) {
-		h.leaderToken, h.leader, h.storeReadAt, h.registry = other.leaderToken, other.leader, other.storeReadAt, other.registry
+		h.setMirror(other.mirror, other.storeReadAt)
 	}
 }
 
+func (h *modelHost) registered() bool { _, ok := h.mirror.registry[h.name]; return ok }
+
 func (h *modelHost) majorityReportedAsOf(now time.Time) time.Time {
-	if now.Sub(h.storeReadAt) > maxMajorityViewAge || h.storeReadAt.Sub(h.fleetKnownSince) < absenceTolerance {
+	if h.mirror.voters.Version == 0 {
+		return h.allReportedAsOf(now)
+	}
+	needed, ok := votersNeeded(len(h.mirror.voters.Since), now.Sub(h.storeReadAt))
+	if !ok || !h.listed || !h.registered() || !h.mirror.voters.Has(h.name) {
 		return time.Time{}
 	}
 	var voters []voter
-	for name := range h.recentHosts {
-		v := h.voters[name]
+	for name := range h.mirror.voters.Since {
+		v := h.heard[name]
 		if name == h.name {
-			v = voter{listed: h.listed, reportedAt: now}
+			v = voter{listed: true, reportedAt: now}
 		}
 		voters = append(voters, v)
 	}
-	return majorityReportedAt(voters)
+	return reportedAt(voters, needed)
 }
 
-// hasQuorum reports whether a quorum of hosts has acknowledged the change that the
-// host makes.
-func (h *modelHost) hasQuorum(now time.Time) bool {
-	f := fleetTally{knownFor: now.Sub(h.fleetKnownSince), known: len(h.recentHosts)}
-	for name, known := range h.recentHosts {
-		if now.Sub(known.memberSince) >= establishedAge {
-			f.established++
+// allReportedAsOf counts before the host has a list of voters.
+func (h *modelHost) allReportedAsOf(now time.Time) time.Time {
+	if !h.listed || !h.registered() || now.Sub(h.storeReadAt) > maxMajorityViewAge || h.storeReadAt.Sub(h.startedAt) > overseer.FirstLeasePeriod {
+		return time.Time{}
+	}
+	var voters []voter
+	for name := range h.mirror.registry {
+		v := h.heard[name]
+		if name == h.name {
+			v = voter{listed: true, reportedAt: now}
 		}
-		if name != h.name && h.acknowledged[name] < h.fencing {
-			f.unacknowledged++
+		voters = append(voters, v)
+	}
+	return reportedAt(voters, len(voters))
+}
+
+// viewAsOf returns as of when the view of a host is confirmed.
+func (h *modelHost) viewAsOf(now time.Time) time.Time {
+	if !h.registered() {
+		return time.Time{}
+	}
+	asOf := h.storeReadAt
+	for _, at := range []time.Time{h.majorityReportedAsOf(now), h.majorityFreshAsOf} {
+		if at.After(asOf) {
+			asOf = at
 		}
 	}
-	return f.hasQuorum()
+	return asOf
 }
 
-// runLeader makes a host take leadership, renew it, and replace the primary now and
-// then.
+// runLeader makes a host take leadership, renew it, keep the list of voters, and replace the
+// primary now and then.
 func (m *fleetModel) runLeader(h *modelHost) {
 	if !m.reachesStore(h.name) {
 		return
 	}
 	switch {
-	case m.leader == h.name && m.leaderToken == h.leaderToken && h.wonLeadership:
+	case m.store.leader == h.name && m.store.leaderToken == h.token:
 		m.renewedAt = m.now
-	case m.now.Sub(m.renewedAt) > 1800*time.Millisecond && m.registry[h.name] == h.incarnation && m.random.IntN(20) == 0:
-		m.revision++
-		m.leaderToken, m.leader, m.renewedAt = m.revision, h.name, m.now
-		h.leaderToken, h.leader, h.wonLeadership, h.fencing = m.leaderToken, h.name, true, 0
+	case m.now.Sub(m.renewedAt) > 1800*time.Millisecond && m.store.registry[h.name] == h.incarnation && m.random.IntN(20) == 0:
+		m.store.revision++
+		m.store.leaderToken, m.store.leader, m.renewedAt = m.store.revision, h.name, m.now
+		h.token, h.fencing = m.store.leaderToken, 0
+		clear(h.absentSince)
 		return
 	default:
 		return
 	}
+	m.maintainVoters(h)
 	if h.fencing == 0 {
-		if m.random.IntN(10) == 0 {
-			m.revision++
-			m.assignment = m.revision
-			h.assignment, h.fencing, h.fencedAt, h.quorumAt = m.assignment, m.assignment, m.now, time.Time{}
+		if h.votersToken == h.token && m.random.IntN(10) == 0 {
+			m.store.revision++
+			m.store.assignment = m.store.revision
+			h.mirror.assignment, h.fencing, h.fencedAt, h.quorumAt = m.store.assignment, m.store.assignment, m.now, time.Time{}
+		}
+		return
+	}
+	m.continueChange(h)
+}
+
+// maintainVoters makes the leader write the list of voters.
+func (m *fleetModel) maintainVoters(h *modelHost) {
+	current := m.store.voters
+	var added, removed []string
+	for name := range h.mirror.registry {
+		delete(h.absentSince, name)
+		if !current.Has(name) {
+			added = append(added, name)
+		}
+	}
+	haveList := true
+	for name := range current.Since {
+		haveList = haveList && (name == h.name || h.votersRevisions[name] >= current.Revision)
+		if _, ok := h.mirror.registry[name]; ok {
+			continue
 		}
+		if since, ok := h.absentSince[name]; !ok {
+			h.absentSince[name] = m.now
+		} else if m.now.Sub(since) > fleetExpiry {
+			removed = append(removed, name)
+		}
+	}
+	next := current.WithChanges(added, removed)
+	switch {
+	case len(added)+len(removed) > 0 || h.votersToken != h.token:
+	case !current.AllKnown() && haveList:
+		next = current.WithAllKnown()
+	default:
 		return
 	}
-	if h.quorumAt.IsZero() && (h.hasQuorum(m.now) || m.now.Sub(h.fencedAt) > quorumExpiry) {
+	m.store.revision++
+	next.Revision = m.store.revision
+	m.store.voters, h.mirror.voters, h.voters, h.votersToken = next, next, next, h.token
+}
+
+// continueChange promotes a database once no host confirms a view without the change.
+func (m *fleetModel) continueChange(h *modelHost) {
+	acknowledged := func(name string) bool {
+		return name == h.name || h.acknowledged[name] >= h.fencing
+	}
+	waited, quorum := m.now.Sub(h.fencedAt), false
+	switch {
+	case h.voters.AllPossible(acknowledged):
+		quorum = waited > fleetExpiry
+	case h.voters.MajorityPossible(acknowledged), h.voters.ListMissing(acknowledged):
+		quorum = waited > majorityExpiry
+	default:
+		quorum = true
+	}
+	if quorum && h.quorumAt.IsZero() {
 		h.quorumAt = m.now
 	}
-	if !h.quorumAt.IsZero() && m.now.Sub(h.quorumAt) > director.MaxViewAge {
-		m.promotedAt, h.fencing = m.now, 0
+	immediate := quorum && h.storeReadAt.After(h.fencedAt) && len(m.names) <= cataloger.MaxSmallFleetSize && m.allReleased(h, acknowledged)
+	if immediate || !h.quorumAt.IsZero() && m.now.Sub(h.quorumAt) > director.MaxViewAge {
+		m.promoted, h.fencing = h.fencing, 0
 		m.promotions++
 	}
 }
 
+// allReleased reports whether all hosts that the leader knows have acknowledged the change.
+func (m *fleetModel) allReleased(h *modelHost, acknowledged func(string) bool) bool {
+	for name := range h.mirror.registry {
+		if !acknowledged(name) {
+			return false
+		}
+	}
+	for name, at := range h.departedAt {
+		if m.now.Sub(at) < departureTolerance && !acknowledged(name) {
+			return false
+		}
+	}
+	for name, since := range h.voters.Since {
+		absentSince, absent := h.absentSince[name]
+		expired := absent && m.now.Sub(absentSince) > majorityExpiry && h.voters.Since[h.name] <= since
+		if !acknowledged(name) && !expired {
+			return false
+		}
+	}
+	return true
+}
+
 // hostUsingFormerPrimary returns a host that still uses the primary from before the
 // last promotion.
 func (m *fleetModel) hostUsingFormerPrimary() *modelHost {
-	if m.promotedAt.IsZero() {
-		return nil
-	}
 	for _, name := range m.names {
 		h := m.hosts[name]
-		if h.assignment == m.assignment || !m.promotedAt.Equal(m.now) {
+		if m.now.Sub(h.viewAsOf(m.now)) >= director.MaxViewAge || m.now.Before(h.suspendedUntil) {
 			continue
 		}
-		freshAsOf := h.storeReadAt
-		for _, at := range []time.Time{h.majorityReportedAsOf(m.now), h.majorityFreshAsOf} {
-			if at.After(freshAsOf) {
-				freshAsOf = at
-			}
+		if m.now.Sub(h.storeReadAt) >= director.MaxViewAge {
+			m.confirmations++
 		}
-		if m.now.Sub(freshAsOf) < director.MaxViewAge {
+		if h.mirror.assignment < m.promoted {
 			return h
 		}
 	}
@@ -311,23 +490,32 @@
 }
 
 // TestFormerPrimaryIsNotConfirmedFresh simulates random partitions, outages of the
-// store, restarts and added hosts. It guards against a host of a large fleet that
-// uses a former primary after another one was promoted, because a leader that lost
-// the store still confirmed the freshness of the old view.
+// store, suspensions and restarts, and hosts that are added or replaced. It guards against
+// a host that uses a former primary after another one was promoted, because hosts that lack
+// the change confirmed the freshness of its view.
 func TestFormerPrimaryIsNotConfirmedFresh(t *testing.T) {
-	promotions := 0
-	for seed := range uint64(14) {
-		m := newFleetModel(seed, 17+int(seed%10))
-		for range 2400 {
-			m.step()
-			if h := m.hostUsingFormerPrimary(); h != nil {
-				t.Fatalf("seed %d after %ds: %s (leader token %d of %s) uses the primary before assignment %d, the leader token is %d of %s",
-					seed, m.now.Unix()-1000, h.name, h.leaderToken, h.leader, m.assignment, m.leaderToken, m.leader)
+	for _, hosts := range []int{1, 2, 3, 5, 7, 9, 17, 24} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
+			promotions, confirmations := 0, 0
+			for seed := range uint64(fleetModelSeeds) {
+				m := newFleetModel(seed, hosts)
+				for range 2400 {
+					m.step()
+					if h := m.hostUsingFormerPrimary(); h != nil {
+						t.Fatalf("seed %d after %v: %s of %v uses the primary before assignment %d with assignment %d, read the store %v ago; voters %+v, the leader %s has %+v",
+							seed, m.now.Sub(time.Unix(1000, 0)), h.name, m.names, m.promoted, h.mirror.assignment, m.now.Sub(h.storeReadAt), h.mirror.voters, m.store.leader, m.store.voters)
+					}
+				}
+				promotions += m.promotions
+				confirmations += m.confirmations
 			}
-		}
-		promotions += m.promotions
-	}
-	if promotions < 100 {
-		t.Errorf("only %d promotions were simulated", promotions)
+			if promotions < 4*fleetModelSeeds || confirmations < 100 {
+				t.Errorf("only %d promotions and %d confirmations without the store were simulated", promotions, confirmations)
+			}
+		})
 	}
 }
+
+// fleetModelSeeds is how many random simulations of each size of fleet are run.
+const fleetModelSeeds = 14
--- a/hoster/refresh.go
+++ b/hoster/refresh.go
@@ -61,9 +61,6 @@
 		h.addUnlistedHosts(catalog)
 		h.mu.Lock()
 		catalog.RecentHosts = h.recentHosts.update(catalog.Hosts, timekeeper.Now())
-		if h.fleetKnownSince.IsZero() && h.mirror.Listed() {
-			h.fleetKnownSince = timekeeper.Now()
-		}
 		h.catalog = catalog
 		h.mu.Unlock()
 		h.director.SetCatalog(catalog)
@@ -108,20 +105,13 @@
 type recentHost struct {
 	host   cataloger.Host
 	seenAt time.Time
-	// memberSince is since when the host has been part of the fleet, not counting
-	// short absences.
-	memberSince time.Time
 }
 
 // update records the present hosts and returns all hosts among which connections are
 // divided.
 func (s recentHosts) update(hosts map[string]cataloger.Host, now time.Time) []cataloger.Host {
 	for name, host := range hosts {
-		known, ok := s[name]
-		if !ok || now.Sub(known.seenAt) > absenceTolerance {
-			known.memberSince = now
-		}
-		s[name] = recentHost{host: host, seenAt: now, memberSince: known.memberSince}
+		s[name] = recentHost{host: host, seenAt: now}
 	}
 	list := make([]cataloger.Host, 0, len(s))
 	for name, known := range s {
--- a/hoster/relays.go
+++ b/hoster/relays.go
@@ -49,7 +49,7 @@
 	now := timekeeper.Now()
 	r := &h.relays
 	fresh := now.Sub(h.viewCompleteAsOf()) < relayViewAge
-	if now.Sub(h.advertisedCompleteAsOf()) < relayViewAge {
+	if now.Sub(h.mirror.CompleteAsOf()) < relayViewAge {
 		r.names, r.fallbackHubs = nil, nil
 		return nil
 	}
--- a/hoster/restore.go
+++ b/hoster/restore.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/storer"
 	"github.com/endiveturn/endiveturn/timekeeper"
 )
@@ -42,20 +43,24 @@
 	return h.mirror.Listed()
 }
 
-// fleet returns the hosts that may use primaries: those in the catalog and, for a while
-// after a restore of the store, those whose keys it lost and that have not registered
-// again yet.
+// departureTolerance is how long a host that has left the catalog is still a member: its view
+// may not have expired. A catalog is built at least once a second.
+const departureTolerance = director.MaxViewAge + 1500*time.Millisecond
+
+// fleet returns the hosts that may use primaries: those in the catalog and those that left it
+// a moment ago, or, for a while after a restore of the store, those whose keys it lost and
+// that have not registered again yet.
 func (h *Host) fleet(catalog *cataloger.Catalog) map[string]cataloger.Host {
 	now := timekeeper.Now()
-	restoredAt := h.mirror.EraEnteredAt()
-	if restoredAt.IsZero() || now.Sub(restoredAt) > absenceTolerance {
-		return catalog.Hosts
+	tolerance := departureTolerance
+	if restoredAt := h.mirror.EraEnteredAt(); !restoredAt.IsZero() && now.Sub(restoredAt) <= absenceTolerance {
+		tolerance = absenceTolerance
 	}
 	hosts := maps.Clone(catalog.Hosts)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for name, known := range h.recentHosts {
-		if _, ok := hosts[name]; !ok && now.Sub(known.seenAt) < absenceTolerance {
+		if _, ok := hosts[name]; !ok && now.Sub(known.seenAt) < tolerance {
 			hosts[name] = known.host
 		}
 	}
--- a/hoster/restore_model_test.go
+++ b/hoster/restore_model_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/director"
 )
 
@@ -75,6 +78,8 @@
 	// the database that it promotes, -1 before.
 	fence    *modelAssignment
 	fencedAt time.Time
+	// quorumAt is when enough hosts had acknowledged the change.
+	quorumAt time.Time
 	promoted int
 }
 
@@ -216,7 +221,7 @@
 	}
 	h.heard[other.id] = voter{listed: other.knowsChanges(), reportedAt: m.now}
 	h.acknowledged[other.id] = other.assignment
-	if at := m.majorityReportedAsOf(other); m.large && at.After(h.majorityAsOf) {
+	if at := m.majorityReportedAsOf(other); at.After(h.majorityAsOf) {
 		h.majorityAsOf = at
 	}
 }
@@ -236,12 +241,9 @@
 
 // viewAsOf returns as of when the view of a host is confirmed.
 func (m *restoreModel) viewAsOf(h *restoreModelHost) time.Time {
-	byStore, byHosts := h.primariesAsOf(), m.allReportedAsOf(h)
-	if m.large {
-		byHosts = m.majorityReportedAsOf(h)
-		if h.majorityAsOf.After(byHosts) {
-			byHosts = h.majorityAsOf
-		}
+	byStore, byHosts := h.primariesAsOf(), m.majorityReportedAsOf(h)
+	if h.majorityAsOf.After(byHosts) {
+		byHosts = h.majorityAsOf
 	}
 	if byHosts.After(byStore) {
 		return byHosts
@@ -249,29 +251,9 @@
 	return byStore
 }
 
-func (m *restoreModel) allReportedAsOf(h *restoreModelHost) time.Time {
-	asOf, known := m.now, h.knowsChanges()
-	for _, other := range m.hosts {
-		if other == h {
-			continue
-		}
-		v := h.heard[other.id]
-		known = known || v.listed
-		if h.awaitsConfirmation() && !v.listed {
-			return time.Time{}
-		}
-		if v.reportedAt.Before(asOf) {
-			asOf = v.reportedAt
-		}
-	}
-	if h.awaitsConfirmation() && !known || h.era == 0 {
-		return time.Time{}
-	}
-	return asOf
-}
-
 func (m *restoreModel) majorityReportedAsOf(h *restoreModelHost) time.Time {
-	if m.now.Sub(h.primariesAsOf()) > maxMajorityViewAge {
+	needed, ok := votersNeeded(len(m.hosts), m.now.Sub(h.primariesAsOf()))
+	if !ok || !h.listed {
 		return time.Time{}
 	}
 	voters := []voter{{listed: h.knowsChanges(), reportedAt: m.now}}
@@ -280,7 +262,7 @@
 			voters = append(voters, h.heard[other.id])
 		}
 	}
-	return majorityReportedAt(voters)
+	return reportedAt(voters, needed)
 }
 
 // lead makes a host take and renew leadership, confirm the assignment and replace the
@@ -341,7 +323,7 @@
 func (m *restoreModel) beginChange(h *restoreModelHost) {
 	if m.write(h, modelAssignment{primary: h.assignment.primary, changing: true}) {
 		fence := h.assignment
-		h.fence, h.fencedAt, h.promoted = &fence, m.now, -1
+		h.fence, h.fencedAt, h.quorumAt, h.promoted = &fence, m.now, time.Time{}, -1
 	}
 }
 
@@ -362,18 +344,29 @@
 }
 
 func (m *restoreModel) released(h *restoreModelHost) bool {
-	unacknowledged := 0
+	voters := cataloger.Voters{Version: 1, Since: make(map[string]int64)}
+	acknowledged := make(map[string]bool)
 	for _, other := range m.hosts {
-		if other != h && h.fence.newerThan(h.acknowledged[other.id]) {
-			unacknowledged++
-		}
+		name := fmt.Sprint(other.id)
+		voters.Since[name] = 0
+		acknowledged[name] = other == h || !h.fence.newerThan(h.acknowledged[other.id])
+	}
+	isAcknowledged := func(name string) bool { return acknowledged[name] }
+	waited, expiry := m.now.Sub(h.fencedAt), time.Duration(0)
+	switch {
+	case voters.AllPossible(isAcknowledged):
+		expiry = fleetExpiry
+	case voters.MajorityPossible(isAcknowledged):
+		expiry = majorityExpiry
+	}
+	if waited < expiry {
+		return false
 	}
-	waited := m.now.Sub(h.fencedAt)
-	if m.large {
-		quorum := 2*unacknowledged < len(m.hosts) && waited > director.MaxViewAge+stepDuration
-		return quorum || waited > quorumExpiry+director.MaxViewAge
+	if h.quorumAt.IsZero() {
+		h.quorumAt = m.now
 	}
-	return unacknowledged == 0 || waited > director.MaxViewAge+stepDuration
+	all := !slices.Contains(slices.Collect(maps.Values(acknowledged)), false)
+	return all && !m.large || m.now.Sub(h.quorumAt) > director.MaxViewAge+stepDuration
 }
 
 // hostUsingFormerPrimary returns a host that uses a database other than the primary.
--- a/hoster/restore_test.go
+++ b/hoster/restore_test.go
@@ -37,10 +37,12 @@
 	h.catalog.Endpoints = map[string][]cataloger.Endpoint{"s": {{ID: "p"}}}
 	h.catalog.Assignments = map[string]cataloger.PrimaryAssignment{"s": {Service: "s", ID: "p", Revision: written}}
 	h.catalog.AssignmentsEra = assignmentsEra(h.catalog)
-	h.fleetKnownSince = now.Add(-time.Minute)
 	h.recentHosts.update(h.catalog.Hosts, now)
 	for i := 1; i < hosts; i++ {
-		report := exchanger.Report{Host: fmt.Sprint("h", i), Age: -1, MajorityHeardAge: -1, Listed: i <= reporting}
+		report := exchanger.Report{Host: fmt.Sprint("h", i), Age: time.Minute, MajorityHeardAge: -1, Listed: i <= reporting}
+		if !startedBefore && i <= reporting && 2*reporting > hosts {
+			report.MajorityHeardAge = 0
+		}
 		h.exchanger.RecordMessage(exchanger.Message{Report: report}, now)
 	}
 	return h
@@ -69,7 +71,7 @@
 		{name: "confirmed by a leader", hosts: 3, startedAfter: true, confirmed: true, fresh: true, reportsAllChanges: true},
 		{name: "large, majority ran before", hosts: 18, reporting: 9, storeAge: 2 * time.Second, fresh: true, reportsAllChanges: true},
 		{name: "large, half ran before", hosts: 18, reporting: 8, storeAge: 2 * time.Second, reportsAllChanges: true},
-		{name: "large, store was away for too long", hosts: 18, reporting: 17, storeAge: maxMajorityViewAge + time.Second, reportsAllChanges: true},
+		{name: "large, majority, store was away for too long", hosts: 18, reporting: 16, storeAge: maxMajorityViewAge + time.Second, reportsAllChanges: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/hoster/store_readers.go
+++ b/hoster/store_readers.go
@@ -29,7 +29,7 @@
 	}
 	rank, hosts := h.capacityRank()
 	grace := readerGrace + readerSpread*time.Duration(rank)/time.Duration(hosts)
-	return rank < storeReaders || timekeeper.Now().Sub(h.advertisedCompleteAsOf()) > grace
+	return rank < storeReaders || timekeeper.Now().Sub(h.mirror.CompleteAsOf()) > grace
 }
 
 // actsAsHub reports whether this host is one of those that others contact first while
--- a/hoster/topology_test.go
+++ b/hoster/topology_test.go
@@ -26,14 +26,15 @@
 		Platform: Platform{IsExternalKey: func(string) bool { return true }},
 	}
 	h.prepare()
-	catalog := &cataloger.Catalog{Hosts: make(map[string]cataloger.Host)}
+	catalog := &cataloger.Catalog{Hosts: make(map[string]cataloger.Host), Voters: cataloger.Voters{Version: 1, Since: make(map[string]int64)}}
 	for i := range hosts {
 		name := fmt.Sprint("h", i)
 		catalog.Hosts[name] = cataloger.Host{Name: name, Address: "127.0.0.1:1"}
+		catalog.Voters.Since[name] = 1
 	}
 	h.catalog = catalog
 	h.mirror.Replace([]storer.Entry{{Key: overseer.LeaderKey, Value: []byte(`{"host":"h0"}`), ModRevision: 3}}, 3,
-		timekeeper.Now().Add(-time.Minute))
+		timekeeper.Now().Add(-10*time.Minute))
 	for i := 1; i < hosts; i++ {
 		h.exchanger.RecordMessage(exchanger.Message{Report: exchanger.Report{Host: fmt.Sprint("h", i), Age: -1}}, timekeeper.Now())
 	}
@@ -51,25 +52,38 @@
 		hosts, listed int
 		// storeAge is how long ago the store last responded.
 		storeAge time.Duration
-		// knownFor is how long the host has had the list of hosts from the store.
-		knownFor time.Duration
-		fresh    bool
+		// unlisted is set if this host is not in the list of voters, unregistered if the
+		// store does not have its key.
+		unlisted, unregistered bool
+		fresh                  bool
 	}{
-		{name: "small fleet", hosts: cataloger.MaxSmallFleetSize, storeAge: time.Minute, knownFor: time.Minute, fresh: true},
-		{name: "large, no host has listed the store", hosts: 17, storeAge: 2 * time.Second, knownFor: time.Minute},
-		{name: "large, half have listed", hosts: 18, listed: 9, storeAge: 2 * time.Second, knownFor: time.Minute},
-		{name: "large, majority has listed", hosts: 18, listed: 10, storeAge: 2 * time.Second, knownFor: time.Minute, fresh: true},
-		{name: "large, store unavailable for too long", hosts: 18, listed: 18, storeAge: maxMajorityViewAge + time.Second, knownFor: time.Minute},
-		{name: "large, fleet known too recently", hosts: 18, listed: 18, storeAge: 2 * time.Second, knownFor: 4 * time.Second},
-		{name: "large, store responded recently", hosts: 18, storeAge: 100 * time.Millisecond, knownFor: time.Minute, fresh: true},
+		{name: "small, all have listed", hosts: 16, listed: 16, storeAge: time.Minute, fresh: true},
+		{name: "small, one restarted in a long outage", hosts: 16, listed: 15, storeAge: time.Minute},
+		{name: "small, one restarted in a short outage", hosts: 16, listed: 15, storeAge: 2 * time.Second, fresh: true},
+		{name: "small, no other host has listed the store", hosts: 3, listed: 1, storeAge: 2 * time.Second},
+		{name: "only host", hosts: 1, listed: 1, storeAge: time.Minute, fresh: true},
+		{name: "only host, store unavailable for too long", hosts: 1, listed: 1, storeAge: maxFleetViewAge + time.Second},
+		{name: "large, no host has listed the store", hosts: 17, storeAge: 2 * time.Second},
+		{name: "large, half have listed", hosts: 18, listed: 9, storeAge: 2 * time.Second},
+		{name: "large, majority has listed", hosts: 18, listed: 10, storeAge: 2 * time.Second, fresh: true},
+		{name: "large, majority, store unavailable for too long", hosts: 18, listed: 17, storeAge: maxMajorityViewAge + time.Second},
+		{name: "large, store unavailable for too long", hosts: 18, listed: 18, storeAge: maxFleetViewAge + time.Second},
+		{name: "large, leader does not know this host", hosts: 18, listed: 18, storeAge: 2 * time.Second, unlisted: true},
+		{name: "store has lost the key of this host", hosts: 18, listed: 18, storeAge: 100 * time.Millisecond, unregistered: true},
+		{name: "large, store responded recently", hosts: 18, storeAge: 100 * time.Millisecond, fresh: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			h := newTestHost(test.hosts)
 			now := timekeeper.Now()
 			h.mirror.Merge(nil, 3, now.Add(-test.storeAge))
-			h.fleetKnownSince = now.Add(-test.knownFor)
 			h.recentHosts.update(h.catalog.Hosts, now)
+			if test.unlisted {
+				delete(h.catalog.Voters.Since, "h0")
+			}
+			if test.unregistered {
+				delete(h.catalog.Hosts, "h0")
+			}
 			for i := 1; i < test.hosts; i++ {
 				report := exchanger.Report{Host: fmt.Sprint("h", i), Age: -1, MajorityHeardAge: -1, Listed: i < test.listed}
 				h.exchanger.RecordMessage(exchanger.Message{Report: report}, now)
--- a/hoster/view.go
+++ b/hoster/view.go
@@ -105,6 +105,14 @@
 		c.Hosts[host.Name] = host
 		return
 	}
+	if voters, ok, err := overseer.DecodeVoters(record.Key, record.Value, record.Revision); ok {
+		if err != nil {
+			b.reject(record, err)
+			return
+		}
+		c.Voters = voters
+		return
+	}
 	if assignment, ok, err := overseer.DecodeAssignment(record.Key, record.Value, record.Revision); ok {
 		if err != nil {
 			b.reject(record, err)
--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -40,6 +40,7 @@
 	members    []Member
 	endpoints  []cataloger.Endpoint
 	evacuated  map[string]bool
+	hosts      map[string]cataloger.Host
 
 	// era is the era of the store, seenEra that of its last response, and viewCompleteAsOf is when the other hosts last
 	// confirmed the view of the overseer's host.
@@ -56,7 +57,11 @@
 	at    time.Time
 }
 
-const service = "s"
+const (
+	service            = "s"
+	testMajorityExpiry = 10 * time.Second
+	testFleetExpiry    = time.Minute
+)
 
 func newTestEnv(t *testing.T) *testEnv {
 	env := &testEnv{
@@ -78,7 +83,7 @@
 		Store:   storer.KeyValueStore{Write: env.write, Grant: env.grant, Renew: env.renew, Revoke: env.revoke, Era: env.currentEra},
 		Members: env.otherMembers, Self: env.self, TriggerExchanges: func() {}, Status: env.status, Demote: env.demote, Promote: env.promote,
 		ViewCompleteAsOf: func() time.Time { return env.viewCompleteAsOf },
-		MaxViewAge:       time.Second, HasQuorum: func(func(string) bool) bool { return true }, RecentlyStarted: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		MaxViewAge:       time.Second, MajorityExpiry: testMajorityExpiry, FleetExpiry: testFleetExpiry, RecentlyStarted: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	return env
 }
@@ -187,9 +192,10 @@
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	c := &cataloger.Catalog{
+		Revision:      storer.JoinRevision(env.era, env.revision),
 		Configuration: &cataloger.Configuration{Services: map[string]cataloger.Service{service: {Name: service}}},
 		Endpoints:     map[string][]cataloger.Endpoint{service: append([]cataloger.Endpoint(nil), env.endpoints...)},
-		Assignments:   make(map[string]cataloger.PrimaryAssignment), Evacuated: make(map[string]bool),
+		Assignments:   make(map[string]cataloger.PrimaryAssignment), Evacuated: make(map[string]bool), Hosts: maps.Clone(env.hosts),
 	}
 	for dataCentre := range env.evacuated {
 		c.Evacuated[dataCentre] = true
--- a/overseer/lease.go
+++ b/overseer/lease.go
@@ -20,9 +20,10 @@
 	// largeFleetLeaseFactor is how many times longer leases last in a large fleet,
 	// where no decision waits for one of them to expire.
 	largeFleetLeaseFactor = 8
-	// fleetUnknownPeriod is how long after its start a host does not know whether its
-	// fleet is large, because the other hosts may be starting too.
-	fleetUnknownPeriod = 2 * time.Second
+	// FirstLeasePeriod is how long after its start a host keeps its first lease, which lasts as
+	// long as those of a large fleet: it does not know whether its fleet is large, because the
+	// other hosts may be starting too.
+	FirstLeasePeriod = 2 * time.Second
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 1200 * time.Millisecond
 )
@@ -55,11 +56,28 @@
 	if leaderLease.id != 0 {
 		o.renewLeaderLease(ctx, leaderLease.id)
 	}
-	if lease.renewalDue(o.Now()) && !o.Now().Before(retryAt) {
+	_, present := o.Mirror.Get(hostsPrefix + o.Host.Name)
+	if (lease.renewalDue(o.Now()) || !present && lease.id != 0) && !o.Now().Before(retryAt) {
 		o.renewHostLease(ctx, lease, o.hostLeaseTTL())
 	}
 }
 
+// checkRegistration has the host register again at once if the store has lost its key, because
+// a host that is not registered uses no primaries.
+func (o *Overseer) checkRegistration() {
+	o.mu.Lock()
+	due := o.hostLease.id != 0
+	o.mu.Unlock()
+	_, present := o.Mirror.Get(hostsPrefix + o.Host.Name)
+	if present || !due || !o.Mirror.Loaded() {
+		return
+	}
+	select {
+	case o.keyMissing <- struct{}{}:
+	default:
+	}
+}
+
 // deferHostLeaseRetry postpones the next request for the host's lease. In a large
 // fleet it does so for several intervals, because every host retries during an
 // outage of the store.
@@ -83,7 +101,7 @@
 // as the size is unknown: when a large fleet starts, replacing the leases of all hosts
 // takes two calls each and ends the watches of all of them.
 func (o *Overseer) hostLeaseTTL() time.Duration {
-	if o.Now().Sub(o.startedAt) < fleetUnknownPeriod {
+	if o.Now().Sub(o.startedAt) < FirstLeasePeriod {
 		return leaseTTL * largeFleetLeaseFactor
 	}
 	return leaseTTL * o.leaseFactor()
@@ -117,8 +135,8 @@
 		if err == nil {
 			era := o.Store.Era()
 			o.setHostLease(heldLease{id: id, ttl: ttl, expiresAt: requestedAt.Add(ttl), era: era})
-			if era != lease.era {
-				// The store restored the lease, but maybe not the host's key.
+			if _, present := o.Mirror.Get(hostsPrefix + o.Host.Name); era != lease.era || !present {
+				// The store kept or restored the lease, but maybe not the host's key.
 				o.register(ctx, id)
 			}
 			return
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -32,6 +32,8 @@
 // A Member is a host of the fleet with the state that matters for a change of primary.
 type Member struct {
 	Name string
+	// VotersRevision is the revision of the list of voters that the host has.
+	VotersRevision int64
 	// RecentlyHeard is set if a report that the host sent recently was received.
 	RecentlyHeard bool
 	// ReleasedRevisions holds, by service, the revision of the last primary
@@ -69,14 +71,10 @@
 	Demote func(ctx context.Context, endpoint cataloger.Endpoint, term uint64) error
 	// Promote requests a promotion from the platform. ErrNotRunning is final.
 	Promote func(ctx context.Context, service, id string, token int64) error
-	// HasQuorum reports whether the hosts for which acknowledged is true are enough
-	// that no host still confirms the freshness of a view without the change that
-	// they acknowledged. In small fleets, where each host receives reports from all
-	// others, it is always true.
-	HasQuorum func(acknowledged func(name string) bool) bool
-	// QuorumExpiry is the time after which no host still confirms the freshness of a
-	// view without a change, even if too few hosts have acknowledged it.
-	QuorumExpiry time.Duration
+	// MajorityExpiry is the time after which no majority of the voters still confirms the
+	// freshness of a view without a change, even if too few hosts have acknowledged it.
+	// FleetExpiry is the same for all voters together.
+	MajorityExpiry, FleetExpiry time.Duration
 	// RecentlyStarted reports whether this host started recently. Such hosts leave
 	// leadership to others if there are any.
 	RecentlyStarted func() bool
@@ -91,6 +89,8 @@
 
 	// startedAt is when Run was called.
 	startedAt time.Time
+	// keyMissing signals that the store has lost the host's key.
+	keyMissing chan struct{}
 
 	mu sync.Mutex
 	// hostLease is attached to the host's key.
@@ -122,6 +122,8 @@
 	// unreachableAt holds when last no database eligible for promotion responded, by
 	// service.
 	unreachableAt map[string]time.Time
+	// voters is the list of voters that this host wrote last as the leader.
+	voters voterList
 	// campaignAfter is the time before which this host does not campaign.
 	campaignAfter time.Time
 	// era is the latest era of the store that this host has seen, and eraCampaignFrom
@@ -143,6 +145,7 @@
 	o.deferred, o.unreachableAt = make(map[string]bool), make(map[string]time.Time)
 	o.primaryMissingSince = make(map[string]time.Time)
 	o.startedAt = o.Now()
+	o.keyMissing = make(chan struct{}, 1)
 	go o.evaluateLoop(ctx)
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
@@ -150,6 +153,7 @@
 		o.renewLeases(ctx)
 		select {
 		case <-ticker.C:
+		case <-o.keyMissing:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -165,6 +169,7 @@
 		case <-ctx.Done():
 			return
 		}
+		o.checkRegistration()
 		if o.campaign(ctx) {
 			o.evaluateServices(ctx)
 		}
@@ -178,6 +183,9 @@
 		return
 	}
 	members := append(o.Members(), o.Self())
+	if !o.maintainVoters(ctx, catalog, members) {
+		return
+	}
 	for service := range catalog.Configuration.Services {
 		if len(catalog.Endpoints[service]) == 0 || !o.tryBeginChange(service) {
 			continue
@@ -240,7 +248,7 @@
 	for _, member := range members {
 		reported[member.Name] = member.RecentlyHeard
 	}
-	quorum := o.HasQuorum(func(name string) bool { return reported[name] })
+	quorum := o.confirmationExpiry(func(name string) bool { return name == o.Host.Name || reported[name] }) == 0
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !quorum && !o.deferred[service] {
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -165,9 +165,9 @@
 }
 
 // awaitRelease waits until no host uses the former primary any more: either all
-// hosts have acknowledged the change, or all views without it have expired. In a
-// large fleet hosts confirm the freshness of views without the change until a quorum
-// has acknowledged it.
+// hosts have acknowledged the change, or all views without it have expired. Hosts
+// may confirm the freshness of views without the change until enough have
+// acknowledged it.
 func (c *primaryChange) awaitRelease(ctx context.Context) error {
 	o := c.overseer
 	began := o.Now()
@@ -175,12 +175,13 @@
 	for {
 		now := o.Now()
 		unreleased := c.unreleasedHosts()
+		quorum := now.Sub(began) >= c.confirmationExpiry()
 		// In a large fleet a host that is not in the view of this one may still
 		// receive reports from other hosts.
-		if len(unreleased) == 0 && o.leaseFactor() == 1 {
+		if quorum && len(unreleased) == 0 && o.leaseFactor() == 1 && c.knowsAllHosts() {
 			return nil
 		}
-		if quorumAt.IsZero() && (c.quorumAcknowledged() || now.Sub(began) > o.QuorumExpiry) {
+		if quorumAt.IsZero() && quorum {
 			quorumAt = now
 		}
 		if !quorumAt.IsZero() && now.Sub(quorumAt) > o.MaxViewAge+fenceMargin {
@@ -195,20 +196,28 @@
 	}
 }
 
-// quorumAcknowledged reports whether enough hosts have acknowledged the change that
-// no host still confirms the freshness of a view without it.
-func (c *primaryChange) quorumAcknowledged() bool {
+// knowsAllHosts reports whether this host's view has every host that registered before the
+// change was recorded.
+func (c *primaryChange) knowsAllHosts() bool {
+	catalog := c.overseer.Catalog()
+	return catalog != nil && catalog.Revision >= c.assignment.Revision
+}
+
+// confirmationExpiry returns how long after the record of the change a host may still confirm
+// the freshness of a view without it: 0 if enough hosts have acknowledged it.
+func (c *primaryChange) confirmationExpiry() time.Duration {
 	acknowledged := make(map[string]bool)
 	for _, member := range append(c.overseer.Members(), c.overseer.Self()) {
 		acknowledged[member.Name] = member.ReleasedRevisions[c.service] >= c.fenceRevision
 	}
-	return c.overseer.HasQuorum(func(name string) bool { return acknowledged[name] })
+	return c.overseer.confirmationExpiry(func(name string) bool { return acknowledged[name] })
 }
 
 // unreleasedHosts returns the hosts that may still use the former primary.
 func (c *primaryChange) unreleasedHosts() []string {
-	var unreleased []string
-	for _, member := range append(c.overseer.Members(), c.overseer.Self()) {
+	members := append(c.overseer.Members(), c.overseer.Self())
+	unreleased := c.overseer.silentVoters(members)
+	for _, member := range members {
 		if member.ReleasedRevisions[c.service] < c.fenceRevision {
 			unreleased = append(unreleased, member.Name)
 		}
