Keep a host registered while only the store rejects it

Change: a host's lease lasts 14.4 s in small fleets too, as in large ones: no decision waits for one to expire any more. It outlasts the 8 s for which a majority confirms a view, which also ends the special rule for the first two seconds of a process.

--- a/hoster/quorum.go
+++ b/hoster/quorum.go
@@ -7,7 +7,6 @@
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/exchanger"
-	"github.com/endiveturn/endiveturn/overseer"
 	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
@@ -100,11 +99,9 @@
 
 // allReportedAsOf returns the latest instant since which all hosts have reported to this one,
 // or the zero time. It counts before the first leader has written a list of voters, and only
-// while the store is sure to keep the key that this process has registered with, so that the
-// first leader waits for it.
+// while the store is sure to keep this host's key, so that the first leader waits for it.
 func (h *Host) allReportedAsOf(catalog *cataloger.Catalog, now time.Time) time.Time {
-	byStore := h.primariesCompleteAsOf()
-	if age := now.Sub(byStore); age < storeFreshAge || age > maxMajorityViewAge || byStore.Sub(h.started) > overseer.FirstLeasePeriod {
+	if age := now.Sub(h.primariesCompleteAsOf()); age < storeFreshAge || age > maxMajorityViewAge {
 		return time.Time{}
 	}
 	return reportedAt(voters(h, catalog.Hosts, now), len(catalog.Hosts))
--- a/overseer/era.go
+++ b/overseer/era.go
@@ -84,7 +84,7 @@
 		return
 	}
 	timeout := smallFleetConfirmTimeout
-	if o.leaseFactor() > 1 {
+	if o.largeFleet() {
 		timeout = o.MaxViewAge
 	}
 	if o.Now().Sub(ledSince) < timeout {
--- a/overseer/lease.go
+++ b/overseer/lease.go
@@ -11,19 +11,20 @@
 )
 
 const (
-	// leaseTTL is how long a host's keys stay in the store without a renewal.
+	// leaseTTL is how long the leader key stays in the store without a renewal.
 	leaseTTL = 1800 * time.Millisecond
+	// hostLeaseTTL is the same for a host's key. It outlasts the time for which a majority
+	// confirms views, so that a new leader sees every host that may count, and a host that
+	// only the store rejects for a while goes on.
+	hostLeaseTTL = 14400 * time.Millisecond
 	// renewInterval leaves room for two failed renewals, each bounded by
 	// renewTimeout.
 	renewInterval = 450 * time.Millisecond
 	renewTimeout  = 500 * time.Millisecond
-	// largeFleetLeaseFactor is how many times longer leases last in a large fleet,
-	// where no decision waits for one of them to expire.
-	largeFleetLeaseFactor = 8
-	// FirstLeasePeriod is how long after its start a host keeps its first lease, which lasts as
-	// long as those of a large fleet: it does not know whether its fleet is large, because the
-	// other hosts may be starting too.
-	FirstLeasePeriod = 2 * time.Second
+	// hostLeaseRetryInterval and largeFleetLeaseRetryInterval are the times between two
+	// requests for the host's lease after a failed call.
+	hostLeaseRetryInterval       = renewInterval / 2
+	largeFleetLeaseRetryInterval = 4 * renewInterval
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 1200 * time.Millisecond
 )
@@ -58,7 +59,7 @@
 	}
 	_, present := o.Mirror.Get(hostsPrefix + o.Host.Name)
 	if (lease.renewalDue(o.Now()) || !present && lease.id != 0) && !o.Now().Before(retryAt) {
-		o.renewHostLease(ctx, lease, o.hostLeaseTTL())
+		o.renewHostLease(ctx, lease)
 	}
 }
 
@@ -82,29 +83,19 @@
 // fleet it does so for several intervals, because every host retries during an
 // outage of the store.
 func (o *Overseer) deferHostLeaseRetry() {
-	factor := o.leaseFactor()
+	interval := hostLeaseRetryInterval
+	if o.largeFleet() {
+		interval = largeFleetLeaseRetryInterval
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.hostLeaseRetryAt = o.Now().Add(renewInterval * factor / 2)
+	o.hostLeaseRetryAt = o.Now().Add(interval)
 }
 
-// leaseFactor returns how many times longer hosts' leases last in large fleets,
-// where no decision waits for one of them to expire.
-func (o *Overseer) leaseFactor() time.Duration {
-	if catalog := o.Catalog(); catalog != nil && catalog.IsLargeFleet() {
-		return largeFleetLeaseFactor
-	}
-	return 1
-}
-
-// hostLeaseTTL returns the TTL of the host's lease. It is that of a large fleet as long
-// as the size is unknown: when a large fleet starts, replacing the leases of all hosts
-// takes two calls each and ends the watches of all of them.
-func (o *Overseer) hostLeaseTTL() time.Duration {
-	if o.Now().Sub(o.startedAt) < FirstLeasePeriod {
-		return leaseTTL * largeFleetLeaseFactor
-	}
-	return leaseTTL * o.leaseFactor()
+// largeFleet reports whether only the hub exchanges reports with all hosts.
+func (o *Overseer) largeFleet() bool {
+	catalog := o.Catalog()
+	return catalog != nil && catalog.IsLargeFleet()
 }
 
 func (o *Overseer) renewLeaderLease(ctx context.Context, id storer.LeaseID) {
@@ -125,16 +116,15 @@
 	}
 }
 
-// renewHostLease renews the host's lease, or grants a new one if there is none with
-// the wanted TTL. A lease that is replaced is left to expire.
-func (o *Overseer) renewHostLease(ctx context.Context, lease heldLease, ttl time.Duration) {
+// renewHostLease renews the host's lease, or grants a new one if there is none.
+func (o *Overseer) renewHostLease(ctx context.Context, lease heldLease) {
 	requestedAt := o.Now()
 	id := lease.id
-	if id != 0 && lease.ttl == ttl {
+	if id != 0 {
 		err := o.renew(ctx, id)
 		if err == nil {
 			era := o.Store.Era()
-			o.setHostLease(heldLease{id: id, ttl: ttl, expiresAt: requestedAt.Add(ttl), era: era})
+			o.setHostLease(heldLease{id: id, ttl: hostLeaseTTL, expiresAt: requestedAt.Add(hostLeaseTTL), era: era})
 			if _, present := o.Mirror.Get(hostsPrefix + o.Host.Name); era != lease.era || !present {
 				// The store kept or restored the lease, but maybe not the host's key.
 				o.register(ctx, id)
@@ -148,13 +138,13 @@
 		}
 		o.Logger.Warn("lease_expired", "lease", int64(id))
 	}
-	id, err := o.Store.Grant(ctx, ttl)
+	id, err := o.Store.Grant(ctx, hostLeaseTTL)
 	if err != nil {
 		o.Logger.Warn("lease_not_granted", "error", err.Error())
 		o.deferHostLeaseRetry()
 		return
 	}
-	if !o.setHostLease(heldLease{id: id, ttl: ttl, expiresAt: requestedAt.Add(ttl), era: o.Store.Era()}) {
+	if !o.setHostLease(heldLease{id: id, ttl: hostLeaseTTL, expiresAt: requestedAt.Add(hostLeaseTTL), era: o.Store.Era()}) {
 		o.revoke(ctx, id)
 		return
 	}
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -181,7 +181,7 @@
 		quorum := now.Sub(began) >= c.confirmationExpiry()
 		// In a large fleet a host that is not in the view of this one may still
 		// receive reports from other hosts.
-		if quorum && len(unreleased) == 0 && o.leaseFactor() == 1 && c.knowsAllHosts() {
+		if quorum && len(unreleased) == 0 && !o.largeFleet() && c.knowsAllHosts() {
 			return nil
 		}
 		if quorumAt.IsZero() && quorum {
