Reset calls that are given up, and replace a primary that refuses writes

A former leader's request, given up seconds before and held up by a partition, was carried out when the partition ended.

Hypotheses: (a) the request was sent before the leadership ended and delivered late, (b) the stopped host sent it while it stopped, (c) the leader went on after its lease.

Cause: a call that is given up closes its connection in order, and the kernel goes on delivering. And a registered primary that answers READONLY counted as healthy for good.

A change ends with the leadership in which it was recorded, also if the host leads again. Hosts report a primary that refuses writes as a replica; after a probe the leader asks all databases and assigns the one that leads, or promotes the most advanced.

Why it works: a reset discards what has not arrived.

--- a/director/attempt.go
+++ b/director/attempt.go
@@ -325,6 +325,9 @@
 		a.operation.service.recordLatency(a.database, a.operation.session.director.Now().Sub(began))
 	}
 	a.recordLag(statement, response)
+	if a.primaryRef != nil && response.Code == executor.CodeReadOnly {
+		a.operation.service.recordReadOnly(a.database)
+	}
 	switch {
 	case statement.ID == "":
 	case response.Code.NotRun():
--- a/director/database.go
+++ b/director/database.go
@@ -55,6 +55,8 @@
 	avoidUntil          time.Time
 	busyUntil           time.Time
 	lastSuccess         time.Time
+	// lastReadOnly is when the database last refused a statement as a replica.
+	lastReadOnly time.Time
 	// awaiting counts the attempts of this host that wait for the database. An
 	// attempt whose transaction is idle does not.
 	awaiting int
@@ -176,6 +178,13 @@
 	}
 }
 
+// recordReadOnly records that the database refused a statement because it is not the primary.
+func (s *service) recordReadOnly(db *database) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	db.lastReadOnly = s.director.Now()
+}
+
 // recordFailure records that the database did not respond.
 func (s *service) recordFailure(db *database, err error) {
 	s.mu.Lock()
--- a/director/health.go
+++ b/director/health.go
@@ -33,8 +33,14 @@
 	// SinceFailure is how long the primary has been failing, or has left requests
 	// without a response beyond suspicionTimeout; 0 if it is healthy.
 	SinceFailure time.Duration
+	// RefusesWrites is set if the primary has refused a statement as a replica within
+	// readOnlyWindow.
+	RefusesWrites bool
 }
 
+// readOnlyWindow is how long a primary counts as one that refuses writes after it refused one.
+const readOnlyWindow = time.Second
+
 // PrimaryHealths returns the health of the primaries by service, as observed by
 // this host.
 func (d *Director) PrimaryHealths() map[string]PrimaryHealth {
@@ -66,5 +72,6 @@
 	if !s.primary.awaitingResponseSince.IsZero() {
 		health.SinceFailure = max(health.SinceFailure, now.Sub(s.primary.awaitingResponseSince)-suspicionTimeout)
 	}
+	health.RefusesWrites = !s.primary.lastReadOnly.IsZero() && now.Sub(s.primary.lastReadOnly) < readOnlyWindow
 	return health, true
 }
--- a/director/health_test.go
+++ b/director/health_test.go
@@ -62,3 +62,25 @@
 		})
 	}
 }
+
+// TestReadOnlyPrimaryIsReported guards against a service without a writable primary for good:
+// the assigned database refuses every write as a replica, and counts as healthy.
+func TestReadOnlyPrimaryIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(cataloger.Primary)
+		s := f.newSession()
+		runVerb(s, executor.VerbWrite, "a x")
+		if f.director.PrimaryHealths()["s"].RefusesWrites {
+			t.Error("a primary that accepts writes counts as one that refuses them")
+		}
+		f.primary.refuse[executor.VerbWrite] = executor.CodeReadOnly
+		runVerb(s, executor.VerbWrite, "a x")
+		if !f.director.PrimaryHealths()["s"].RefusesWrites {
+			t.Error("a primary that refuses writes is not reported")
+		}
+		time.Sleep(readOnlyWindow)
+		if f.director.PrimaryHealths()["s"].RefusesWrites {
+			t.Error("a primary counts as one that refuses writes long after it refused one")
+		}
+	})
+}
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -49,6 +49,7 @@
 	fieldSecond
 	fieldThird
 	fieldFourth
+	fieldFifth
 )
 
 // demandUnit is the resolution of an encoded demand in operations per second.
@@ -149,6 +150,9 @@
 		if p.SinceFailure > 0 {
 			nested = appendNumber(nested, fieldFourth, encodeDuration(p.SinceFailure))
 		}
+		if p.RefusesWrites {
+			nested = appendNumber(nested, fieldFifth, 1)
+		}
 		b = appendNested(b, fieldPrimary, nested)
 	}
 	for service, revision := range r.ReleasedRevisions {
@@ -269,6 +273,7 @@
 		m.Report.Primaries[name] = PrimaryHealth{
 			ID: f.text(fieldFirst), StartedAtMillis: int64(f.numbers[fieldSecond]),
 			SinceSuccess: decodeDuration(f.numbers[fieldThird]), SinceFailure: max(0, decodeDuration(f.numbers[fieldFourth])),
+			RefusesWrites: f.numbers[fieldFifth] != 0,
 		}
 	case fieldReleased:
 		m.Report.ReleasedRevisions[name] = int64(f.numbers[fieldFirst])
--- a/exchanger/codec_test.go
+++ b/exchanger/codec_test.go
@@ -22,7 +22,7 @@
 				Usages: map[string]Usage{"c1": {Used: 1000, Demand: 12.5}},
 				Primaries: map[string]PrimaryHealth{
 					"s1": {ID: "d1", StartedAtMillis: 1781000000000, SinceSuccess: -1, SinceFailure: time.Second},
-					"s2": {ID: "d2", SinceSuccess: 3 * time.Millisecond},
+					"s2": {ID: "d2", SinceSuccess: 3 * time.Millisecond, RefusesWrites: true},
 				},
 				ReleasedRevisions: map[string]int64{"s1": 9},
 			},
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -302,6 +302,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to host")
 	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// A partition must not deliver a report after this host has given it up.
+		if err := tcp.SetLinger(0); err != nil {
+			_ = conn.Close()
+			return nil, errors.Wrap(err, "configure connection")
+		}
+	}
 	return drpcconn.New(conn), nil
 }
 
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -15,6 +15,8 @@
 	// SinceFailure is how long the primary has been failing for the host without a
 	// response, 0 if it does not fail.
 	SinceFailure time.Duration
+	// RefusesWrites is set if the primary recently refused a statement as a replica.
+	RefusesWrites bool
 }
 
 // A Usage is what a host has used of a customer's rate limit.
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -42,7 +42,7 @@
 	// Databases opens connections to databases and queries their state.
 	Databases Databases
 	// Promote requests a promotion on behalf of the host.
-	Promote func(ctx context.Context, host, service, id string, token int64) error
+	Promote func(ctx context.Context, host string, promotion overseer.Promotion) error
 }
 
 // A Host is one process of the fleet. Its exported fields are set before Run.
@@ -160,8 +160,8 @@
 		},
 		Store: h.Platform.Store, Mirror: h.mirror, Catalog: h.latestCatalog, Members: h.members, Self: h.self,
 		TriggerExchanges: h.exchanger.TriggerExchanges, Status: h.Platform.Databases.Status, Demote: h.Platform.Databases.Demote,
-		Promote: func(ctx context.Context, service, id string, token int64) error {
-			return h.Platform.Promote(ctx, h.Settings.Host, service, id, token)
+		Promote: func(ctx context.Context, promotion overseer.Promotion) error {
+			return h.Platform.Promote(ctx, h.Settings.Host, promotion)
 		},
 		ViewCompleteAsOf: h.viewCompleteAsOf, MaxViewAge: director.MaxViewAge, MajorityExpiry: majorityExpiry, FleetExpiry: fleetExpiry,
 		RecentlyStarted: h.recentlyStarted, Now: timekeeper.Now, Logger: h.Logger,
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -64,13 +64,13 @@
 func primaryHealths(observed map[string]director.PrimaryHealth) map[string]exchanger.PrimaryHealth {
 	healths := make(map[string]exchanger.PrimaryHealth)
 	for service, health := range observed {
-		observation := overseer.Observation{SinceSuccess: health.SinceSuccess, SinceFailure: health.SinceFailure}
+		observation := overseer.Observation{SinceSuccess: health.SinceSuccess, SinceFailure: health.SinceFailure, RefusesWrites: health.RefusesWrites}
 		if !observation.IsRelevant() {
 			continue
 		}
 		healths[service] = exchanger.PrimaryHealth{
 			ID: health.Endpoint.ID, StartedAtMillis: health.Endpoint.StartedAtMillis,
-			SinceSuccess: health.SinceSuccess, SinceFailure: health.SinceFailure,
+			SinceSuccess: health.SinceSuccess, SinceFailure: health.SinceFailure, RefusesWrites: health.RefusesWrites,
 		}
 	}
 	return healths
@@ -177,7 +177,7 @@
 		return
 	}
 	for service, p := range primaries {
-		o := overseer.Observation{SinceSuccess: p.SinceSuccess, SinceFailure: p.SinceFailure}
+		o := overseer.Observation{SinceSuccess: p.SinceSuccess, SinceFailure: p.SinceFailure, RefusesWrites: p.RefusesWrites}
 		if o.SinceSuccess >= 0 {
 			o.SinceSuccess += age
 		}
--- a/hoster/topology_test.go
+++ b/hoster/topology_test.go
@@ -261,6 +261,7 @@
 		{name: "not used recently", health: director.PrimaryHealth{SinceSuccess: time.Second}},
 		{name: "responds", health: director.PrimaryHealth{SinceSuccess: 50 * time.Millisecond}, want: true},
 		{name: "fails", health: director.PrimaryHealth{SinceSuccess: time.Second, SinceFailure: time.Millisecond}, want: true},
+		{name: "refuses writes", health: director.PrimaryHealth{SinceSuccess: time.Second, RefusesWrites: true}, want: true},
 		{name: "never responded", health: director.PrimaryHealth{SinceSuccess: -1, SinceFailure: time.Second}, want: true},
 	}
 	for _, test := range tests {
--- a/overseer/decide.go
+++ b/overseer/decide.go
@@ -42,11 +42,16 @@
 	ReasonPartitioned  Reason = "primary_cut_from_hosts"
 	ReasonInterrupted  Reason = "change_was_interrupted"
 	ReasonRestored     Reason = "store_was_restored"
+	ReasonReadOnly     Reason = "primary_refuses_writes"
 )
 
 // Planned reports whether the former primary still works.
 func (r Reason) Planned() bool { return r == ReasonDraining || r == ReasonEvacuated }
 
+// primaryUnknown reports whether any database may be the primary: after a restore of the store,
+// or if the assigned one is a replica.
+func (r Reason) primaryUnknown() bool { return r == ReasonRestored || r == ReasonReadOnly }
+
 // An Observation is one host's measurement of a primary's health.
 type Observation struct {
 	// SinceSuccess is the time since the primary's last response, negative if the
@@ -55,6 +60,8 @@
 	// SinceFailure is how long the primary has been failing, 0 if the host's last
 	// attempt did not fail.
 	SinceFailure time.Duration
+	// RefusesWrites is set if the primary recently refused a statement as a replica.
+	RefusesWrites bool
 }
 
 // responds reports whether the primary has responded to the host recently.
@@ -64,7 +71,9 @@
 
 // IsRelevant reports whether Evaluate takes the observation into account. One of a
 // healthy primary that the host has not used recently shows nothing.
-func (o Observation) IsRelevant() bool { return o.SinceFailure > 0 || o.responds() }
+func (o Observation) IsRelevant() bool {
+	return o.SinceFailure > 0 || o.RefusesWrites || o.responds()
+}
 
 // A ServiceState is the input to the decision whether to replace a service's
 // primary.
@@ -84,7 +93,7 @@
 }
 
 // Evaluate returns why the primary should be replaced, or ReasonNone if it should be
-// kept. On ReasonFailing the caller probes the primary first.
+// kept. On ReasonFailing and ReasonReadOnly the caller probes the primary first.
 func Evaluate(s ServiceState) Reason {
 	switch {
 	case s.Assignment.Changing:
@@ -100,6 +109,9 @@
 	}
 	failing, longFailing, responding := 0, 0, 0
 	for _, o := range s.Observations {
+		if o.RefusesWrites {
+			return ReasonReadOnly
+		}
 		if o.SinceFailure > 0 && !o.responds() {
 			if o.SinceFailure >= failingThreshold {
 				failing++
--- a/overseer/decide_test.go
+++ b/overseer/decide_test.go
@@ -42,6 +42,7 @@
 		{name: "unregistered, no candidates", state: with(func(s *ServiceState) { s.Registered, s.Candidates = false, 0 })},
 		{name: "draining", state: with(func(s *ServiceState) { s.Primary.Draining = true }), want: ReasonDraining},
 		{name: "evacuated", state: with(func(s *ServiceState) { s.Evacuated = true }), want: ReasonEvacuated},
+		{name: "refuses writes", state: observations(responding, Observation{SinceSuccess: time.Millisecond, RefusesWrites: true}), want: ReasonReadOnly},
 		{name: "interrupted change", state: with(func(s *ServiceState) { s.Assignment.Changing, s.Candidates = true, 0 }), want: ReasonInterrupted},
 	}
 	for _, test := range tests {
--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -256,9 +256,10 @@
 	return nil
 }
 
-func (env *testEnv) promote(_ context.Context, _, id string, token int64) error {
+func (env *testEnv) promote(_ context.Context, p Promotion) error {
 	env.mu.Lock()
 	defer env.mu.Unlock()
+	id, token := p.ID, p.Token
 	if env.notRunning[id] {
 		return ErrNotRunning
 	}
--- a/overseer/leadership.go
+++ b/overseer/leadership.go
@@ -34,6 +34,13 @@
 	return o.token, valid
 }
 
+// leaderUntil returns until when this host is certain to be the leader, if it is.
+func (o *Overseer) leaderUntil() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.leaderLease.expiresAt
+}
+
 // Stop resigns leadership and revokes the host's lease. Leases that are being granted
 // are revoked when they arrive.
 func (o *Overseer) Stop(ctx context.Context) {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -29,6 +29,17 @@
 // stopped.
 var ErrNotRunning = errors.New("database is not running")
 
+// A Promotion is the request to make a database the primary of its service.
+type Promotion struct {
+	Service string
+	ID      string
+	// Token is the fencing token of the leadership in which it is requested.
+	Token int64
+	// ValidUntil is when this host may be the leader no more, after which the request must
+	// not be sent.
+	ValidUntil time.Time
+}
+
 // A Member is a host of the fleet with the state that matters for a change of primary.
 type Member struct {
 	Name string
@@ -70,7 +81,7 @@
 	// Demote makes a former primary a replica.
 	Demote func(ctx context.Context, endpoint cataloger.Endpoint, term uint64) error
 	// Promote requests a promotion from the platform. ErrNotRunning is final.
-	Promote func(ctx context.Context, service, id string, token int64) error
+	Promote func(ctx context.Context, promotion Promotion) error
 	// MajorityExpiry is the time after which no majority of the voters still confirms the
 	// freshness of a view without a change, even if too few hosts have acknowledged it.
 	// FleetExpiry is the same for all voters together.
@@ -231,7 +242,7 @@
 		return
 	case reason == ReasonPartitioned && !persistent:
 		return
-	case reason == ReasonFailing && o.primaryResponds(ctx, state.Primary):
+	case (reason == ReasonFailing || reason == ReasonReadOnly) && o.primaryResponds(ctx, state.Primary):
 		return
 	}
 	if reason.Planned() && !o.quorumReachable(service, reason, members) {
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -45,6 +45,8 @@
 	// registered is set if the former primary is registered.
 	registered bool
 	reason     Reason
+	// token is the fencing token of the leadership in which the change was recorded.
+	token int64
 	// fenceRevision is the revision of the assignment that first fenced the former
 	// primary.
 	fenceRevision int64
@@ -130,7 +132,7 @@
 	excluded := make(map[string]bool)
 	for {
 		token, ok := c.overseer.leaderToken()
-		if !ok {
+		if !ok || token != c.token {
 			return candidate, 0, errLeadershipLost
 		}
 		term, err := c.promote(ctx, candidate.Endpoint, token)
@@ -150,6 +152,7 @@
 // mirror may not show yet.
 func (c *primaryChange) fence(ctx context.Context) error {
 	o := c.overseer
+	c.token, _ = o.leaderToken()
 	assignment := c.assignment
 	assignment.Changing = true
 	if !c.assignment.Changing && c.reason.Planned() {
@@ -244,11 +247,10 @@
 	return s.choose(func(a Candidate) bool { return eligible[a.Endpoint.ID] }, excluded, c.reason.Planned())
 }
 
-// candidates returns the databases that may be promoted. After a restore of the store it
-// is not known which database is the primary, so that any may be promoted: that has no
-// effect if it is the primary already.
+// candidates returns the databases that may be promoted. If it is not known which database
+// is the primary, any may be promoted: that has no effect if it is the primary already.
 func (c *primaryChange) candidates(catalog *cataloger.Catalog) []cataloger.Endpoint {
-	if c.reason == ReasonRestored {
+	if c.reason.primaryUnknown() {
 		return catalog.Endpoints[c.service]
 	}
 	return eligible(catalog, c.assignment)
@@ -278,13 +280,14 @@
 }
 
 // promote repeats the promotion request until the platform accepts it, waits until
-// the database is the primary, and returns its term.
+// the database is the primary, and returns its term. It gives up when the leadership ends
+// in which the change was recorded, also if this host is the leader again.
 func (c *primaryChange) promote(ctx context.Context, endpoint cataloger.Endpoint, token int64) (uint64, error) {
 	o := c.overseer
 	deadline := o.Now().Add(promotionEffectTimeout)
 	requested := false
 	for o.Now().Before(deadline) {
-		if _, ok := o.leaderToken(); !ok {
+		if current, ok := o.leaderToken(); !ok || current != token {
 			return 0, errLeadershipLost
 		}
 		if !requested {
@@ -308,10 +311,12 @@
 }
 
 func (c *primaryChange) requestPromotion(ctx context.Context, endpoint cataloger.Endpoint, token int64) error {
-	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	o := c.overseer
+	validUntil := o.leaderUntil()
+	ctx, cancel := context.WithTimeout(ctx, min(promoteTimeout, validUntil.Sub(o.Now())))
 	defer cancel()
-	err := c.overseer.Promote(ctx, c.service, endpoint.ID, token)
-	c.overseer.Logger.Info("promotion_asked", "service", c.service, "database", endpoint.ID, "token", token, "error", errorText(err))
+	err := o.Promote(ctx, Promotion{Service: c.service, ID: endpoint.ID, Token: token, ValidUntil: validUntil})
+	o.Logger.Info("promotion_asked", "service", c.service, "database", endpoint.ID, "token", token, "error", errorText(err))
 	return err
 }
 
--- a/overseer/survey.go
+++ b/overseer/survey.go
@@ -106,12 +106,12 @@
 }
 
 // holders returns the databases that may have acknowledged commits, without the former
-// primary. After a restore of the store it is not known which database is the primary.
+// primary, unless it is a database like any other.
 func (c *primaryChange) holders(catalog *cataloger.Catalog) []cataloger.Endpoint {
 	var holders []cataloger.Endpoint
 	for _, endpoint := range catalog.Endpoints[c.service] {
 		former := endpoint.ID == c.assignment.ID && endpoint.StartedAtMillis == c.assignment.StartedAtMillis
-		if !former || c.reason == ReasonRestored {
+		if !former || c.reason.primaryUnknown() {
 			holders = append(holders, endpoint)
 		}
 	}
