Reject odd entries of the store, and recover from those of hosts

A malformed assignment counts as a change that was interrupted, a malformed leader as none, a malformed or foreign list of voters is written again, so that a leader replaces each; no host counts with a list that it can't read. Errors in log lines are cut at 4 KB, and records_rejected counts them.

--- a/hoster/refresh.go
+++ b/hoster/refresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -34,6 +35,17 @@
 	h.Logger.Warn("record_conflicts", "key", key, "revision", revision)
 }
 
+// maxLoggedError is the largest number of bytes of an error in a log line: the error about a
+// record may quote the record.
+const maxLoggedError = 4 << 10
+
+func shorten(text string) string {
+	if len(text) <= maxLoggedError {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxLoggedError], "") + "..."
+}
+
 // latestCatalog returns the latest catalog, or nil.
 func (h *Host) latestCatalog() *cataloger.Catalog {
 	h.mu.Lock()
@@ -44,7 +56,8 @@
 // buildCatalogs builds a catalog after each change of the mirror.
 func (h *Host) buildCatalogs(ctx context.Context) error {
 	builder := &catalogBuilder{decoder: h.Platform.Decoder, now: timekeeper.Now, onReject: func(key string, revision int64, err error) {
-		h.Logger.Warn("record_rejected", "key", key, "revision", revision, "error", err.Error())
+		gometrics.GetOrRegisterCounter("records_rejected", h.Registry).Inc(1)
+		h.Logger.Warn("record_rejected", "key", key, "revision", revision, "error", shorten(err.Error()))
 	}}
 	lastRevisionSum := int64(0)
 	timer := time.NewTimer(time.Hour)
--- a/hoster/view.go
+++ b/hoster/view.go
@@ -106,17 +106,24 @@
 		return
 	}
 	if voters, ok, err := overseer.DecodeVoters(record.Key, record.Value, record.Revision); ok {
+		c.Voters = voters
+		if err != nil {
+			b.reject(record, err)
+			// No host counts with a list that it can't read.
+			c.Voters = cataloger.Voters{Revision: record.Revision, Version: 1}
+		}
+		return
+	}
+	if ok, err := overseer.CheckLeader(record.Key, record.Value); ok {
 		if err != nil {
 			b.reject(record, err)
-			return
 		}
-		c.Voters = voters
 		return
 	}
 	if assignment, ok, err := overseer.DecodeAssignment(record.Key, record.Value, record.Revision); ok {
 		if err != nil {
 			b.reject(record, err)
-			return
+			assignment, _ = overseer.MalformedAssignment(record.Key, record.Revision)
 		}
 		c.Assignments[assignment.Service] = assignment
 		return
--- a/hoster/view_test.go
+++ b/hoster/view_test.go
@@ -103,6 +103,16 @@
 	}
 }
 
+// TestLongErrorsAreShortened guards against log lines of a megabyte about an odd record.
+func TestLongErrorsAreShortened(t *testing.T) {
+	if got := len(shorten(strings.Repeat("9", 1<<20))); got > maxLoggedError+len("...") {
+		t.Errorf("got %d bytes, want at most %d", got, maxLoggedError)
+	}
+	if got := shorten("short"); got != "short" {
+		t.Errorf("got %q, want it unchanged", got)
+	}
+}
+
 // TestQuotasOfAbsentHostsAreRetained guards against giving the connections of a host
 // that is partitioned from the store to other hosts while it still uses them.
 func TestQuotasOfAbsentHostsAreRetained(t *testing.T) {
--- a/overseer/leadership.go
+++ b/overseer/leadership.go
@@ -106,7 +106,11 @@
 	if _, ok := o.leaderToken(); ok {
 		return true
 	}
-	_, taken := o.Mirror.Get(leaderKey)
+	present, taken := o.Mirror.Get(leaderKey)
+	expected := int64(0)
+	if taken && LeaderName(present.Value) == "" {
+		taken, expected = false, present.Revision
+	}
 	o.mu.Lock()
 	registered, ineligible := o.hostLease.id != 0, o.stopping || o.Now().Before(o.campaignAfter) || o.Now().Before(campaignFrom)
 	o.mu.Unlock()
@@ -121,7 +125,7 @@
 		return false
 	}
 	value := encode(leaderRecord{Host: o.Host.Name, Incarnation: o.Host.Incarnation})
-	revision, err := o.Store.Write(ctx, storer.Put{Key: leaderKey, Value: value, Lease: lease})
+	revision, err := o.Store.Write(ctx, storer.Put{Key: leaderKey, Value: value, Lease: lease, ExpectedRevision: expected})
 	if err != nil {
 		o.abandonCampaign(ctx, lease, err)
 		return false
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -81,12 +82,33 @@
 
 // LeaderName returns the name of the host in the record of LeaderKey, or "".
 func LeaderName(value []byte) string {
+	name, err := decodeLeader(value)
+	if err != nil {
+		// CheckLeader reports it; the next leader replaces the record.
+		return ""
+	}
+	return name
+}
+
+// CheckLeader returns an error if the record of LeaderKey names no host; ok is false for
+// other keys.
+func CheckLeader(key string, value []byte) (ok bool, err error) {
+	if key != leaderKey {
+		return false, nil
+	}
+	_, err = decodeLeader(value)
+	return true, err
+}
+
+func decodeLeader(value []byte) (string, error) {
 	var record leaderRecord
 	if err := json.Unmarshal(value, &record); err != nil {
-		// A malformed record names no host; the next leader overwrites it.
-		return ""
+		return "", errors.Wrap(err, "leader")
+	}
+	if record.Host == "" {
+		return "", errors.New("leader: no host is named")
 	}
-	return record.Host
+	return record.Host, nil
 }
 
 // DecodeHost decodes a host's record; ok is false for other keys.
@@ -99,11 +121,26 @@
 	if err := json.Unmarshal(value, &record); err != nil {
 		return cataloger.Host{}, true, errors.Wrapf(err, "record of host %s", name)
 	}
+	if address, err := netip.ParseAddrPort(record.Address); err != nil || address.Port() == 0 || name == "" || record.Capacity < 0 {
+		return cataloger.Host{}, true, errors.Errorf("record of host %q: address %q or capacity %d can't be used", name, record.Address, record.Capacity)
+	}
 	return cataloger.Host{
 		Name: name, Incarnation: record.Incarnation, Address: record.Address, DataCentre: record.DataCentre, Capacity: record.Capacity,
 	}, true, nil
 }
 
+// maxGracePeriod is the longest time for which transactions may continue with a primary that
+// is being replaced.
+const maxGracePeriod = time.Minute
+
+// MalformedAssignment stands for an assignment that can't be decoded: no host uses a primary,
+// and the leader replaces it as after a change that was interrupted. ok is false for other
+// keys.
+func MalformedAssignment(key string, revision int64) (assignment cataloger.PrimaryAssignment, ok bool) {
+	service, ok := strings.CutPrefix(key, assignmentsPrefix)
+	return cataloger.PrimaryAssignment{Service: service, Changing: true, Revision: revision}, ok
+}
+
 // DecodeAssignment decodes the record that assigns a service's primary; ok is false
 // for other keys.
 func DecodeAssignment(key string, value []byte, revision int64) (assignment cataloger.PrimaryAssignment, ok bool, err error) {
@@ -119,6 +156,9 @@
 	if err != nil {
 		return cataloger.PrimaryAssignment{}, true, errors.Wrapf(err, "primary assignment of %s", service)
 	}
+	if gracePeriod < 0 || gracePeriod > maxGracePeriod {
+		return cataloger.PrimaryAssignment{}, true, errors.Errorf("primary assignment of %s: grace period %v is not from 0 to %v", service, gracePeriod, maxGracePeriod)
+	}
 	return cataloger.PrimaryAssignment{
 		Service: service, ID: record.ID, StartedAtMillis: record.Born, Term: record.Term, Changing: record.Moving, GracePeriod: gracePeriod, Revision: revision,
 	}, true, nil
--- a/overseer/voters.go
+++ b/overseer/voters.go
@@ -36,6 +36,14 @@
 	if err := json.Unmarshal(value, &record); err != nil {
 		return cataloger.Voters{}, true, errors.Wrap(err, "list of voters")
 	}
+	for name, since := range record.Hosts {
+		if name == "" || since < 0 || since > record.Version {
+			return cataloger.Voters{}, true, errors.Errorf("list of voters: host %q since %d in version %d", name, since, record.Version)
+		}
+	}
+	if record.Version < 1 {
+		return cataloger.Voters{}, true, errors.Errorf("list of voters: version %d is not positive", record.Version)
+	}
 	return cataloger.Voters{Revision: revision, Version: record.Version, Since: record.Hosts}, true, nil
 }
 
@@ -61,9 +69,14 @@
 	o.mu.Lock()
 	list := o.voters
 	o.mu.Unlock()
+	stored := o.storedVoters()
 	unwritten := list.token != token
 	if unwritten {
-		list = voterList{voters: o.storedVoters()}
+		list = voterList{voters: stored}
+	}
+	if stored.Revision > list.voters.Revision {
+		// Another writer has replaced the list.
+		unwritten, list.voters.Revision = true, stored.Revision
 	}
 	list.absentSince = o.absentVoters(list, catalog)
 	next, changed := o.nextVoters(list, catalog, members)
