--- a/director/single.go
+++ b/director/single.go
@@ -113,6 +113,9 @@
 	if err != nil {
 		return r.connectionLostResponse(a, err)
 	}
+	if response.Code == executor.CodeNoSuchStatement {
+		delete(a.conn.Prepared, r.statement.Name)
+	}
 	a.returnOrDiscardConn(response.State)
 	r.reason = "answered"
 	return response, r.mayRetryAfter(a, response)
@@ -192,10 +195,7 @@
 		r.operation.service.recordBusy(a.database)
 		r.waitBeforeRetry()
 		return true
-	case response.Code == executor.CodeNoSuchStatement:
-		delete(a.conn.Prepared, r.statement.Name)
-		return true
-	case response.Code == executor.CodeLagging:
+	case response.Code == executor.CodeNoSuchStatement, response.Code == executor.CodeLagging:
 		return true
 	case response.Code.NotRun():
 		r.waitBeforeRetry()
