--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // A testHost is an Exchanger on the loopback interface that records the messages it
@@ -205,7 +207,9 @@
 		<-attempted
 	}
 	cancel()
-	<-done
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want the end of the context", err)
+	}
 	if got := e.Reports()["b"]; !reflect.DeepEqual(got, want) {
 		t.Errorf("after refused connections: got %+v, want %+v", got, want)
 	}
