--- /dev/null
+++ b/hoster/fleet_model_test.go
@@ -0,0 +1,478 @@
+package hoster
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/director"
+)
+
+// A fleetModel simulates a fleet, its store and the network between them in discrete steps.
+// The rules for counting a majority (reportedAt, votersNeeded and cataloger.Voters) are those
+// of the product, the rest is modelled.
+type fleetModel struct {
+	random *rand.Rand
+	now    time.Time
+	hosts  map[string]*modelHost
+	// names are the names of the hosts in the order of their first start.
+	names []string
+	// partition is the network partition of each host.
+	partition map[string]int
+	// storePartition is the partition of the hosts that reach the store, unless it
+	// is down.
+	storePartition int
+	storeDown      bool
+	store          modelStore
+	// registeredAt is when each host last renewed its registration.
+	registeredAt map[string]time.Time
+	renewedAt    time.Time
+	// promoted is the assignment of the last change that promoted a database.
+	promoted int64
+	// promotions counts the promotions, confirmations the steps in which a host used a
+	// primary without the store.
+	promotions, confirmations int
+}
+
+// A modelStore is the content of the store, and of a host's mirror.
+type modelStore struct {
+	revision    int64
+	leaderToken int64
+	leader      string
+	registry    map[string]string
+	assignment  int64
+	voters      cataloger.Voters
+}
+
+// A modelHost is one process.
+type modelHost struct {
+	name, incarnation string
+	startedAt         time.Time
+	listed            bool
+	suspendedUntil    time.Time
+	// mirror is the host's mirror of the store, read at storeReadAt.
+	mirror            modelStore
+	storeReadAt       time.Time
+	majorityFreshAsOf time.Time
+	// heard holds what others reported to this host.
+	heard map[string]voter
+	// acknowledged and votersRevisions hold the newest assignment and list of voters that
+	// each other host reported to have.
+	acknowledged, votersRevisions map[string]int64
+	// departedAt holds when the mirror lost the registration of a host.
+	departedAt map[string]time.Time
+	// token is the leadership that the host won, votersToken the one in which it wrote the
+	// list of voters, and voters that list.
+	token, votersToken int64
+	voters             cataloger.Voters
+	absentSince        map[string]time.Time
+	// fencing is the assignment that the host writes to replace a primary, written
+	// at fencedAt and acknowledged by enough hosts at quorumAt.
+	fencing            int64
+	fencedAt, quorumAt time.Time
+}
+
+const (
+	stepDuration = 50 * time.Millisecond
+	// modelHostLease is how long a registration lasts in the store.
+	modelHostLease = 14 * time.Second
+)
+
+func newFleetModel(seed uint64, hosts int) *fleetModel {
+	m := &fleetModel{
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), hosts: make(map[string]*modelHost),
+		partition: make(map[string]int), store: modelStore{revision: 1, registry: make(map[string]string)}, registeredAt: make(map[string]time.Time),
+	}
+	for i := range hosts {
+		m.start(fmt.Sprint("h", i))
+	}
+	return m
+}
+
+func (m *fleetModel) start(name string) {
+	m.store.revision++
+	if !slices.Contains(m.names, name) {
+		m.names = append(m.names, name)
+	}
+	m.hosts[name] = &modelHost{
+		name: name, incarnation: fmt.Sprint(m.store.revision), startedAt: m.now, mirror: modelStore{registry: make(map[string]string)},
+		heard: make(map[string]voter), acknowledged: make(map[string]int64), votersRevisions: make(map[string]int64),
+		departedAt: make(map[string]time.Time), absentSince: make(map[string]time.Time),
+	}
+}
+
+// remove takes a host away for good. Its registration expires later, in step.
+func (m *fleetModel) remove(name string) {
+	delete(m.hosts, name)
+	m.names = slices.DeleteFunc(m.names, func(other string) bool { return other == name })
+}
+
+func (m *fleetModel) reachesStore(host string) bool {
+	return !m.storeDown && m.partition[host] == m.storePartition
+}
+
+// injectFault partitions or heals the network, stops the store, loses its registrations,
+// suspends or restarts hosts, or replaces or adds some.
+func (m *fleetModel) injectFault() {
+	switch m.random.IntN(10) {
+	case 0, 1:
+		share := m.random.Float64()
+		for _, name := range m.names {
+			m.partition[name] = 0
+			if m.random.Float64() < share {
+				m.partition[name] = 1
+			}
+		}
+		m.storePartition = m.random.IntN(2)
+	case 2, 3, 4:
+		clear(m.partition)
+		m.storePartition, m.storeDown = 0, false
+	case 5:
+		m.storeDown = m.random.IntN(2) == 0
+	case 6:
+		if m.random.IntN(3) == 0 {
+			m.expireLeases()
+		}
+		share := []int{10, 10, 3, 1}[m.random.IntN(4)]
+		for _, name := range m.names {
+			if m.random.IntN(share) == 0 {
+				m.start(name)
+			}
+		}
+	case 7:
+		for _, name := range m.names {
+			if m.random.IntN(4) == 0 {
+				m.hosts[name].suspendedUntil = m.now.Add(time.Duration(m.random.IntN(8)) * time.Second)
+			}
+		}
+	case 8:
+		if m.random.IntN(4) == 0 {
+			m.remove(m.names[m.random.IntN(len(m.names))])
+			m.start(fmt.Sprint("n", m.store.revision))
+		}
+	case 9:
+		if len(m.names) < 34 && m.random.IntN(8) == 0 {
+			for range m.random.IntN(len(m.names)) {
+				m.start(fmt.Sprint("n", m.store.revision))
+			}
+		}
+	}
+}
+
+// expireLeases makes the store lose the registrations whose leases end during an outage.
+func (m *fleetModel) expireLeases() {
+	for _, name := range m.names {
+		if m.now.Sub(m.registeredAt[name]) > modelHostLease {
+			delete(m.store.registry, name)
+		}
+	}
+	m.renewedAt = time.Time{}
+}
+
+func (m *fleetModel) step() {
+	m.now = m.now.Add(stepDuration)
+	if m.random.IntN(20) == 0 {
+		m.injectFault()
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.store.registry)) {
+		// The registration of a host that does not reach the store expires.
+		if h := m.hosts[name]; h != nil && m.reachesStore(name) && h.listed {
+			m.registeredAt[name] = m.now
+		}
+		if !m.storeDown && m.now.Sub(m.registeredAt[name]) > modelHostLease {
+			delete(m.store.registry, name)
+		}
+	}
+	for _, name := range m.names {
+		h := m.hosts[name]
+		if m.now.Before(h.suspendedUntil) {
+			continue
+		}
+		if m.reachesStore(name) && m.random.IntN(4) == 0 {
+			m.readStore(h)
+		}
+		if m.random.IntN(3) == 0 {
+			m.exchange(h)
+		}
+		m.runLeader(h)
+	}
+}
+
+// readStore makes a host read the store, and register from its second read on.
+func (m *fleetModel) readStore(h *modelHost) {
+	if h.listed && m.random.IntN(3) > 0 {
+		m.store.registry[h.name], m.registeredAt[h.name] = h.incarnation, m.now
+	}
+	h.setMirror(m.store, m.now)
+	h.listed = true
+}
+
+// setMirror replaces the mirror by a state of the store as of readAt.
+func (h *modelHost) setMirror(s modelStore, readAt time.Time) {
+	for name := range h.mirror.registry {
+		if _, ok := s.registry[name]; !ok {
+			h.departedAt[name] = readAt
+		}
+	}
+	s.registry = maps.Clone(s.registry)
+	s.assignment = max(s.assignment, h.mirror.assignment)
+	if h.mirror.voters.Revision > s.voters.Revision {
+		s.voters = h.mirror.voters
+	}
+	h.mirror, h.storeReadAt = s, readAt
+}
+
+// exchange makes a host exchange reports with the leader in its mirror, or with a
+// random host.
+func (m *fleetModel) exchange(h *modelHost) {
+	other := m.hosts[h.mirror.leader]
+	if other == nil || m.random.IntN(3) == 0 {
+		other = m.hosts[m.names[m.random.IntN(len(m.names))]]
+	}
+	if other == h || m.partition[other.name] != m.partition[h.name] || m.now.Before(other.suspendedUntil) {
+		return
+	}
+	h.merge(other)
+	other.merge(h)
+	m.report(h, other)
+	m.report(other, h)
+}
+
+// report makes a host receive the report of another one.
+func (m *fleetModel) report(h, other *modelHost) {
+	h.heard[other.name] = voter{listed: other.listed, reportedAt: m.now}
+	h.acknowledged[other.name] = 0
+	if h.mirror.registry[other.name] == other.incarnation {
+		h.acknowledged[other.name], h.votersRevisions[other.name] = other.mirror.assignment, other.mirror.voters.Revision
+	}
+	if at := other.majorityReportedAsOf(m.now); at.After(h.majorityFreshAsOf) {
+		h.majorityFreshAsOf = at
+	}
+}
+
+// merge applies the state of another host. Records that the other one wrote itself are taken
+// over with every report.
+func (h *modelHost) merge(other *modelHost) {
+	h.mirror.assignment = max(h.mirror.assignment, other.mirror.assignment)
+	if other.mirror.voters.Revision > h.mirror.voters.Revision {
+		h.mirror.voters = other.mirror.voters
+	}
+	if other.storeReadAt.After(h.storeReadAt) {
+		h.setMirror(other.mirror, other.storeReadAt)
+	}
+}
+
+func (h *modelHost) registered() bool { _, ok := h.mirror.registry[h.name]; return ok }
+
+func (h *modelHost) majorityReportedAsOf(now time.Time) time.Time {
+	if h.mirror.voters.Version == 0 {
+		return h.allReportedAsOf(now)
+	}
+	needed, ok := votersNeeded(len(h.mirror.voters.Since), now.Sub(h.storeReadAt))
+	if !ok || !h.listed || !h.registered() || !h.mirror.voters.Has(h.name) {
+		return time.Time{}
+	}
+	var voters []voter
+	for name := range h.mirror.voters.Since {
+		v := h.heard[name]
+		if name == h.name {
+			v = voter{listed: true, reportedAt: now}
+		}
+		voters = append(voters, v)
+	}
+	return reportedAt(voters, needed)
+}
+
+// allReportedAsOf counts before the host has a list of voters.
+func (h *modelHost) allReportedAsOf(now time.Time) time.Time {
+	if !h.listed || !h.registered() || now.Sub(h.storeReadAt) > maxMajorityViewAge {
+		return time.Time{}
+	}
+	var voters []voter
+	for name := range h.mirror.registry {
+		v := h.heard[name]
+		if name == h.name {
+			v = voter{listed: true, reportedAt: now}
+		}
+		voters = append(voters, v)
+	}
+	return reportedAt(voters, len(voters))
+}
+
+// viewAsOf returns as of when the view of a host is confirmed.
+func (h *modelHost) viewAsOf(now time.Time) time.Time {
+	if !h.registered() {
+		return time.Time{}
+	}
+	asOf := h.storeReadAt
+	for _, at := range []time.Time{h.majorityReportedAsOf(now), h.majorityFreshAsOf} {
+		if at.After(asOf) {
+			asOf = at
+		}
+	}
+	return asOf
+}
+
+// runLeader makes a host take leadership, renew it, keep the list of voters, and replace the
+// primary now and then.
+func (m *fleetModel) runLeader(h *modelHost) {
+	if !m.reachesStore(h.name) {
+		return
+	}
+	switch {
+	case m.store.leader == h.name && m.store.leaderToken == h.token:
+		m.renewedAt = m.now
+	case m.now.Sub(m.renewedAt) > 1800*time.Millisecond && m.store.registry[h.name] == h.incarnation && m.random.IntN(20) == 0:
+		m.store.revision++
+		m.store.leaderToken, m.store.leader, m.renewedAt = m.store.revision, h.name, m.now
+		h.token, h.fencing = m.store.leaderToken, 0
+		clear(h.absentSince)
+		return
+	default:
+		return
+	}
+	m.maintainVoters(h)
+	if h.fencing == 0 {
+		if h.votersToken == h.token && m.random.IntN(10) == 0 {
+			m.store.revision++
+			m.store.assignment = m.store.revision
+			h.mirror.assignment, h.fencing, h.fencedAt, h.quorumAt = m.store.assignment, m.store.assignment, m.now, time.Time{}
+		}
+		return
+	}
+	m.continueChange(h)
+}
+
+// maintainVoters makes the leader write the list of voters.
+func (m *fleetModel) maintainVoters(h *modelHost) {
+	current := m.store.voters
+	var added, removed []string
+	for name := range h.mirror.registry {
+		delete(h.absentSince, name)
+		if !current.Has(name) {
+			added = append(added, name)
+		}
+	}
+	haveList := true
+	for name := range current.Since {
+		haveList = haveList && (name == h.name || h.votersRevisions[name] >= current.Revision)
+		if _, ok := h.mirror.registry[name]; ok {
+			continue
+		}
+		if since, ok := h.absentSince[name]; !ok {
+			h.absentSince[name] = m.now
+		} else if m.now.Sub(since) > fleetExpiry {
+			removed = append(removed, name)
+		}
+	}
+	next := current.WithChanges(added, removed)
+	switch {
+	case len(added)+len(removed) > 0 || h.votersToken != h.token:
+	case !current.AllKnown() && haveList:
+		next = current.WithAllKnown()
+	default:
+		return
+	}
+	m.store.revision++
+	next.Revision = m.store.revision
+	m.store.voters, h.mirror.voters, h.voters, h.votersToken = next, next, next, h.token
+}
+
+// continueChange promotes a database once no host confirms a view without the change.
+func (m *fleetModel) continueChange(h *modelHost) {
+	acknowledged := func(name string) bool {
+		return name == h.name || h.acknowledged[name] >= h.fencing
+	}
+	waited, quorum := m.now.Sub(h.fencedAt), false
+	switch {
+	case h.voters.AllPossible(acknowledged):
+		quorum = waited > fleetExpiry
+	case h.voters.MajorityPossible(acknowledged), h.voters.ListMissing(acknowledged):
+		quorum = waited > majorityExpiry
+	default:
+		quorum = true
+	}
+	if quorum && h.quorumAt.IsZero() {
+		h.quorumAt = m.now
+	}
+	immediate := quorum && h.storeReadAt.After(h.fencedAt) && len(m.names) <= cataloger.MaxSmallFleetSize && m.allReleased(h, acknowledged)
+	if immediate || !h.quorumAt.IsZero() && m.now.Sub(h.quorumAt) > director.MaxViewAge {
+		m.promoted, h.fencing = h.fencing, 0
+		m.promotions++
+	}
+}
+
+// allReleased reports whether all hosts that the leader knows have acknowledged the change.
+func (m *fleetModel) allReleased(h *modelHost, acknowledged func(string) bool) bool {
+	for name := range h.mirror.registry {
+		if !acknowledged(name) {
+			return false
+		}
+	}
+	for name, at := range h.departedAt {
+		if m.now.Sub(at) < departureTolerance && !acknowledged(name) {
+			return false
+		}
+	}
+	for name, since := range h.voters.Since {
+		absentSince, absent := h.absentSince[name]
+		expired := absent && m.now.Sub(absentSince) > majorityExpiry && h.voters.Since[h.name] <= since
+		if !acknowledged(name) && !expired {
+			return false
+		}
+	}
+	return true
+}
+
+// hostUsingFormerPrimary returns a host that still uses the primary from before the
+// last promotion.
+func (m *fleetModel) hostUsingFormerPrimary() *modelHost {
+	for _, name := range m.names {
+		h := m.hosts[name]
+		if m.now.Sub(h.viewAsOf(m.now)) >= director.MaxViewAge || m.now.Before(h.suspendedUntil) {
+			continue
+		}
+		if m.now.Sub(h.storeReadAt) >= director.MaxViewAge {
+			m.confirmations++
+		}
+		if h.mirror.assignment < m.promoted {
+			return h
+		}
+	}
+	return nil
+}
+
+// TestFormerPrimaryIsNotConfirmedFresh simulates random partitions, outages of the
+// store, suspensions and restarts, and hosts that are added or replaced. It guards against
+// a host that uses a former primary after another one was promoted, because hosts that lack
+// the change confirmed the freshness of its view.
+func TestFormerPrimaryIsNotConfirmedFresh(t *testing.T) {
+	for _, hosts := range []int{1, 2, 3, 5, 7, 9, 17, 24} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
+			promotions, confirmations := 0, 0
+			for seed := range uint64(fleetModelSeeds) {
+				m := newFleetModel(seed, hosts)
+				for range 2400 {
+					m.step()
+					if h := m.hostUsingFormerPrimary(); h != nil {
+						t.Fatalf("seed %d after %v: %s of %v uses the primary before assignment %d with assignment %d, read the store %v ago; voters %+v, the leader %s has %+v",
+							seed, m.now.Sub(time.Unix(1000, 0)), h.name, m.names, m.promoted, h.mirror.assignment, m.now.Sub(h.storeReadAt), h.mirror.voters, m.store.leader, m.store.voters)
+					}
+				}
+				promotions += m.promotions
+				confirmations += m.confirmations
+			}
+			if promotions < 4*fleetModelSeeds || confirmations < 100 {
+				t.Errorf("only %d promotions and %d confirmations without the store were simulated", promotions, confirmations)
+			}
+		})
+	}
+}
+
+// fleetModelSeeds is how many random simulations of each size of fleet are run.
+const fleetModelSeeds = 14
