Guard the fixture of the director's tests against concurrent dials

Seen once: the race detector failed director beside other packages and busy processes. Traced: TestCatalogChangesBesideStatements, 150 runs each on 2, 4 and 8 processors, reported a race of two dials in the fixture, which wrote its last transport under the mutexes of two databases; none in the product. The fixture has a mutex of its own: 0 reports in 200 runs each on 4 and 8 processors.

--- a/director/fake_test.go
+++ b/director/fake_test.go
@@ -159,6 +159,8 @@
 	clockOffset time.Duration
 	// viewConfirmedAt is the time at which the view is known to be complete.
 	viewConfirmedAt time.Time
+	// mu guards the next two fields while statements run.
+	mu sync.Mutex
 	// lastTransport is the most recently opened transport.
 	lastTransport *fakeTransport
 	// lastAddress is the address to which lastTransport was opened.
@@ -187,6 +189,9 @@
 			db.mu.Lock()
 			defer db.mu.Unlock()
 			db.dials[customer]++
+			// Connections to both databases are opened at the same time.
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			f.lastAddress = e.Address
 			f.lastTransport = &fakeTransport{db: db, variables: make(map[string]string), prepared: make(map[string]bool)}
 			return f.lastTransport, nil
