Refuse the commit of a transaction whose key was withdrawn

Suspected by the review from reading: COMMIT did not check whether the key was withdrawn meanwhile, as the other statements of a transaction do, so that a write of a customer without a key took effect (CONFIG).

Change: such a transaction is rolled back and its COMMIT answered as aborted.

--- a/director/transaction.go
+++ b/director/transaction.go
@@ -278,6 +278,12 @@
 	if t.hasFailed() {
 		return s.errorResponse(executor.CodeAborted, "transaction had failed and is rolled back")
 	}
+	if t.keyRevoked() {
+		databaseID := t.discardConn()
+		response := s.errorResponse(executor.CodeAborted, "key was withdrawn, the transaction is rolled back")
+		t.operation.finish(databaseID, "key withdrawn", response)
+		return response
+	}
 	deadline := s.director.Now().Add(t.operation.route.StatementTimeout)
 	if t.attempt == nil {
 		a, err := t.beginOnDatabase(ctx, s.director.Now(), nil)
--- a/director/transaction_test.go
+++ b/director/transaction_test.go
@@ -215,3 +215,27 @@
 		}
 	})
 }
+
+// TestCommitWithWithdrawnKey guards against the commit of a transaction whose key was withdrawn
+// after its last statement.
+func TestCommitWithWithdrawnKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(cataloger.Primary)
+		s := f.newSession()
+		runVerb(s, executor.VerbBegin)
+		runVerb(s, executor.VerbWrite, "a x")
+		before := f.primary.log
+		f.updateCatalog(func(c *cataloger.Catalog) {
+			configuration := *c.Configuration
+			configuration.Customers = map[string]cataloger.Customer{"c": {Name: "c", Keys: []string{"other"}, Rate: 100, Burst: 100}}
+			configuration = configuration.WithKeyIndex()
+			c.Configuration = &configuration
+		})
+		if got := runVerb(s, executor.VerbCommit); got.Code != executor.CodeAborted || got.State != executor.StateIdle {
+			t.Errorf("got %v in state %c, want an aborted transaction that has ended", got.Code, got.State)
+		}
+		if f.primary.log != before || !f.lastTransport.isClosed() {
+			t.Errorf("the database stands at %v with its connection closed: %v, want %v and true", f.primary.log, f.lastTransport.isClosed(), before)
+		}
+	})
+}
