--- a/hoster/quorum.go
+++ b/hoster/quorum.go
@@ -94,7 +94,7 @@
 	if !ok || age < storeFreshAge {
 		return time.Time{}
 	}
-	return reportedAt(voters(h, catalog.Voters.Since, now), needed)
+	return reportedAt(votersAmong(h, catalog.Voters.Since, now), needed)
 }
 
 // allReportedAsOf returns the latest instant since which all hosts have reported to this one,
@@ -104,11 +104,11 @@
 	if age := now.Sub(h.primariesCompleteAsOf()); age < storeFreshAge || age > maxMajorityViewAge {
 		return time.Time{}
 	}
-	return reportedAt(voters(h, catalog.Hosts, now), len(catalog.Hosts))
+	return reportedAt(votersAmong(h, catalog.Hosts, now), len(catalog.Hosts))
 }
 
-// voters returns hosts as their reports show them.
-func voters[T any](h *Host, names map[string]T, now time.Time) []voter {
+// votersAmong returns the named hosts as their reports show them.
+func votersAmong[T any](h *Host, names map[string]T, now time.Time) []voter {
 	reports := h.exchanger.Reports()
 	voters := make([]voter, 0, len(names))
 	for name := range names {
--- a/promoter/watcher.go
+++ b/promoter/watcher.go
@@ -29,7 +29,7 @@
 	// replicaPollWait. It also limits how long connecting may take.
 	pollTimeout = 300 * time.Millisecond
 	// callTimeout limits each administration call other than the polling of the
-	// status, and the wait for the confirmation of the start of a term.
+	// status, and the wait until a majority has the start of a term.
 	callTimeout = 300 * time.Millisecond
 	// stepInterval is how often the watcher checks for the next step without
 	// being woken.
--- a/storer/watch_test.go
+++ b/storer/watch_test.go
@@ -43,7 +43,7 @@
 }
 
 // TestWatchNotConfirmed guards against a Watch that waits forever for the
-// confirmation of a store that hangs.
+// response of a store that hangs.
 func TestWatchNotConfirmed(t *testing.T) {
 	e, _, c := startEmulator(t)
 	c.Timeout = 100 * time.Millisecond
