--- /dev/null
+++ b/accountant/book.go
@@ -0,0 +1,342 @@
+package accountant
+
+import (
+	"sync"
+	"time"
+)
+
+// A Source is a process that counts requests. A host that restarts is another source.
+type Source struct {
+	Host        string
+	Incarnation string
+}
+
+// A cell is the number of requests of a customer in a window of a source.
+type cell struct {
+	count int64
+	// version is that of the book when the count changed last.
+	version uint64
+}
+
+// A windowCounts holds the counts of one window of a source by customer.
+type windowCounts struct {
+	cells map[string]cell
+	// version is the greatest one of the cells.
+	version uint64
+	// running is the number of statements whose outcome is not known yet.
+	running int
+}
+
+func (w *windowCounts) set(customer string, count int64, version uint64) {
+	w.cells[customer] = cell{count: count, version: version}
+	w.version = version
+}
+
+// A sourceCounts holds what is known of the counts of a source.
+type sourceCounts struct {
+	windows map[int64]*windowCounts
+	// final is the last window whose counts no longer change.
+	final int64
+	// seen is the latest version of the source's book that was received, and complete the
+	// one up to which no change is missing.
+	seen, complete uint64
+	heardAt        time.Time
+	// relayed is set if this host passes the counts on to the collector.
+	relayed bool
+}
+
+// window returns the counts of a window, which it adds if necessary.
+func (s *sourceCounts) window(number int64) *windowCounts {
+	w, ok := s.windows[number]
+	if !ok {
+		w = &windowCounts{cells: make(map[string]cell)}
+		s.windows[number] = w
+	}
+	return w
+}
+
+// orphanAge is the time since the last report of a host after which, when the collector
+// changes, the counts of that host are passed on to the next one: three intervals of
+// reports.
+const orphanAge = 600 * time.Millisecond
+
+// A Book holds the counts of this process and those that other hosts have reported. Its
+// exported fields are set before use. It is safe for concurrent use.
+type Book struct {
+	Schedule Schedule
+	Clock    *Clock
+	// Self is this process.
+	Self Source
+	// Now returns a monotonic time that includes the time the machine is suspended.
+	Now func() time.Time
+
+	mu sync.Mutex
+	// version numbers the changes of all cells. It is at least 1 once changes were sent.
+	version uint64
+	sources map[Source]*sourceCounts
+	// latest holds the process of each host that reported last.
+	latest map[string]Source
+	// acknowledged holds, by host, the version up to which the host has this book.
+	acknowledged map[string]uint64
+	// oldest is the first window that is kept.
+	oldest    int64
+	collector string
+}
+
+// Begin counts a request that is sent now, and returns its window.
+func (b *Book) Begin(customer string) (window int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	window = b.Schedule.Number(b.Clock.Time())
+	b.prune(window)
+	w := b.source(b.Self).window(window)
+	w.running++
+	b.version++
+	w.set(customer, w.cells[customer].count+1, b.version)
+	return window
+}
+
+// End records the outcome of a request that was counted: whether a database may have run
+// it.
+func (b *Book) End(customer string, window int64, mayHaveRun bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, ok := b.source(b.Self).windows[window]
+	if !ok {
+		return
+	}
+	w.running--
+	if !mayHaveRun {
+		b.version++
+		w.set(customer, w.cells[customer].count-1, b.version)
+	}
+}
+
+func (b *Book) source(id Source) *sourceCounts {
+	s, ok := b.sources[id]
+	if !ok {
+		if b.sources == nil {
+			b.sources, b.latest, b.acknowledged = make(map[Source]*sourceCounts), make(map[string]Source), make(map[string]uint64)
+		}
+		s = &sourceCounts{windows: make(map[int64]*windowCounts)}
+		b.sources[id] = s
+	}
+	return s
+}
+
+// prune removes the windows that are not kept, as of the present window.
+func (b *Book) prune(present int64) {
+	oldest := present - keptWindows + 1
+	if oldest <= b.oldest {
+		return
+	}
+	b.oldest = oldest
+	for id, s := range b.sources {
+		for number := range s.windows {
+			if number < oldest {
+				delete(s.windows, number)
+			}
+		}
+		if len(s.windows) == 0 && id != b.Self && b.latest[id.Host] != id {
+			delete(b.sources, id)
+		}
+	}
+}
+
+// ownFinal returns the last window in which no statement of this process is running any
+// more and none will begin.
+func (b *Book) ownFinal(now time.Time) int64 {
+	final := b.Schedule.Number(now) - 1
+	for number, w := range b.source(b.Self).windows {
+		if w.running > 0 {
+			final = min(final, number-1)
+		}
+	}
+	return final
+}
+
+// SetCollector sets the host that collects the counts, "" if there is none. When it
+// changes, the counts of the former one and of hosts that have stopped reporting are
+// passed on to the next one.
+func (b *Book) SetCollector(host string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if host == b.collector || host == "" {
+		return
+	}
+	now := b.Now()
+	for id, s := range b.sources {
+		silent := now.Sub(s.heardAt) > orphanAge || id.Host == b.collector
+		if id != b.Self && silent && host != b.Self.Host {
+			b.relay(s)
+		}
+	}
+	b.collector = host
+}
+
+// relay marks the counts of a source as changed, so that the collector gets them.
+func (b *Book) relay(s *sourceCounts) {
+	s.relayed = true
+	for _, w := range s.windows {
+		for customer, c := range w.cells {
+			b.version++
+			w.set(customer, c.count, b.version)
+		}
+	}
+}
+
+// Changes returns the changes that a host has not acknowledged, with the counts of this
+// process and those that it passes on.
+func (b *Book) Changes(receiver string) Changes {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Time()
+	b.prune(b.Schedule.Number(now))
+	// Version 0 stands for changes without counts.
+	b.version = max(b.version, 1)
+	changes := b.acknowledgement(receiver)
+	changes.Base, changes.Version, changes.Final = b.acknowledged[receiver], b.version, b.ownFinal(now)
+	for id, s := range b.sources {
+		if id != b.Self && (!s.relayed || id.Host == receiver) {
+			continue
+		}
+		if counts := s.changedSince(changes.Base); len(counts) > 0 || id == b.Self {
+			source := id
+			if id == b.Self {
+				source = Source{}
+			}
+			changes.Sources = append(changes.Sources, SourceChanges{Source: source, Counts: counts})
+		}
+	}
+	return changes
+}
+
+// Acknowledgement returns changes that only acknowledge those of the receiver.
+func (b *Book) Acknowledgement(receiver string) Changes {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.acknowledgement(receiver)
+}
+
+func (b *Book) acknowledgement(receiver string) Changes {
+	changes := Changes{}
+	if s, ok := b.sources[b.latest[receiver]]; ok {
+		changes.Acknowledged = s.complete
+	}
+	return changes
+}
+
+// changedSince returns the counts that changed after a version.
+func (s *sourceCounts) changedSince(version uint64) []Count {
+	var counts []Count
+	for number, w := range s.windows {
+		if w.version <= version {
+			continue
+		}
+		for customer, c := range w.cells {
+			if c.version > version {
+				counts = append(counts, Count{Customer: customer, Window: number, Requests: c.count})
+			}
+		}
+	}
+	return counts
+}
+
+// Apply applies the changes that a process has sent. Those that arrive after later ones are
+// ignored.
+func (b *Book) Apply(sender Source, changes Changes) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.source(sender)
+	s.heardAt, s.relayed = b.Now(), false
+	b.latest[sender.Host] = sender
+	b.acknowledged[sender.Host] = changes.Acknowledged
+	if changes.Acknowledged > b.version {
+		b.acknowledged[sender.Host] = 0
+	}
+	if changes.Version == 0 || changes.Version < s.seen {
+		return
+	}
+	s.seen = changes.Version
+	present := b.Schedule.Number(b.Clock.Time())
+	b.prune(present)
+	for _, source := range changes.Sources {
+		b.applyCounts(sender, source, present)
+	}
+	if changes.Base <= s.complete {
+		s.complete = changes.Version
+		s.final = max(s.final, changes.Final)
+	}
+}
+
+// applyCounts applies the counts of one source. Those that are passed on are not ordered with
+// the counts that the source itself reported, so the greater one is kept.
+func (b *Book) applyCounts(sender Source, changes SourceChanges, present int64) {
+	id := changes.Source
+	direct := id == Source{}
+	if direct {
+		id = sender
+	}
+	if id == b.Self {
+		return
+	}
+	s := b.source(id)
+	for _, c := range changes.Counts {
+		if c.Window < b.oldest || c.Window > present+keptWindows {
+			continue
+		}
+		w := s.window(c.Window)
+		if old := w.cells[c.Customer]; direct || c.Requests > old.count {
+			b.version++
+			w.set(c.Customer, c.Requests, b.version)
+		}
+	}
+}
+
+// AcknowledgedBy reports whether a host has all counts of this process.
+func (b *Book) AcknowledgedBy(host string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.acknowledged[host] >= b.version
+}
+
+// Totals returns the number of requests of each customer in a window, from all sources.
+func (b *Book) Totals(window int64) map[string]int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	totals := make(map[string]int64)
+	for _, s := range b.sources {
+		w, ok := s.windows[window]
+		if !ok {
+			continue
+		}
+		for customer, c := range w.cells {
+			if c.count > 0 {
+				totals[customer] += c.count
+			}
+		}
+	}
+	return totals
+}
+
+// Missing returns the number of processes, by incarnation and host name, that have not yet
+// reported a window as final.
+func (b *Book) Missing(window int64, incarnations map[string]string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	missing := 0
+	for host, incarnation := range incarnations {
+		id := Source{Host: host, Incarnation: incarnation}
+		final := int64(0)
+		switch s, ok := b.sources[id]; {
+		case id == b.Self:
+			final = b.ownFinal(b.Clock.Time())
+		case ok:
+			final = s.final
+		}
+		if final < window {
+			missing++
+		}
+	}
+	return missing
+}
--- a/director/attempt.go
+++ b/director/attempt.go
@@ -310,10 +310,13 @@
 	if statement.ID != "" {
 		a.clientStatementSent = true
 	}
+	endRequest := a.countRequest(statement)
 	if err := a.conn.Flush(deadline); err != nil {
+		endRequest(false)
 		return executor.Response{}, err
 	}
 	response, err := a.conn.Receive(deadline)
+	endRequest(err != nil || !response.Code.NotRun())
 	if err != nil {
 		if a.clientStatementSent {
 			a.operation.markMayHaveRun()
--- a/director/director.go
+++ b/director/director.go
@@ -43,8 +43,13 @@
 	// ViewCompleteAsOf returns the latest time, on the clock of SinceBoot, at
 	// which this host's view of the primaries is known to have been complete.
 	ViewCompleteAsOf func() time.Time
-	Logger           *slog.Logger
-	Metrics          *Metrics
+	// BeginRequest is called when a request of a customer is sent to a database, and
+	// returns the window in which it counts; EndRequest is called with its outcome. Both
+	// are nil where requests are not counted.
+	BeginRequest func(customer string) (window int64)
+	EndRequest   func(customer string, window int64, mayHaveRun bool)
+	Logger       *slog.Logger
+	Metrics      *Metrics
 
 	catalog atomic.Pointer[cataloger.Catalog]
 
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -40,6 +40,7 @@
 	fieldMajorityHeardAge
 	fieldAcceptsCompression
 	fieldVotersRevision
+	fieldCounts
 )
 
 // Field numbers of the nested messages.
@@ -135,6 +136,9 @@
 	if m.AcceptsCompression {
 		b = appendNumber(b, fieldAcceptsCompression, 1)
 	}
+	if len(r.Counts) > 0 {
+		b = appendNested(b, fieldCounts, r.Counts)
+	}
 	var nested []byte
 	for name, u := range r.Usages {
 		nested = appendString(nested[:0], fieldName, name)
@@ -184,7 +188,7 @@
 
 // fieldLimit is greater than all field numbers in use. Fields from it on are
 // ignored.
-const fieldLimit = fieldVotersRevision + 1
+const fieldLimit = fieldCounts + 1
 
 // fields holds the last value of each field of one message by field number.
 type fields struct {
@@ -250,6 +254,7 @@
 	r.MajorityHeardAge = decodeDuration(f.numbers[fieldMajorityHeardAge])
 	r.VotersRevision = int64(f.numbers[fieldVotersRevision])
 	r.Stopping = f.numbers[fieldStopping] != 0
+	r.Counts = append([]byte(nil), f.bytes[fieldCounts]...)
 	m.AcceptsCompression = f.numbers[fieldAcceptsCompression] != 0
 	return m, nil
 }
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -65,6 +65,9 @@
 	// ReleasedRevisions holds, for each service whose primary is being replaced, the
 	// revision of the last primary assignment with which the host uses no primary.
 	ReleasedRevisions map[string]int64
+	// Counts are the counts of requests that the receiver lacks, and an acknowledgement of
+	// its own, encoded by package accountant. It is empty where requests are not counted.
+	Counts []byte
 }
 
 // A Record is a key of the store with its value, or its deletion.
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/endiveturn/endiveturn/accountant"
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/exchanger"
@@ -43,6 +44,9 @@
 	Databases Databases
 	// Promote requests a promotion on behalf of the host.
 	Promote func(ctx context.Context, host string, promotion overseer.Promotion) error
+	// ReportUsage sends a report of the requests in a window. It may be nil if the settings
+	// have no usage address.
+	ReportUsage func(ctx context.Context, report accountant.Report) error
 }
 
 // A Host is one process of the fleet. Its exported fields are set before Run.
@@ -64,8 +68,10 @@
 	limits      *limiter.FleetLimiter
 	exchanger   *exchanger.Exchanger
 	overseer    *overseer.Overseer
-	changed     chan struct{}
-	relays      relays
+	// accounting counts requests for usage reports, nil where none are required.
+	accounting *accounting
+	changed    chan struct{}
+	relays     relays
 	// fallbackHub is the name of the fallback hub that this host contacts first, nil if
 	// it contacts none.
 	fallbackHub atomic.Pointer[string]
@@ -107,6 +113,10 @@
 	add(func(ctx context.Context) error { return h.exchanger.Serve(ctx, listeners.peers) })
 	add(h.overseer.Run)
 	add(h.maintain)
+	if h.accounting != nil {
+		add(h.accounting.recordWindows)
+		add(h.accounting.sendReports)
+	}
 	add(func(ctx context.Context) error { return h.accept(ctx, listeners.clients) })
 	add(func(ctx context.Context) error { return serveHTTP(ctx, listeners.readiness, h.readiness()) })
 	if listeners.metrics != nil {
@@ -139,7 +149,7 @@
 	h.changed = make(chan struct{}, 1)
 	h.mirror = &informer.Mirror{
 		Now: timekeeper.Now, OnChange: h.notifyChange, InDigest: h.Platform.IsExternalKey,
-		WrittenIn: overseer.WrittenIn, OnConflict: h.reportConflict,
+		WrittenIn: h.writtenIn, OnConflict: h.reportConflict,
 	}
 	h.recentHosts = make(recentHosts)
 	h.limits = limiter.NewFleetLimiter(timekeeper.Now)
@@ -166,6 +176,19 @@
 		ViewCompleteAsOf: h.viewCompleteAsOf, MaxViewAge: director.MaxViewAge, MajorityExpiry: majorityExpiry, FleetExpiry: fleetExpiry,
 		RecentlyStarted: h.recentlyStarted, Now: timekeeper.Now, Logger: h.Logger,
 	}
+	if h.Settings.UsageAddress != "" {
+		h.accounting = newAccounting(h)
+		h.director.BeginRequest, h.director.EndRequest = h.accounting.book.Begin, h.accounting.book.End
+	}
+}
+
+// writtenIn returns the era in which a host wrote a record that outlasts a restore of the
+// store.
+func (h *Host) writtenIn(key string, value []byte) (era int64, ok bool) {
+	if h.Settings.UsageAddress != "" && key == accountant.RecordKey {
+		return accountant.WrittenIn(key, value)
+	}
+	return overseer.WrittenIn(key, value)
 }
 
 // establishedAge is the time after which a host counts as one that runs reliably.
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -35,6 +35,7 @@
 		Revision: revision, Age: -1, Uptime: timekeeper.Now().Sub(h.started),
 		Digest: h.mirror.Digest(), Stopping: h.stopping.Load(), Usages: usages, Hosts: hosts,
 		Listed: h.knowsChanges(), MajorityHeardAge: -1,
+		Counts: h.accounting.changes(receiver),
 	}
 	if catalog := h.latestCatalog(); catalog != nil {
 		r.VotersRevision = catalog.Voters.Revision
@@ -93,6 +94,7 @@
 	if h.acceptsUsage(report) {
 		h.recordUsage(report)
 	}
+	h.accounting.apply(report, sent)
 	records := make([]informer.Record, 0, len(message.Records))
 	for _, record := range message.Records {
 		records = append(records, informer.Record(record))
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -46,8 +46,28 @@
 	// LinkMegabits is the bandwidth of the host's link in megabits per second, 0 if
 	// unknown.
 	LinkMegabits float64
+	// UsageAddress is the address that receives usage reports. If it is empty, requests are
+	// not counted.
+	UsageAddress string
+	// UsageWindow is the length of the windows that are reported, and UsageDue the time
+	// after the end of a window by which its report is due.
+	UsageWindow time.Duration
+	UsageDue    time.Duration
+	// UsageTolerance is the largest relative error of a customer's count that is still
+	// correct.
+	UsageTolerance float64
+	// DutyGap is the time after a change of leader in which the next one sends no report.
+	DutyGap time.Duration
 }
 
+const (
+	// defaultUsageTolerance and defaultDutyGap apply where the settings give no others.
+	defaultUsageTolerance = 0.05
+	defaultDutyGap        = 3 * time.Second
+	// minUsageWindow bounds the work of the leader, which writes to the store once a window.
+	minUsageWindow = time.Second
+)
+
 // ReadSettings reads and validates a settings file. Errors wrap ErrInvalidSettings.
 func ReadSettings(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
@@ -77,9 +97,32 @@
 		checkAddress(d, "metrics_address", s.MetricsAddress)
 	}
 	d.Optional("seeds", &s.Seeds)
+	s.decodeUsage(d)
 	return s, NewValidationError(ErrInvalidSettings, violations)
 }
 
+// decodeUsage decodes the settings of usage reports. The window and the time until a report
+// is due are required where there is an address.
+func (s *Settings) decodeUsage(d *ObjectDecoder) {
+	s.UsageTolerance, s.DutyGap = defaultUsageTolerance, defaultDutyGap
+	if d.Optional("usage_tolerance", &s.UsageTolerance) && (s.UsageTolerance <= 0 || s.UsageTolerance > 1) {
+		d.Reject("usage_tolerance", "%v is not above 0 and at most 1", s.UsageTolerance)
+	}
+	gap := float64(defaultDutyGap.Milliseconds())
+	if d.Optional("duty_gap_ms", &gap) && (gap <= 0 || gap > float64(time.Hour.Milliseconds())) {
+		d.Reject("duty_gap_ms", "%v is not above 0 and at most an hour", gap)
+	}
+	s.DutyGap = time.Duration(gap * float64(time.Millisecond))
+	if !d.Optional("usage_address", &s.UsageAddress) || s.UsageAddress == "" {
+		return
+	}
+	checkAddress(d, "usage_address", s.UsageAddress)
+	s.UsageWindow, s.UsageDue = decodeSeconds(d, "usage_window_s"), decodeSeconds(d, "usage_due_s")
+	if s.UsageWindow > 0 && s.UsageWindow < minUsageWindow {
+		d.Reject("usage_window_s", "%v is less than %v", s.UsageWindow, minUsageWindow)
+	}
+}
+
 // decodeSeconds returns a required positive duration that is given in seconds.
 func decodeSeconds(d *ObjectDecoder, field string) time.Duration {
 	seconds := Positive[float64](d, field)
--- a/overseer/era.go
+++ b/overseer/era.go
@@ -24,7 +24,7 @@
 	if era := o.Store.Era(); era != o.era {
 		now := o.Now()
 		led := o.token > 0 && now.Before(o.leaderLease.expiresAt)
-		o.era, o.eraCampaignFrom = era, now.Add(leaseTTL)
+		o.era, o.eraSince, o.eraCampaignFrom = era, now, now.Add(leaseTTL)
 		if led {
 			o.eraCampaignFrom = now
 		}
--- a/overseer/leadership.go
+++ b/overseer/leadership.go
@@ -34,6 +34,27 @@
 	return o.token, valid
 }
 
+// A Leadership is the time for which this host is the leader.
+type Leadership struct {
+	// Token is the fencing token.
+	Token int64
+	// Since is when this host learned that it is the leader, Until is when it may be the
+	// leader no more, unless it renews its lease.
+	Since, Until time.Time
+	// EraSince is when this host first saw the present era of the store.
+	EraSince time.Time
+}
+
+// Leadership returns the leadership of this host; ok is false unless it is certain to be
+// the leader.
+func (o *Overseer) Leadership() (leadership Leadership, ok bool) {
+	_, ok = o.leaderToken()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	leadership = Leadership{Token: o.token, Since: o.ledSince, Until: o.leaderLease.expiresAt, EraSince: o.eraSince}
+	return leadership, ok && leadership.Token > 0
+}
+
 // leaderUntil returns until when this host is certain to be the leader, if it is.
 func (o *Overseer) leaderUntil() time.Time {
 	o.mu.Lock()
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -137,9 +137,10 @@
 	voters voterList
 	// campaignAfter is the time before which this host does not campaign.
 	campaignAfter time.Time
-	// era is the latest era of the store that this host has seen, and eraCampaignFrom
-	// the earliest time to campaign in it.
+	// era is the latest era of the store that this host has seen, eraSince is when it saw
+	// it first, and eraCampaignFrom the earliest time to campaign in it.
 	era             int64
+	eraSince        time.Time
 	eraCampaignFrom time.Time
 	// ledSince is when this host acquired its leadership.
 	ledSince time.Time
