--- a/accountant/book.go
+++ b/accountant/book.go
@@ -78,9 +78,10 @@
 	latest map[string]Source
 	// acknowledged holds, by host, the version up to which the host has this book.
 	acknowledged map[string]uint64
-	// oldest is the first window that is kept.
-	oldest    int64
-	collector string
+	// oldest is the first window that is kept. Of other sources, windows below settled
+	// are not needed any more.
+	oldest, settled int64
+	collector       string
 }
 
 // Begin counts a request that is sent now, and returns its window.
@@ -143,6 +144,24 @@
 	}
 }
 
+// Settle drops what other sources counted in the windows below the given one, which will not
+// be counted again.
+func (b *Book) Settle(next int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settled = max(b.settled, next)
+	for id, s := range b.sources {
+		if id == b.Self {
+			continue
+		}
+		for number := range s.windows {
+			if number < b.settled {
+				delete(s.windows, number)
+			}
+		}
+	}
+}
+
 // ownFinal returns the last window in which no statement of this process is running any
 // more and none will begin.
 func (b *Book) ownFinal(now time.Time) int64 {
@@ -282,7 +301,7 @@
 	}
 	s := b.source(id)
 	for _, c := range changes.Counts {
-		if c.Window < b.oldest || c.Window > present+keptWindows {
+		if c.Window < max(b.oldest, b.settled) || c.Window > present+keptWindows {
 			continue
 		}
 		w := s.window(c.Window)
--- a/accountant/sender.go
+++ b/accountant/sender.go
@@ -104,10 +104,12 @@
 type call struct {
 	// recordedAt is when this host found the window recorded.
 	recordedAt time.Time
-	lastTry    time.Time
-	attempts   int
-	accepted   bool
-	givenUp    bool
+	// inherited is set if a former leader recorded the window, which may have been accepted.
+	inherited bool
+	lastTry   time.Time
+	attempts  int
+	accepted  bool
+	givenUp   bool
 }
 
 // RecordStep claims the record if this host has become the leader, closes the windows that
@@ -253,7 +255,7 @@
 	}
 	for _, w := range record.Windows {
 		if _, ok := s.calls[w.Number]; !ok {
-			s.calls[w.Number] = &call{recordedAt: now, accepted: w.Accepted}
+			s.calls[w.Number] = &call{recordedAt: now, inherited: !s.claimed, accepted: w.Accepted}
 		}
 	}
 	for number := range s.calls {
@@ -262,6 +264,7 @@
 		}
 	}
 	s.base, s.baseKnown, s.claimed, s.revision = record, true, true, revision
+	s.Book.Settle(record.Next)
 }
 
 // reportMissed logs the windows that a record skips.
@@ -347,7 +350,7 @@
 	}
 	nextState.lastTry = now
 	nextState.attempts++
-	if nextState.attempts > 1 {
+	if nextState.attempts > 1 || nextState.inherited {
 		s.count("usage_repeated", 1)
 	}
 	return next, true
@@ -376,9 +379,9 @@
 	state.accepted = true
 	late := max(0, s.Clock.Time().Sub(s.Schedule.End(w.Number).Add(s.Schedule.Due)))
 	s.count("usage_reported", 1)
-	if late > 0 {
+	if late > 0 && !state.inherited {
 		s.count("usage_late", 1)
 	}
 	s.Logger.Info("usage_reported", "window", w.Number, "holder", s.Holder, "token", token, "total", w.Total(),
-		"customers", len(w.Counts), "attempts", state.attempts, "late_by", late)
+		"customers", len(w.Counts), "attempts", state.attempts, "inherited", state.inherited, "late_by", late)
 }
