--- a/accountant/model_test.go
+++ b/accountant/model_test.go
@@ -35,6 +35,8 @@
 	leaseExpires  time.Time
 	writes, calls []delayed
 	storeDown     time.Time
+	// lostResponses is the number of next writes and calls whose responses are lost.
+	lostResponses int
 
 	// sent holds the requests that hosts have sent by window and customer.
 	sent     map[int64]map[string]int64
@@ -136,6 +138,14 @@
 	return m.faulty && m.random.Float64() < probability
 }
 
+func (m *model) losesResponse() bool {
+	if m.lostResponses == 0 {
+		return false
+	}
+	m.lostResponses--
+	return true
+}
+
 func (m *model) upTo(d time.Duration) time.Duration { return time.Duration(m.random.Int64N(int64(d))) }
 
 // write carries out a conditional write, at once or later, and loses some responses.
@@ -163,7 +173,7 @@
 		return 0, errModelLost
 	}
 	revision, err := apply()
-	if m.chance(0.1) {
+	if m.chance(0.1) || m.losesResponse() {
 		return 0, errModelLost
 	}
 	h.sees(m)
@@ -208,7 +218,7 @@
 		return errModelLost
 	}
 	m.receive(report)
-	if m.chance(0.2) {
+	if m.chance(0.2) || m.losesResponse() {
 		return errModelLost
 	}
 	return nil
@@ -269,14 +279,21 @@
 	case 6:
 		m.storeDown = m.now.Add(m.upTo(30 * time.Second))
 	case 7:
-		m.copied, m.copiedAt = m.value, m.revision
+		m.copyStore()
 	case 8:
-		m.era++
-		m.leader, m.leaseExpires = nil, time.Time{}
-		m.value, m.revision = m.copied, 0
-		if _, number := storer.SplitRevision(m.copiedAt); m.copied != nil {
-			m.revision = storer.JoinRevision(m.era, number)
-		}
+		m.restoreStore()
+	}
+}
+
+func (m *model) copyStore() { m.copied, m.copiedAt = m.value, m.revision }
+
+// restoreStore brings the store back from the copy, without leases.
+func (m *model) restoreStore() {
+	m.era++
+	m.leader, m.leaseExpires = nil, time.Time{}
+	m.value, m.revision = m.copied, 0
+	if _, number := storer.SplitRevision(m.copiedAt); m.copied != nil {
+		m.revision = storer.JoinRevision(m.era, number)
 	}
 }
 
--- a/director/single_test.go
+++ b/director/single_test.go
@@ -81,3 +81,58 @@
 		}
 	}
 }
+
+// TestCountedRequests guards against usage reports that count statements of the proxy itself
+// or what a database has not run, and against ones that leave out runs whose response was
+// lost or that were repeated.
+func TestCountedRequests(t *testing.T) {
+	lost := func(f *fixture) { f.primary.setLoseResponseAfter(executor.VerbRead) }
+	refused := func(code executor.Code) func(f *fixture) {
+		return func(f *fixture) { f.primary.refuse[executor.VerbRead] = code }
+	}
+	tests := []struct {
+		name    string
+		prepare func(f *fixture)
+		verbs   []executor.Verb
+		want    int
+	}{
+		{name: "read", verbs: []executor.Verb{executor.VerbRead}, want: 1},
+		{name: "transaction", verbs: []executor.Verb{executor.VerbBegin, executor.VerbWrite, executor.VerbRead, executor.VerbCommit}, want: 3},
+		{name: "rollback", verbs: []executor.Verb{executor.VerbBegin, executor.VerbWrite, executor.VerbRollback}, want: 1},
+		{name: "variables", verbs: []executor.Verb{executor.VerbSet, executor.VerbRead}, want: 1},
+		{name: "response lost and repeated", prepare: lost, verbs: []executor.Verb{executor.VerbRead}, want: maxAttempts},
+		{name: "failed", prepare: refused(executor.CodeRunFailed), verbs: []executor.Verb{executor.VerbWrite, executor.VerbRead}, want: 1 + maxAttempts},
+		{name: "not run", prepare: refused(executor.CodeBusy), verbs: []executor.Verb{executor.VerbWrite, executor.VerbRead}, want: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(cataloger.Primary)
+				if test.prepare != nil {
+					test.prepare(f)
+				}
+				got, running := 0, 0
+				f.director.BeginRequest = func(customer string) int64 {
+					if customer != "c" {
+						t.Errorf("got customer %q, want c", customer)
+					}
+					running++
+					return 7
+				}
+				f.director.EndRequest = func(_ string, window int64, mayHaveRun bool) {
+					running--
+					if window == 7 && mayHaveRun {
+						got++
+					}
+				}
+				session := f.newSession()
+				for _, verb := range test.verbs {
+					runVerb(session, verb, "a")
+				}
+				if got != test.want || running != 0 {
+					t.Errorf("got %d requests and %d without an outcome, want %d", got, running, test.want)
+				}
+			})
+		})
+	}
+}
--- a/hoster/settings_test.go
+++ b/hoster/settings_test.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -57,6 +58,55 @@
 	}
 }
 
+// TestUsageSettings guards against a host that counts requests in windows of another length
+// than required, or that counts them where no reports are required.
+func TestUsageSettings(t *testing.T) {
+	none := Settings{UsageTolerance: 0.05, DutyGap: 3 * time.Second}
+	tests := []struct {
+		name, fields string
+		want         Settings
+		violation    string
+	}{
+		{name: "no reports", want: none},
+		{name: "empty address", fields: `"usage_address": "", "usage_window_s": 0`, want: none},
+		{
+			name: "all", fields: `"usage_address": "127.0.0.1:6", "usage_window_s": 5, "usage_due_s": 10, "usage_tolerance": 0.1, "duty_gap_ms": 2000`,
+			want: Settings{UsageAddress: "127.0.0.1:6", UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second, UsageTolerance: 0.1, DutyGap: 2 * time.Second},
+		},
+		{
+			name: "defaults", fields: `"usage_address": "127.0.0.1:6", "usage_window_s": 5, "usage_due_s": 10`,
+			want: Settings{UsageAddress: "127.0.0.1:6", UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second, UsageTolerance: 0.05, DutyGap: 3 * time.Second},
+		},
+		{name: "no IP address", fields: `"usage_address": "usage:6", "usage_window_s": 5, "usage_due_s": 10`, violation: "usage_address"},
+		{name: "no window", fields: `"usage_address": "127.0.0.1:6", "usage_due_s": 10`, violation: "usage_window_s: missing"},
+		{name: "short window", fields: `"usage_address": "127.0.0.1:6", "usage_window_s": 0.01, "usage_due_s": 10`, violation: "usage_window_s"},
+		{name: "no due time", fields: `"usage_address": "127.0.0.1:6", "usage_window_s": 5`, violation: "usage_due_s: missing"},
+		{name: "no tolerance", fields: `"usage_tolerance": 0`, violation: "usage_tolerance"},
+		{name: "no gap", fields: `"duty_gap_ms": 0`, violation: "duty_gap_ms"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			fields := `"host": "h1"`
+			if test.fields != "" {
+				fields += ", " + test.fields
+			}
+			got, err := ParseSettings([]byte(strings.Replace(validSettings, `"host": "h1"`, fields, 1)))
+			if test.violation != "" {
+				if !errors.Is(err, ErrInvalidSettings) || !strings.Contains(err.Error(), test.violation) {
+					t.Errorf("got %v, want %v with %q", err, ErrInvalidSettings, test.violation)
+				}
+				return
+			}
+			got = Settings{
+				UsageAddress: got.UsageAddress, UsageWindow: got.UsageWindow, UsageDue: got.UsageDue, UsageTolerance: got.UsageTolerance, DutyGap: got.DutyGap,
+			}
+			if err != nil || !reflect.DeepEqual(got, test.want) {
+				t.Errorf("got %+v, %v, want %+v", got, err, test.want)
+			}
+		})
+	}
+}
+
 // TestSettingsReportsAllViolations guards against settings that have to be corrected
 // one fault at a time.
 func TestSettingsReportsAllViolations(t *testing.T) {
