--- a/accountant/record.go
+++ b/accountant/record.go
@@ -18,7 +18,8 @@
 // recorded, except that it becomes accepted.
 type Window struct {
 	Number int64
-	// Counts are by customer.
+	// Counts are by customer. They are empty in a record once the window is accepted, since
+	// it is not sent again and every host receives the record.
 	Counts   map[string]int64
 	Accepted bool
 }
@@ -54,7 +55,9 @@
 func (r Record) WithAccepted(accepted map[int64]bool) Record {
 	r.Windows = slices.Clone(r.Windows)
 	for i, w := range r.Windows {
-		r.Windows[i].Accepted = w.Accepted || accepted[w.Number]
+		if w.Accepted || accepted[w.Number] {
+			r.Windows[i] = Window{Number: w.Number, Accepted: true}
+		}
 	}
 	return r
 }
@@ -71,8 +74,9 @@
 	windows := make(map[int64]Window)
 	for _, w := range append(slices.Clone(r.Windows), other.Windows...) {
 		if present, ok := windows[w.Number]; ok {
-			present.Accepted = present.Accepted || w.Accepted
-			w = present
+			if present.Accepted {
+				w = present
+			}
 		}
 		windows[w.Number] = w
 	}
@@ -87,8 +91,9 @@
 
 type wireWindow struct {
 	Window int64 `json:"window"`
-	// Counts are in the order of wireRecord.Customers.
-	Counts   []int64 `json:"counts"`
+	// Counts are in the order of wireRecord.Customers, and left out if the window is
+	// accepted.
+	Counts   []int64 `json:"counts,omitempty"`
 	Accepted bool    `json:"accepted"`
 }
 
@@ -110,9 +115,11 @@
 	}
 	wire := wireRecord{Token: r.Token, Era: r.Era, Next: r.Next, Customers: slices.Sorted(maps.Keys(names))}
 	for _, w := range r.Windows {
-		counts := make([]int64, 0, len(wire.Customers))
+		var counts []int64
 		for _, name := range wire.Customers {
-			counts = append(counts, w.Counts[name])
+			if !w.Accepted {
+				counts = append(counts, w.Counts[name])
+			}
 		}
 		wire.Windows = append(wire.Windows, wireWindow{Window: w.Number, Counts: counts, Accepted: w.Accepted})
 	}
@@ -131,10 +138,14 @@
 	}
 	r := Record{Token: wire.Token, Era: wire.Era, Next: wire.Next}
 	for _, w := range wire.Windows {
+		if w.Accepted {
+			r.Windows = append(r.Windows, Window{Number: w.Window, Accepted: true})
+			continue
+		}
 		if len(w.Counts) != len(wire.Customers) {
 			return Record{}, errors.Wrapf(errMalformedRecord, "window %d has %d counts of %d customers", w.Window, len(w.Counts), len(wire.Customers))
 		}
-		window := Window{Number: w.Window, Counts: make(map[string]int64), Accepted: w.Accepted}
+		window := Window{Number: w.Window, Counts: make(map[string]int64)}
 		for i, count := range w.Counts {
 			if count > 0 {
 				window.Counts[wire.Customers[i]] = count
