--- a/hoster/accounting.go
+++ b/hoster/accounting.go
@@ -28,8 +28,12 @@
 	// clockAgreementShare is the part of a window, times the tolerance, by which the clock
 	// of a host may differ from the fleet's. Both ends of a window move by it.
 	clockAgreementShare = 0.5
-	// flushTimeout bounds how long a host that stops waits until the leader has its counts.
-	flushTimeout = 150 * time.Millisecond
+	// flushTimeout bounds how long a host that stops waits until others have its counts: two
+	// exchanges. minFlushTimeout is the same if its time to stop is over, and
+	// flushCheckInterval how often it looks.
+	flushTimeout       = 450 * time.Millisecond
+	minFlushTimeout    = 150 * time.Millisecond
+	flushCheckInterval = 30 * time.Millisecond
 )
 
 // An accounting joins the counting of requests to a host. All methods may be called on nil,
@@ -162,25 +166,41 @@
 	a.book.Apply(accountant.Source{Host: report.Host, Incarnation: report.Incarnation}, changes)
 }
 
-// flush waits for a short time until the leader has all counts of this host, which stops.
-func (a *accounting) flush(ctx context.Context) {
+// flush waits until the leader has all counts of this host, which stops, or, if this host is
+// the leader, until its deputies have them.
+func (a *accounting) flush(ctx context.Context, deadline time.Time) {
 	if a == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	timeout := max(minFlushTimeout, min(flushTimeout, time.Until(deadline)))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	collector := a.collector()
-	if collector == a.host.Settings.Host {
-		return
-	}
-	for !a.book.AcknowledgedBy(collector) {
+	for !a.flushed() {
 		a.host.exchanger.TriggerExchanges()
-		if !timekeeper.Sleep(ctx, flushTimeout/5) {
+		if !timekeeper.Sleep(ctx, flushCheckInterval) {
 			return
 		}
 	}
 }
 
+// flushed reports whether the hosts that need the counts of this one have them all.
+func (a *accounting) flushed() bool {
+	collector := a.collector()
+	if collector != a.host.Settings.Host {
+		return a.book.AcknowledgedBy(collector)
+	}
+	catalog := a.host.latestCatalog()
+	if catalog == nil {
+		return true
+	}
+	for _, name := range a.deputiesOf(catalog) {
+		if !a.book.AcknowledgedBy(name) {
+			return false
+		}
+	}
+	return true
+}
+
 func (a *accounting) leadership() (accountant.Leadership, bool) {
 	leadership, ok := a.host.overseer.Leadership()
 	return accountant.Leadership(leadership), ok
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -44,7 +44,7 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	h.director.CloseAll()
-	h.accounting.flush(workCtx)
+	h.accounting.flush(workCtx, deadline)
 	revoke, cancel := context.WithTimeout(workCtx, exitReserve/2)
 	defer cancel()
 	h.overseer.Stop(revoke)
