--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -85,6 +85,10 @@
 	Evacuated map[string]bool
 	// Hosts maps names to hosts.
 	Hosts map[string]Host
+	// Stopping and Starting hold the names of hosts that shut down and that have just
+	// started, as far as they are known.
+	Stopping map[string]bool
+	Starting map[string]bool
 	// Voters are the hosts that confirm views while the store is out of reach.
 	Voters Voters
 	// AssignmentsEra is the earliest era of the store in which the assignment of a
--- a/connector/variables.go
+++ b/connector/variables.go
@@ -71,3 +71,10 @@
 
 // Len returns the number of variables.
 func (v Variables) Len() int { return len(v.list) }
+
+// NewVariables returns the variables of a list in which no name occurs twice.
+func NewVariables(list []Variable) Variables { return Variables{list: list} }
+
+// List returns the variables in the order in which they were first set. The result must
+// not be changed.
+func (v Variables) List() []Variable { return v.list }
--- a/director/attempt.go
+++ b/director/attempt.go
@@ -320,6 +320,7 @@
 		}
 		return executor.Response{}, err
 	}
+	a.operation.fromPrimary = a.primaryRef != nil
 	a.operation.service.recordSuccess(a.database, a.sent, response.Position)
 	if statement.ID != "" && response.Code == executor.CodeNone {
 		a.operation.service.recordLatency(a.database, a.operation.session.director.Now().Sub(began))
--- a/director/database.go
+++ b/director/database.go
@@ -124,7 +124,7 @@
 	if !now.Before(db.warmingUpUntil) || s.catalog.Configuration == nil {
 		return
 	}
-	rate := s.catalog.Configuration.Services[s.name].WarmupRequestRate / float64(max(1, len(s.catalog.RecentHosts)))
+	rate := s.catalog.Configuration.Services[s.name].WarmupRequestRate * s.warmupShare()
 	if rate <= 0 {
 		return
 	}
@@ -160,6 +160,14 @@
 	}
 }
 
+// recordPosition records the position of the primary from a response that another host
+// received. The statement was sent to that host at the given time.
+func (s *service) recordPosition(sent time.Time, position executor.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Record(sent, position)
+}
+
 // recordSuccess records a response to a statement that was sent at the given
 // time.
 func (s *service) recordSuccess(db *database, sent time.Time, position executor.Position) {
--- a/director/director.go
+++ b/director/director.go
@@ -11,6 +11,7 @@
 
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
+	"github.com/endiveturn/endiveturn/forwarder"
 	"github.com/endiveturn/endiveturn/limiter"
 )
 
@@ -43,8 +44,10 @@
 	// ViewCompleteAsOf returns the latest time, on the clock of SinceBoot, at
 	// which this host's view of the primaries is known to have been complete.
 	ViewCompleteAsOf func() time.Time
-	Logger           *slog.Logger
-	Metrics          *Metrics
+	// Forwarder runs operations on other hosts. If it is nil, this host runs all itself.
+	Forwarder *forwarder.Client
+	Logger    *slog.Logger
+	Metrics   *Metrics
 
 	catalog atomic.Pointer[cataloger.Catalog]
 
@@ -81,8 +84,12 @@
 			d.services[name] = &service{name: name, director: d, databases: make(map[endpointKey]*database)}
 		}
 	}
+	var pools map[string][]forwarder.Target
+	if d.Forwarder != nil {
+		pools = placePools(catalog)
+	}
 	for _, s := range d.services {
-		s.applyCatalog(catalog)
+		s.applyCatalog(catalog, pools[s.name])
 	}
 }
 
--- /dev/null
+++ b/director/pool_hosts.go
@@ -0,0 +1,157 @@
+package director
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/forwarder"
+)
+
+// primaryUnreachableTimeout is how long the primary must have been failing for a pool
+// host until it refuses operations of other hosts that need the primary: a host that
+// reaches it may run them.
+const primaryUnreachableTimeout = 250 * time.Millisecond
+
+// HasScarceConnections reports whether the hosts of the fleet forward operations on a
+// service to its pool host: in large fleets in which a database has few connections per
+// host.
+func HasScarceConnections(catalog *cataloger.Catalog, service string) bool {
+	if catalog.Configuration == nil || !catalog.IsLargeFleet() {
+		return false
+	}
+	limit := float64(catalog.Configuration.Services[service].MaxConnections) * (1 - connectionReserve)
+	return limit > 0 && limit/float64(max(1, len(catalog.RecentHosts))) < scarceConnectionsPerHost
+}
+
+// placePools returns the pool hosts by service, in order of preference.
+func placePools(catalog *cataloger.Catalog) map[string][]forwarder.Target {
+	var services []string
+	if catalog.Configuration != nil {
+		for name := range catalog.Configuration.Services {
+			if HasScarceConnections(catalog, name) {
+				services = append(services, name)
+			}
+		}
+	}
+	if len(services) == 0 {
+		return nil
+	}
+	var hosts []cataloger.Host
+	for _, name := range slices.Sorted(maps.Keys(catalog.Hosts)) {
+		host := catalog.Hosts[name]
+		if !catalog.Stopping[name] && !catalog.Evacuated[host.DataCentre] {
+			hosts = append(hosts, host)
+		}
+	}
+	lastResort := func(host string) bool { return catalog.Starting[host] }
+	if mostlyStarting(hosts, catalog.Starting) {
+		lastResort = func(string) bool { return false }
+	}
+	placed := make(map[string][]forwarder.Target, len(services))
+	for service, names := range cataloger.PoolHosts(services, hosts, lastResort) {
+		for _, name := range names {
+			host := catalog.Hosts[name]
+			placed[service] = append(placed[service], forwarder.Target{Name: name, Incarnation: host.Incarnation, Address: host.Address})
+		}
+	}
+	return placed
+}
+
+// mostlyStarting reports whether hosts that have just started have half of the capacity
+// or more, as after a restart of the whole fleet. The few others must not get all services.
+func mostlyStarting(hosts []cataloger.Host, starting map[string]bool) bool {
+	var total, started int64
+	for _, h := range hosts {
+		total += max(1, h.Capacity)
+		if starting[h.Name] {
+			started += max(1, h.Capacity)
+		}
+	}
+	return 2*started >= total
+}
+
+// setPoolHosts puts the pool hosts into force. It is called before quotas are set.
+func (s *service) setPoolHosts(targets []forwarder.Target) {
+	s.poolHosts = targets
+	acting := s.actingPoolHost()
+	if acting == s.loggedPoolHost {
+		return
+	}
+	s.director.Logger.Info("pool_host_changed", "service", s.name, "from", s.loggedPoolHost, "to", acting, "self", acting == s.director.Host)
+	s.loggedPoolHost = acting
+}
+
+// actingPoolHost returns the first pool host that is usable, this host included, or "".
+func (s *service) actingPoolHost() string {
+	if s.director.Forwarder == nil {
+		return ""
+	}
+	for _, target := range s.poolHosts {
+		if target.Name == s.director.Host || s.director.Forwarder.Judge.Usable(target.Name, target.Incarnation) {
+			return target.Name
+		}
+	}
+	return ""
+}
+
+// forwardTargets returns the hosts to which an operation is forwarded, in order, and the
+// reason for which this host runs it if none of them takes it. The reason is empty if the
+// service has no pool host.
+func (s *service) forwardTargets() (targets []forwarder.Target, localReason string) {
+	s.mu.Lock()
+	pools := s.poolHosts
+	s.mu.Unlock()
+	if len(pools) == 0 {
+		return nil, ""
+	}
+	d := s.director
+	for _, target := range pools {
+		if target.Name == d.Host {
+			return targets, localAsPoolHost
+		}
+		if d.Forwarder.Judge.Usable(target.Name, target.Incarnation) {
+			targets = append(targets, target)
+			continue
+		}
+		d.Forwarder.ProbeIfDue(target)
+	}
+	return targets, localNoPoolHost
+}
+
+// UpdatePoolHosts puts a changed judgement of another host into force.
+func (d *Director) UpdatePoolHosts() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		s.mu.Lock()
+		if s.catalog != nil && len(s.poolHosts) > 0 {
+			s.setPoolHosts(s.poolHosts)
+			s.setQuotas(s.catalog)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// primaryOutOfReach reports whether this host can't use the primary although another one
+// may.
+func (s *service) primaryOutOfReach() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.primary == nil {
+		return false
+	}
+	if !s.viewIsCurrent() {
+		return true
+	}
+	now := s.director.Now()
+	return s.primary.consecutiveFailures > 0 && now.Sub(s.primary.failingSince) > primaryUnreachableTimeout &&
+		now.Sub(s.primary.lastSuccess) > primaryUnreachableTimeout
+}
+
+// prefersReplica reports whether this host normally reads from a replica. The load of a
+// service with a pool host is spread over all of them.
+func (s *service) prefersReplica(id string) bool {
+	return len(s.poolHosts) > 0 || id == s.preferredReplica
+}
--- a/director/quota.go
+++ b/director/quota.go
@@ -30,6 +30,15 @@
 	// scarceIdleTimeout is the idle timeout of scarce connections per
 	// connection that a host may have.
 	scarceIdleTimeout = 400 * time.Millisecond
+	// poolHostShare is the fraction of a database's connections that its pool host keeps.
+	// The rest is for hosts that run operations themselves.
+	poolHostShare = 0.85
+	// nonPoolIdleTimeout is the idle timeout of connections of hosts that are not the
+	// pool host: long enough for the next statement of a short burst.
+	nonPoolIdleTimeout = 100 * time.Millisecond
+	// nonPoolActiveHosts is the number of hosts that are assumed to run operations
+	// themselves at the same time, for their limits of statements.
+	nonPoolActiveHosts = 4
 )
 
 // Quotas are one host's limits for the databases of a service. A connection is
@@ -89,6 +98,38 @@
 	return quotas
 }
 
+// ComputePoolQuotas returns the quotas of a host for a service with pool hosts. The acting
+// pool host gets most connections. The others use the rest only for operations that they
+// run themselves, and close connections soon after use; the database refuses those that
+// are too many.
+func ComputePoolQuotas(acting bool, endpoints []cataloger.Endpoint, maxConnections int) Quotas {
+	limit := int(float64(maxConnections) * (1 - connectionReserve))
+	quotas := Quotas{Connections: make(map[string]connector.Limits), Statements: make(map[string]int)}
+	for _, e := range endpoints {
+		if acting {
+			quotas.Connections[e.ID] = connector.Limits{Guaranteed: max(1, int(poolHostShare*float64(limit))), Burst: limit}
+			quotas.Statements[e.ID] = statementQuota(e.Slots, 1)
+			continue
+		}
+		quotas.Connections[e.ID] = connector.Limits{Guaranteed: 1, Burst: scarceBurst, IdleTimeout: nonPoolIdleTimeout}
+		quotas.Statements[e.ID] = statementQuota(e.Slots, nonPoolActiveHosts)
+	}
+	return quotas
+}
+
+// warmupShare returns this host's share of the requests to a database that is warming up.
+func (s *service) warmupShare() float64 {
+	hosts := float64(max(1, len(s.catalog.RecentHosts)))
+	switch {
+	case len(s.poolHosts) == 0:
+		return 1 / hosts
+	case s.isActingPoolHost:
+		return poolHostShare
+	default:
+		return (1 - poolHostShare) / hosts
+	}
+}
+
 // statementQuota returns how many statements a host may run concurrently on a
 // database with the given number of slots that is used by the given number of
 // hosts. In a large fleet the extra statement per host is left out, because it
--- a/director/service.go
+++ b/director/service.go
@@ -8,6 +8,7 @@
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
 	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/forwarder"
 )
 
 // MaxViewAge is the age at which a host's view of the primaries is too old and
@@ -37,6 +38,13 @@
 	// preferredReplica is the ID of the replica that this host normally reads
 	// from.
 	preferredReplica string
+	// isActingPoolHost is set while this host is the first usable pool host.
+	isActingPoolHost bool
+	// poolHosts are the service's pool hosts in order, empty if each host pools for
+	// itself.
+	poolHosts []forwarder.Target
+	// loggedPoolHost is the acting pool host as last logged.
+	loggedPoolHost string
 }
 
 // A primaryRef is the reference of one operation to the primary that it uses.
@@ -49,7 +57,7 @@
 }
 
 // applyCatalog updates databases, primary and quotas from a new catalog.
-func (s *service) applyCatalog(catalog *cataloger.Catalog) {
+func (s *service) applyCatalog(catalog *cataloger.Catalog, poolHosts []forwarder.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.catalog = catalog
@@ -68,6 +76,7 @@
 		}
 	}
 	s.setPrimary(catalog)
+	s.setPoolHosts(poolHosts)
 	s.setQuotas(catalog)
 }
 
@@ -84,12 +93,25 @@
 		}
 	}
 	limit := catalog.Configuration.Services[s.name].MaxConnections
-	quotas := ComputeQuotas(s.director.Host, catalog.RecentHosts, usable, s.primary.id, limit)
+	quotas := s.quotas(catalog, usable, limit)
 	s.preferredReplica = quotas.PreferredReplica
 	for _, db := range s.databases {
 		db.pool.SetLimits(quotas.Connections[db.id])
 		db.semaphore.setLimit(quotas.Statements[db.id])
+		if len(s.poolHosts) > 0 && !s.isActingPoolHost {
+			db.pool.CloseIdle(nonPoolIdleTimeout)
+		}
+	}
+}
+
+// quotas returns this host's quotas.
+func (s *service) quotas(catalog *cataloger.Catalog, usable []cataloger.Endpoint, limit int) Quotas {
+	s.isActingPoolHost = false
+	if len(s.poolHosts) == 0 {
+		return ComputeQuotas(s.director.Host, catalog.RecentHosts, usable, s.primary.id, limit)
 	}
+	s.isActingPoolHost = s.actingPoolHost() == s.director.Host
+	return ComputePoolQuotas(s.isActingPoolHost, usable, limit)
 }
 
 // upsertDatabase returns the database of a registered endpoint and creates it,
@@ -111,6 +133,7 @@
 	db.pool = &connector.Pool{
 		Now: s.director.Now,
 		Dial: func(ctx context.Context, customer string) (connector.Transport, error) {
+			s.director.Metrics.increment("connections_opened." + s.name)
 			return s.director.Dial(ctx, endpoint, customer)
 		},
 	}
@@ -267,7 +290,7 @@
 			WarmingUp: now.Before(db.warmingUpUntil) && now.Before(db.nextWarmupRequest),
 			Local:     db.endpoint.DataCentre == s.director.DataCentre,
 			Latency:   db.decayedLatency(now),
-			Preferred: db.id == s.preferredReplica,
+			Preferred: s.prefersReplica(db.id),
 		})
 		databases = append(databases, db)
 	}
--- a/director/session.go
+++ b/director/session.go
@@ -45,6 +45,9 @@
 	state  byte
 	// tx is the open or failed transaction, nil in StateIdle.
 	tx *transaction
+	// forwarded is the operation of another host that the session runs, nil for the
+	// session of a client.
+	forwarded *forwardedOperation
 }
 
 // Serve runs a session on the client's connection until it ends.
@@ -123,16 +126,16 @@
 	if s.tx == nil || s.tx.hasFailed() {
 		return time.Time{}
 	}
-	deadline := s.director.Now().Add(s.idleTransactionTimeout())
+	deadline := s.director.Now().Add(s.director.idleTransactionTimeout())
 	if stop := s.director.stopAt.Load(); stop != nil && stop.Before(deadline) {
 		deadline = *stop
 	}
 	return deadline
 }
 
-func (s *Session) idleTransactionTimeout() time.Duration {
+func (d *Director) idleTransactionTimeout() time.Duration {
 	const fallback = 10 * time.Second
-	if catalog := s.director.Catalog(); catalog != nil && catalog.Configuration != nil && catalog.Configuration.IdleTransactionTimeout > 0 {
+	if catalog := d.Catalog(); catalog != nil && catalog.Configuration != nil && catalog.Configuration.IdleTransactionTimeout > 0 {
 		return catalog.Configuration.IdleTransactionTimeout
 	}
 	return fallback
@@ -257,10 +260,19 @@
 	assignmentRevision int64
 	// mayHaveRun is set once a database may have run a statement of the client.
 	mayHaveRun bool
+	// fromPrimary is set if the last statement ran on the primary.
+	fromPrimary bool
+	// poolHost is the host to which the operation was last forwarded, empty if there is
+	// none, and remoteRevision the revision of the primary assignment in force there.
+	poolHost       string
+	remoteRevision int64
 }
 
 // admitOperation checks the route, key and rate limit of an operation.
 func (s *Session) admitOperation(id string) (*operation, executor.Code, string) {
+	if s.forwarded != nil {
+		return s.admitForwarded(id)
+	}
 	d := s.director
 	catalog := d.Catalog()
 	route, ok := catalog.Configuration.Routes[s.startup.Database]
@@ -289,6 +301,10 @@
 	if !op.mayHaveRun {
 		return true
 	}
+	if op.session.forwarded != nil {
+		// The entry host takes the token and decides.
+		return false
+	}
 	ok, _ := op.session.director.Limits.Admit(op.customer)
 	op.mayHaveRun = op.mayHaveRun && !ok
 	return ok
@@ -299,7 +315,9 @@
 func (op *operation) markMayHaveRun() {
 	if !op.mayHaveRun {
 		op.mayHaveRun = true
-		op.session.director.Limits.RecordUse(op.customer)
+		if op.session.forwarded == nil {
+			op.session.director.Limits.RecordUse(op.customer)
+		}
 	}
 }
 
@@ -322,12 +340,19 @@
 	if op.service != nil {
 		op.assignmentRevision = op.service.assignmentRevision()
 	}
+	if op.session.forwarded != nil {
+		op.finishForwarded(databaseID, reason, response)
+		return
+	}
+	if op.poolHost != "" && op.remoteRevision != 0 {
+		op.assignmentRevision = op.remoteRevision
+	}
 	if response.Code.GuaranteesNoEffect() && response.State != executor.StateTransaction {
 		op.refundUnlessRun()
 	}
 	d.Metrics.recordStatement(op.route, response, took)
 	d.Logger.Info("statement", "request", op.id, "session", op.session.number, "route", op.route.Name,
 		"customer", op.customer, "version", op.version, "lead", op.assignmentRevision, "view_age", d.SinceBoot().Sub(d.ViewCompleteAsOf()),
-		"floor", op.floor.String(), "database", databaseID, "reason", reason, "attempts", op.attempts,
+		"floor", op.floor.String(), "database", databaseID, "pool_host", op.poolHost, "reason", reason, "attempts", op.attempts,
 		"code", response.Code.String(), "detail", response.Text, "state", string(response.State), "took", took)
 }
--- a/director/single.go
+++ b/director/single.go
@@ -38,6 +38,11 @@
 		return response
 	}
 	run := &singleStatement{operation: op, statement: statement, writes: writes, prepared: p}
+	if s.forwarded != nil {
+		for _, id := range s.forwarded.Tried {
+			run.tried = withTried(run.tried, id)
+		}
+	}
 	run.deadline = op.began.Add(op.route.StatementTimeout)
 	response := run.run(ctx)
 	response.State = executor.StateIdle
@@ -72,7 +77,10 @@
 
 func (r *singleStatement) run(ctx context.Context) executor.Response {
 	for {
-		response, retry := r.tryOnce(ctx)
+		response, retry, handled := r.tryForward(ctx)
+		if !handled {
+			response, retry = r.tryOnce(ctx)
+		}
 		if !retry || r.operation.attempts >= maxAttempts || !r.timeForRetry() || !r.operation.admitRetry() {
 			return response
 		}
--- a/director/transaction.go
+++ b/director/transaction.go
@@ -10,6 +10,7 @@
 
 	"github.com/endiveturn/endiveturn/connector"
 	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/forwarder"
 )
 
 // A transaction is a client's transaction. It takes a connection for its first
@@ -18,8 +19,11 @@
 	operation *operation
 	// readOnly is set for read-only transactions, which may run on a replica.
 	readOnly bool
-	// attempt is nil before the first statement and after a failure.
+	// attempt is nil before the first statement and after a failure, and while the
+	// transaction runs on another host.
 	attempt *attempt
+	// remote is the stream to the pool host that runs the transaction, or nil.
+	remote *forwarder.Stream
 	// wrote is set once a statement that writes has succeeded.
 	wrote bool
 	// failureCode is the reason for which the proxy or the database ended the
@@ -77,7 +81,13 @@
 		return t.fail(executor.Response{Code: executor.CodeAborted, Text: "key was withdrawn"}, databaseID, "key withdrawn")
 	}
 	deadline := s.director.Now().Add(t.operation.route.StatementTimeout)
+	if t.remote != nil {
+		return t.executeForwarded(statement, writes, p, deadline)
+	}
 	if t.attempt == nil {
+		if response, handled := t.forwardFirst(ctx, statement, writes, p, deadline); handled {
+			return response
+		}
 		return t.executeFirst(ctx, statement, writes, p, deadline)
 	}
 	return t.executeOnConn(ctx, statement, writes, p, deadline)
@@ -85,7 +95,8 @@
 
 func (t *transaction) keyRevoked() bool {
 	op := t.operation
-	if op.route.Public {
+	if op.route.Public || op.session.forwarded != nil {
+		// The entry host checks the key of a forwarded operation.
 		return false
 	}
 	customer, ok := op.session.director.Catalog().Configuration.CustomerOfKey(op.session.startup.Key)
@@ -235,6 +246,7 @@
 // discardConn closes the transaction's connection and returns the ID of its
 // database.
 func (t *transaction) discardConn() string {
+	t.closeRemote()
 	if t.attempt == nil {
 		return ""
 	}
@@ -250,6 +262,7 @@
 		return
 	}
 	databaseID := ""
+	t.closeRemote()
 	if t.attempt != nil {
 		databaseID = t.attempt.database.id
 		t.attempt.returnOrDiscardConn(executor.StateTransaction)
@@ -261,6 +274,7 @@
 
 // abort rolls back the transaction of a client that has disconnected.
 func (t *transaction) abort() {
+	t.closeRemote()
 	if t.attempt != nil {
 		t.attempt.returnOrDiscardConn(executor.StateTransaction)
 		t.attempt = nil
@@ -285,6 +299,9 @@
 		return response
 	}
 	deadline := s.director.Now().Add(t.operation.route.StatementTimeout)
+	if t.remote != nil {
+		return t.commitForwarded(statement, deadline)
+	}
 	if t.attempt == nil {
 		a, err := t.beginOnDatabase(ctx, s.director.Now(), nil)
 		if err != nil {
@@ -353,6 +370,9 @@
 	}
 	s.tx = nil
 	s.state = executor.StateIdle
+	if t.remote != nil {
+		t.rollbackRemote()
+	}
 	if t.attempt != nil {
 		t.attempt.returnOrDiscardConn(executor.StateTransaction)
 		t.attempt = nil
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -42,6 +42,10 @@
 	fieldVotersRevision
 )
 
+// fieldStoppingHost is the number of a repeated field of a message. Numbers from 21 to 24
+// are reserved.
+const fieldStoppingHost = 25
+
 // Field numbers of the nested messages.
 const (
 	fieldName = iota + 1
@@ -135,6 +139,9 @@
 	if m.AcceptsCompression {
 		b = appendNumber(b, fieldAcceptsCompression, 1)
 	}
+	for _, name := range r.StoppingHosts {
+		b = appendString(b, fieldStoppingHost, name)
+	}
 	var nested []byte
 	for name, u := range r.Usages {
 		nested = appendString(nested[:0], fieldName, name)
@@ -184,7 +191,7 @@
 
 // fieldLimit is greater than all field numbers in use. Fields from it on are
 // ignored.
-const fieldLimit = fieldVotersRevision + 1
+const fieldLimit = fieldStoppingHost + 1
 
 // fields holds the last value of each field of one message by field number.
 type fields struct {
@@ -256,6 +263,10 @@
 
 // parseNested parses one element of a repeated field; other fields are ignored.
 func (m *Message) parseNested(field protowire.Number, value []byte) error {
+	if field == fieldStoppingHost {
+		m.Report.StoppingHosts = append(m.Report.StoppingHosts, string(value))
+		return nil
+	}
 	if field < fieldUsage || field > fieldRecord {
 		return nil
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -86,6 +86,9 @@
 	// Now returns a monotonic time that includes the time the machine is suspended.
 	Now    func() time.Time
 	Logger *slog.Logger
+	// Register registers further services that are served at the same address. It may be
+	// nil.
+	Register func(mux drpc.Mux) error
 
 	mu          sync.Mutex
 	peers       map[string]Peer
@@ -130,6 +133,11 @@
 	if err := mux.Register(e, serviceDescription{}); err != nil {
 		return errors.Wrap(err, "register exchange")
 	}
+	if e.Register != nil {
+		if err := e.Register(mux); err != nil {
+			return err
+		}
+	}
 	return drpcserver.New(mux).Serve(ctx, listener)
 }
 
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -55,6 +55,8 @@
 	Uptime time.Duration
 	// Stopping is set while the host shuts down and takes no new connections.
 	Stopping bool
+	// StoppingHosts are, in the report of the hub, the names of hosts that shut down.
+	StoppingHosts []string
 	// Hosts is the number of hosts covered by Usages, 0 if they are the host's own.
 	Hosts int
 	// Usages are by customer.
--- /dev/null
+++ b/forwarder/client.go
@@ -0,0 +1,197 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcpool"
+)
+
+const (
+	// maxIdleConns is the number of idle connections kept to each host.
+	maxIdleConns = 16
+	// idleConnTimeout is how long an idle connection is kept.
+	idleConnTimeout = time.Minute
+)
+
+// A Target is a process of another host.
+type Target struct {
+	Name        string
+	Incarnation string
+	Address     string
+}
+
+// A Client runs operations on other hosts. Its exported fields are set before first use.
+type Client struct {
+	// Dial opens a connection that is reset when it is closed. If it is nil, TCP is used.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Judge decides which hosts are used.
+	Judge *Judge
+	// Now returns the time with a monotonic reading.
+	Now func() time.Time
+	// OnSuspect is called when a host becomes suspected, with the reason.
+	OnSuspect func(target Target, reason error)
+	// OnRegain is called when a suspected host has replied to a probe.
+	OnRegain func(target Target)
+	// OnStopping is called when a host has announced that it stops.
+	OnStopping func(target Target)
+
+	initOnce sync.Once
+	pool     *drpcpool.Pool[string, *conn]
+
+	mu sync.Mutex
+	// generations counts the suspicions by address. Idle connections of a former
+	// generation are not used, since they may hang.
+	generations map[string]uint64
+}
+
+func (c *Client) init() {
+	c.initOnce.Do(func() {
+		c.pool = drpcpool.New[string, *conn](drpcpool.Options{Expiration: idleConnTimeout, KeyCapacity: maxIdleConns})
+		c.generations = make(map[string]uint64)
+		if c.Dial == nil {
+			c.Dial = dialTCP
+		}
+	})
+}
+
+func (c *Client) generation(address string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.generations[address]
+}
+
+// Open returns a stream for one operation. It sends nothing if there is an idle
+// connection. Errors wrap ErrNotSent; the host is suspected then.
+func (c *Client) Open(ctx context.Context, target Target) (*Stream, error) {
+	c.init()
+	for {
+		idle, ok := c.pool.Take(target.Address)
+		if !ok {
+			break
+		}
+		if !idle.isClosed() && idle.generation == c.generation(target.Address) {
+			return &Stream{client: c, target: target, conn: idle}, nil
+		}
+		idle.discard()
+	}
+	opened, err := c.open(ctx, target)
+	if err != nil {
+		c.suspect(target, err)
+		return nil, err
+	}
+	return &Stream{client: c, target: target, conn: opened}, nil
+}
+
+// open opens a connection and waits for the handshake.
+func (c *Client) open(ctx context.Context, target Target) (*conn, error) {
+	deadline := c.Now().Add(dialTimeout)
+	generation := c.generation(target.Address)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	netConn, err := c.Dial(dialCtx, target.Address)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", target.Name, err)
+	}
+	opened, err := newConn(netConn, c.Now, func() { c.suspect(target, ErrSilent) })
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", target.Name, err)
+	}
+	opened.generation = generation
+	reply, err := opened.handshake(deadline)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "handshake with %s: %v", target.Name, err)
+	}
+	c.recordStopping(target, &reply)
+	return opened, nil
+}
+
+// ProbeIfDue tries a suspected host in the background if its backoff has passed.
+func (c *Client) ProbeIfDue(target Target) {
+	if !c.Judge.BeginProbe(target.Name) {
+		return
+	}
+	c.init()
+	go func() {
+		probe, err := c.open(context.Background(), target)
+		regained := c.Judge.EndProbe(target.Name, err == nil)
+		if err != nil {
+			return
+		}
+		c.pool.Put(target.Address, probe)
+		if regained && c.OnRegain != nil {
+			c.OnRegain(target)
+		}
+	}()
+}
+
+// suspect records that a host did not respond.
+func (c *Client) suspect(target Target, reason error) {
+	c.mu.Lock()
+	c.generations[target.Address]++
+	c.mu.Unlock()
+	if c.Judge.Suspect(target.Name, target.Incarnation) && c.OnSuspect != nil {
+		c.OnSuspect(target, reason)
+	}
+}
+
+func (c *Client) recordStopping(target Target, reply *Reply) {
+	if reply.Stopping && c.Judge.MarkStopping(target.Name, target.Incarnation) && c.OnStopping != nil {
+		c.OnStopping(target)
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error {
+	c.init()
+	return c.pool.Close()
+}
+
+// A Stream carries one operation: a single statement or a transaction. It is not safe for
+// concurrent use.
+type Stream struct {
+	client *Client
+	target Target
+	conn   *conn
+	// inOperation is set while the operation is open on the other host.
+	inOperation bool
+}
+
+// Host returns the name of the host that runs the operation.
+func (s *Stream) Host() string { return s.target.Name }
+
+// Run runs a statement. It waits for the response until the deadline, or, if
+// abandonSilent is set, until the host is silent for SilenceTimeout. Errors wrap the
+// sentinel errors of this package, and the stream can't be used any more then; an open
+// transaction is rolled back by the other host.
+func (s *Stream) Run(request *Request, deadline time.Time, abandonSilent bool) (Reply, error) {
+	if requestSize(request) > maxRequest {
+		return Reply{}, ErrTooLarge
+	}
+	s.conn.number++
+	request.number = s.conn.number
+	reply, err := s.conn.roundTrip(request, deadline, abandonSilent)
+	if err != nil {
+		s.inOperation = true
+		if errors.Is(err, ErrLost) {
+			s.client.suspect(s.target, err)
+		}
+		return Reply{}, err
+	}
+	s.inOperation = !reply.EndsOperation()
+	s.client.recordStopping(s.target, &reply)
+	return reply, nil
+}
+
+// Close returns the connection to its pool, or resets it unless the operation has ended,
+// so that the other host rolls it back.
+func (s *Stream) Close() {
+	if s.inOperation || s.conn.isClosed() || s.conn.generation != s.client.generation(s.target.Address) {
+		s.conn.discard()
+		return
+	}
+	s.client.pool.Put(s.target.Address, s.conn)
+}
--- /dev/null
+++ b/forwarder/server.go
@@ -0,0 +1,227 @@
+package forwarder
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+
+	"github.com/endiveturn/endiveturn/executor"
+)
+
+// replyWriteTimeout is how long another host may take to read a reply.
+const replyWriteTimeout = 5 * time.Second
+
+// An Execution is an operation of another host that runs on this one.
+type Execution struct {
+	// Run runs a statement. It is called again only while a transaction is open. The
+	// context ends when the connection does.
+	Run func(ctx context.Context, request *Request) Reply
+	// Close ends the operation and rolls back an open transaction.
+	Close func()
+}
+
+// A Server runs the operations of other hosts. Its exported fields are set before first
+// use.
+type Server struct {
+	// Begin returns the execution of an operation.
+	Begin func(operation *Operation) Execution
+	// IdleTransactionTimeout returns how long an open transaction may wait for its next
+	// statement.
+	IdleTransactionTimeout func() time.Duration
+	// MaxOperations and MaxBytes bound the operations that run at once and the bytes of
+	// their statements and responses. Operations beyond them are refused as not run.
+	MaxOperations int
+	MaxBytes      int64
+
+	stopping atomic.Bool
+	active   atomic.Int64
+	bytes    atomic.Int64
+}
+
+// Register registers the server's method.
+func (s *Server) Register(mux drpc.Mux) error {
+	return errors.Wrap(mux.Register(s, serviceDescription{}), "register forwarder")
+}
+
+// Stop makes the server refuse new operations and announce that it stops. Open operations
+// continue.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Active returns the number of open operations.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
+// serviceDescription describes the drpc service, whose messages need no generated code.
+type serviceDescription struct{}
+
+// NumMethods implements drpc.Description.
+func (serviceDescription) NumMethods() int { return 1 }
+
+// Method implements drpc.Description.
+func (serviceDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, interface{}, bool) {
+	if n != 0 {
+		return "", nil, nil, nil, false
+	}
+	receive := func(server interface{}, _ context.Context, in1, _ interface{}) (drpc.Message, error) {
+		return nil, server.(*Server).serve(in1.(drpc.Stream))
+	}
+	return runRPC, encoding{}, receive, (*Server).serve, true
+}
+
+// serve runs the operations of one stream, one after the other, until it ends.
+func (s *Server) serve(stream drpc.Stream) error {
+	h := &handler{server: s, stream: stream}
+	h.heartbeat = time.AfterFunc(time.Hour, h.sendHeartbeat)
+	h.heartbeat.Stop()
+	h.guard = time.AfterFunc(time.Hour, h.closeTransport)
+	h.guard.Stop()
+	defer h.end()
+	for {
+		request := new(Request)
+		if err := stream.MsgRecv(request, encoding{}); err != nil {
+			// The other host has closed the connection.
+			return nil
+		}
+		h.guard.Stop()
+		if err := h.handle(request); err != nil {
+			return err
+		}
+	}
+}
+
+// A handler serves one stream.
+type handler struct {
+	server *Server
+	stream drpc.Stream
+	// execution is the open operation, nil if there is none.
+	execution *Execution
+	// guard closes the transport of a peer that does not read its reply, or leaves a
+	// transaction open for too long.
+	guard *time.Timer
+
+	// mu guards the fields below, and the sending of frames in their order.
+	mu sync.Mutex
+	// running is the number of the running request, 0 if there is none.
+	running   uint64
+	heartbeat *time.Timer
+}
+
+// handle runs a request and sends its reply. An error ends the stream.
+func (h *handler) handle(request *Request) error {
+	if request.number == 0 {
+		return h.send(&Reply{Stopping: h.server.stopping.Load()})
+	}
+	size := int64(requestSize(request))
+	h.server.bytes.Add(size)
+	defer h.server.bytes.Add(-size)
+	if h.execution == nil {
+		if reply := h.begin(request); reply != nil {
+			reply.number = request.number
+			return h.send(reply)
+		}
+	}
+	reply := h.run(request)
+	reply.number, reply.Stopping = request.number, h.server.stopping.Load()
+	if reply.EndsOperation() {
+		h.closeExecution()
+	}
+	size = int64(len(reply.Response.Rows))
+	h.server.bytes.Add(size)
+	defer h.server.bytes.Add(-size)
+	if err := h.send(&reply); err != nil {
+		return err
+	}
+	if h.execution != nil {
+		h.guard.Reset(h.server.IdleTransactionTimeout())
+	}
+	return nil
+}
+
+// begin begins an operation, or returns the refusal of one that does not run here.
+func (h *handler) begin(request *Request) *Reply {
+	s := h.server
+	switch {
+	case request.Operation == nil:
+		return &Reply{Response: executor.Response{
+			Code: executor.CodeAborted, Text: "transaction is rolled back", State: executor.StateFailed,
+		}, Reason: "no operation is open"}
+	case s.stopping.Load():
+		return &Reply{Refused: true, Stopping: true, Reason: "pool host is stopping"}
+	case s.active.Load() >= int64(s.MaxOperations) || s.bytes.Load() > s.MaxBytes:
+		return &Reply{Refused: true, Reason: "pool host has no room for operations"}
+	}
+	s.active.Add(1)
+	execution := s.Begin(request.Operation)
+	h.execution = &execution
+	return nil
+}
+
+// run runs a statement and sends heartbeats meanwhile.
+func (h *handler) run(request *Request) Reply {
+	h.mu.Lock()
+	h.running = request.number
+	h.heartbeat.Reset(heartbeatInterval)
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.running = 0
+		h.heartbeat.Stop()
+	}()
+	return h.execution.Run(h.stream.Context(), request)
+}
+
+func (h *handler) sendHeartbeat() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.running == 0 {
+		return
+	}
+	// If this fails the connection has ended, which the end of the request notices.
+	_ = h.stream.MsgSend(&Reply{number: h.running, heartbeat: true, Reason: answeredReason}, encoding{})
+	h.heartbeat.Reset(heartbeatInterval)
+}
+
+// send sends a reply, in several frames if it has many rows.
+func (h *handler) send(reply *Reply) error {
+	h.guard.Reset(replyWriteTimeout)
+	defer h.guard.Stop()
+	rows := reply.Response.Rows
+	for len(rows) > maxRowsPerFrame {
+		part := &Reply{number: reply.number, more: true, Reason: answeredReason}
+		part.Response.Rows = rows[:maxRowsPerFrame]
+		rows = rows[maxRowsPerFrame:]
+		if err := h.stream.MsgSend(part, encoding{}); err != nil {
+			return errors.Wrap(err, "send rows")
+		}
+		h.guard.Reset(replyWriteTimeout)
+	}
+	reply.Response.Rows = rows
+	return errors.Wrap(h.stream.MsgSend(reply, encoding{}), "send reply")
+}
+
+// closeExecution ends the open operation, which rolls back its transaction.
+func (h *handler) closeExecution() {
+	if h.execution == nil {
+		return
+	}
+	h.execution.Close()
+	h.execution = nil
+	h.server.active.Add(-1)
+}
+
+func (h *handler) end() {
+	h.guard.Stop()
+	h.closeExecution()
+}
+
+// closeTransport closes the connection.
+func (h *handler) closeTransport() {
+	if t, ok := drpcctx.Transport(h.stream.Context()); ok {
+		_ = t.Close()
+	}
+}
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -18,6 +18,7 @@
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/exchanger"
+	"github.com/endiveturn/endiveturn/forwarder"
 	"github.com/endiveturn/endiveturn/informer"
 	"github.com/endiveturn/endiveturn/limiter"
 	"github.com/endiveturn/endiveturn/overseer"
@@ -63,6 +64,7 @@
 	director    *director.Director
 	limits      *limiter.FleetLimiter
 	exchanger   *exchanger.Exchanger
+	forwarder   *forwarder.Server
 	overseer    *overseer.Overseer
 	changed     chan struct{}
 	relays      relays
@@ -76,6 +78,7 @@
 	mu          sync.Mutex
 	catalog     *cataloger.Catalog
 	recentHosts recentHosts
+	newHosts    newHosts
 	// majorityFreshAsOf is the latest instant as of which another host that has heard
 	// a majority confirmed the freshness of the view.
 	majorityFreshAsOf time.Time
@@ -141,17 +144,21 @@
 		Now: timekeeper.Now, OnChange: h.notifyChange, InDigest: h.Platform.IsExternalKey,
 		WrittenIn: overseer.WrittenIn, OnConflict: h.reportConflict,
 	}
-	h.recentHosts = make(recentHosts)
+	h.recentHosts, h.newHosts = make(recentHosts), make(newHosts)
 	h.limits = limiter.NewFleetLimiter(timekeeper.Now)
 	h.director = &director.Director{
 		Host: h.Settings.Host, DataCentre: h.Settings.DataCentre, Dial: h.Platform.Databases.Dial, Limits: h.limits, Now: time.Now,
 		SinceBoot: timekeeper.Now, ViewCompleteAsOf: h.viewCompleteAsOf, Logger: h.Logger,
-		Metrics: &director.Metrics{Registry: h.Registry},
+		Metrics: &director.Metrics{Registry: h.Registry}, Forwarder: h.newForwardingClient(),
+	}
+	h.forwarder = &forwarder.Server{
+		Begin: h.director.BeginForwarded, IdleTransactionTimeout: h.director.ForwardedIdleTimeout,
+		MaxOperations: maxForwardedOperations, MaxBytes: h.Settings.maxForwardedBytes(),
 	}
 	h.exchanger = &exchanger.Exchanger{
 		Host: h.Settings.Host, Report: h.report, RecordsSince: h.recordsSince, OnMessage: h.handleMessage, Peers: h.peerAddresses, MustInitiate: h.mustInitiate,
 		Pause: h.exchangePause,
-		Seeds: otherSeeds(h.Settings), Now: timekeeper.Now, Logger: h.Logger,
+		Seeds: otherSeeds(h.Settings), Now: timekeeper.Now, Logger: h.Logger, Register: h.forwarder.Register,
 	}
 	h.overseer = &overseer.Overseer{
 		Host: cataloger.Host{
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -34,7 +34,7 @@
 		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
 		Revision: revision, Age: -1, Uptime: timekeeper.Now().Sub(h.started),
 		Digest: h.mirror.Digest(), Stopping: h.stopping.Load(), Usages: usages, Hosts: hosts,
-		Listed: h.knowsChanges(), MajorityHeardAge: -1,
+		Listed: h.knowsChanges(), MajorityHeardAge: -1, StoppingHosts: h.stoppingHostsToReport(),
 	}
 	if catalog := h.latestCatalog(); catalog != nil {
 		r.VotersRevision = catalog.Voters.Revision
--- a/hoster/refresh.go
+++ b/hoster/refresh.go
@@ -72,8 +72,10 @@
 		records, revision := h.mirror.Records()
 		catalog, next := builder.build(records, revision)
 		h.addUnlistedHosts(catalog)
+		catalog.Stopping = h.stoppingHosts(catalog)
 		h.mu.Lock()
 		catalog.RecentHosts = h.recentHosts.update(catalog.Hosts, timekeeper.Now())
+		catalog.Starting = h.newHosts.update(catalog.Hosts, timekeeper.Now())
 		h.catalog = catalog
 		h.mu.Unlock()
 		h.director.SetCatalog(catalog)
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -30,6 +30,9 @@
 	began := time.Now()
 	h.Logger.Info("host_stopping", "host", h.Settings.Host, "sessions", h.director.Sessions())
 	h.stopping.Store(true)
+	h.forwarder.Stop()
+	h.notifyChange()
+	h.exchanger.TriggerExchanges()
 	h.overseer.StopCampaigning()
 	stopTimeout := h.stopTimeout()
 	// Clients that connect before the load balancer has detected the stop are
@@ -38,7 +41,7 @@
 	h.director.Stop(began.Add(stopTimeout / 2))
 	deadline := began.Add(stopTimeout - exitReserve)
 	for time.Now().Before(deadline) {
-		if h.director.Sessions() == 0 {
+		if h.director.Sessions() == 0 && h.forwarder.Active() == 0 {
 			break
 		}
 		time.Sleep(50 * time.Millisecond)
