--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,447 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/endiveturn/endiveturn/executor"
+)
+
+// A hangingConn is a connection that can hang in both directions without a reset: what is
+// written is lost, and nothing is received.
+type hangingConn struct {
+	net.Conn
+	closeOnce sync.Once
+	closed    chan struct{}
+	mu        sync.Mutex
+	hung      bool
+}
+
+func (c *hangingConn) hang(hung bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hung = hung
+}
+
+func (c *hangingConn) hangs() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hung
+}
+
+// Read implements net.Conn. Data that arrives while the connection hangs is delivered
+// when it continues.
+func (c *hangingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	for c.hangs() {
+		select {
+		case <-c.closed:
+			return 0, net.ErrClosed
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return n, err
+}
+
+func (c *hangingConn) Write(data []byte) (int, error) {
+	if c.hangs() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+func (c *hangingConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// A fixture is a client and a server that are connected in memory.
+type fixture struct {
+	client *Client
+	server *Server
+	cancel context.CancelFunc
+	// run is what the server does with a statement.
+	run func(ctx context.Context, request *Request) Reply
+
+	mu    sync.Mutex
+	conns []*hangingConn
+	// unreachable is set if no connection can be opened, hangs if opened ones hang.
+	unreachable, hangs bool
+	// rolledBack counts operations that were closed.
+	closed    int
+	suspected []error
+	regained  int
+	stopping  int
+}
+
+var testTarget = Target{Name: "pool", Incarnation: "1", Address: "pool:1"}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{run: func(_ context.Context, request *Request) Reply {
+		return Reply{Response: executor.Response{Text: request.Statement.Arguments, State: executor.StateIdle}, Database: "d", Reason: "answered"}
+	}}
+	f.server = &Server{
+		Begin: func(*Operation) Execution {
+			return Execution{Run: func(ctx context.Context, r *Request) Reply { return f.run(ctx, r) }, Close: func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.closed++
+			}}
+		},
+		IdleTransactionTimeout: func() time.Duration { return 3 * time.Second }, MaxOperations: 4, MaxBytes: 1 << 20,
+	}
+	mux := drpcmux.New()
+	if err := f.server.Register(mux); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.client = &Client{
+		Judge: &Judge{Now: time.Now}, Now: time.Now,
+		OnSuspect:  func(_ Target, reason error) { f.record(func() { f.suspected = append(f.suspected, reason) }) },
+		OnRegain:   func(Target) { f.record(func() { f.regained++ }) },
+		OnStopping: func(Target) { f.record(func() { f.stopping++ }) },
+	}
+	f.client.Dial = func(dialCtx context.Context, _ string) (net.Conn, error) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.unreachable {
+			return nil, errors.New("connection refused")
+		}
+		here, there := net.Pipe()
+		conn := &hangingConn{Conn: here, closed: make(chan struct{}), hung: f.hangs}
+		f.conns = append(f.conns, conn)
+		go func() { _ = drpcserver.New(mux).ServeOne(ctx, there) }()
+		return conn, nil
+	}
+	return f
+}
+
+func (f *fixture) record(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// end closes all connections, so that no goroutine is left.
+func (f *fixture) end() {
+	f.cancel()
+	_ = f.client.Close()
+	for _, conn := range f.conns {
+		_ = conn.Close()
+	}
+	time.Sleep(time.Second)
+}
+
+func (f *fixture) counts() (closed, suspected, regained, stopping int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed, len(f.suspected), f.regained, f.stopping
+}
+
+// first returns the first request of an operation.
+func first(verb executor.Verb, text string) *Request {
+	return &Request{Operation: &Operation{Customer: "c"}, Statement: executor.Request{ID: "id", Verb: verb, Arguments: text}}
+}
+
+// run runs a single statement.
+func (f *fixture) runSingle(request *Request, timeout time.Duration, abandonSilent bool) (Reply, error) {
+	stream, err := f.client.Open(context.Background(), testTarget)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer stream.Close()
+	return stream.Run(request, time.Now().Add(timeout), abandonSilent)
+}
+
+// inBubble runs a test in virtual time.
+func inBubble(t *testing.T, test func(t *testing.T, f *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		test(t, f)
+		f.end()
+	})
+}
+
+// TestStatements guards against responses of other requests, rows that are lost between
+// frames, and a connection for each statement.
+func TestStatements(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		rows := bytes.Repeat([]byte("0123456789"), 100_000)
+		f.run = func(_ context.Context, r *Request) Reply {
+			return Reply{Response: executor.Response{Rows: rows[:len(r.Statement.Arguments)*100_000], Text: r.Statement.Arguments, State: 'I'}}
+		}
+		for _, text := range []string{"", "a", "1234567890", "b"} {
+			got, err := f.runSingle(first(executor.VerbRead, text), time.Second, true)
+			if err != nil || got.Response.Text != text || !bytes.Equal(got.Response.Rows, rows[:len(text)*100_000]) {
+				t.Errorf("%q: got %q with %d bytes of rows, %v", text, got.Response.Text, len(got.Response.Rows), err)
+			}
+		}
+		if got := len(f.conns); got != 1 {
+			t.Errorf("connections: got %d, want 1", got)
+		}
+	})
+}
+
+// TestSlowOperationIsNotSuspected guards against a pool host that is suspected while it
+// works on a long statement.
+func TestSlowOperationIsNotSuspected(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		f.run = func(context.Context, *Request) Reply {
+			time.Sleep(2 * time.Second)
+			return Reply{Response: executor.Response{State: 'I'}}
+		}
+		if _, err := f.runSingle(first(executor.VerbRead, "x"), 3*time.Second, true); err != nil {
+			t.Errorf("slow read: got %v, want a response", err)
+		}
+		if _, suspected, _, _ := f.counts(); suspected != 0 {
+			t.Errorf("suspicions: got %d, want 0", suspected)
+		}
+	})
+}
+
+// TestHungHost guards against callers that fail with a pool host whose connections hang:
+// reads must be given up in time for another attempt, writes must be awaited until their
+// deadline, and a late response must be delivered.
+func TestHungHost(t *testing.T) {
+	tests := []struct {
+		name string
+		// abandon is set for reads.
+		abandon bool
+		// continueAfter is when the connection continues, 0 for never.
+		continueAfter time.Duration
+		wantErr       error
+		wantTook      time.Duration
+	}{
+		{name: "read", abandon: true, wantErr: ErrSilent, wantTook: SilenceTimeout},
+		{name: "write", wantErr: ErrTimeout, wantTook: 800 * time.Millisecond},
+		{name: "late response", continueAfter: 600 * time.Millisecond, wantTook: 600 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fixture) {
+				f.run = func(context.Context, *Request) Reply {
+					time.Sleep(20 * time.Millisecond)
+					return Reply{Response: executor.Response{State: 'I'}}
+				}
+				if _, err := f.runSingle(first(executor.VerbRead, "x"), time.Second, true); err != nil {
+					t.Fatal(err)
+				}
+				conn := f.conns[0]
+				time.AfterFunc(10*time.Millisecond, func() { conn.hang(true) })
+				if test.continueAfter > 0 {
+					time.AfterFunc(test.continueAfter, func() { conn.hang(false) })
+				}
+				began := time.Now()
+				_, err := f.runSingle(first(executor.VerbWrite, "x"), 800*time.Millisecond, test.abandon)
+				if !errors.Is(err, test.wantErr) || (err == nil) != (test.wantErr == nil) {
+					t.Errorf("got %v, want %v", err, test.wantErr)
+				}
+				if took := time.Since(began); took < test.wantTook || took > test.wantTook+10*time.Millisecond {
+					t.Errorf("took %v, want %v", took, test.wantTook)
+				}
+				if f.client.Judge.Usable(testTarget.Name, testTarget.Incarnation) {
+					t.Error("a silent host is usable")
+				}
+			})
+		})
+	}
+}
+
+// TestLostConnection guards against a statement that counts as not sent although a part of
+// it may have arrived, and against one that counts as sent although its connection had
+// been closed before.
+func TestLostConnection(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		f.run = func(context.Context, *Request) Reply {
+			_ = f.conns[0].Close()
+			return Reply{Response: executor.Response{State: 'I'}}
+		}
+		if _, err := f.runSingle(first(executor.VerbWrite, "x"), time.Second, false); !errors.Is(err, ErrLost) {
+			t.Errorf("connection lost during the statement: got %v, want ErrLost", err)
+		}
+		f.run = func(context.Context, *Request) Reply { return Reply{Response: executor.Response{State: 'I'}} }
+		stream, err := f.client.Open(context.Background(), testTarget)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = f.conns[1].Close()
+		synctest.Wait()
+		if _, err := stream.Run(first(executor.VerbWrite, "x"), time.Now().Add(time.Second), false); !errors.Is(err, ErrNotSent) {
+			t.Errorf("connection lost before the statement: got %v, want ErrNotSent", err)
+		}
+		stream.Close()
+	})
+}
+
+// TestUnreachableHost guards against operations that wait for long for a host that can't
+// be reached, and against a host that is not used again when it returns.
+func TestUnreachableHost(t *testing.T) {
+	for _, test := range []struct {
+		name               string
+		unreachable, hangs bool
+		wantWithin         time.Duration
+	}{
+		{name: "refuses connections", unreachable: true},
+		{name: "accepts connections and hangs", hangs: true, wantWithin: dialTimeout},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fixture) {
+				f.unreachable, f.hangs = test.unreachable, test.hangs
+				began := time.Now()
+				if _, err := f.runSingle(first(executor.VerbWrite, "x"), time.Second, false); !errors.Is(err, ErrNotSent) {
+					t.Errorf("got %v, want ErrNotSent", err)
+				}
+				if took := time.Since(began); took > test.wantWithin+time.Millisecond {
+					t.Errorf("took %v, want at most %v", took, test.wantWithin)
+				}
+				f.record(func() { f.unreachable, f.hangs = false, false })
+				f.client.ProbeIfDue(testTarget)
+				synctest.Wait()
+				if _, _, regained, _ := f.counts(); regained != 0 {
+					t.Error("host was tried before its backoff has passed")
+				}
+				time.Sleep(minProbeBackoff)
+				f.client.ProbeIfDue(testTarget)
+				synctest.Wait()
+				if _, _, regained, _ := f.counts(); regained != 1 || !f.client.Judge.Usable(testTarget.Name, testTarget.Incarnation) {
+					t.Errorf("host that returned: regained %d times, want 1", regained)
+				}
+			})
+		})
+	}
+}
+
+// TestTransactionEndsWithItsStream guards against transactions that stay open on a pool
+// host whose caller has gone, with its connection reset or hanging.
+func TestTransactionEndsWithItsStream(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		leave      func(f *fixture, stream *Stream)
+		wantWithin time.Duration
+	}{
+		{name: "caller ends it", leave: func(_ *fixture, stream *Stream) { stream.Close() }},
+		{name: "connection is reset", leave: func(f *fixture, _ *Stream) { _ = f.conns[0].Close() }},
+		{name: "connection hangs", leave: func(f *fixture, _ *Stream) { f.conns[0].hang(true) }, wantWithin: 3 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fixture) {
+				f.run = func(context.Context, *Request) Reply { return Reply{Response: executor.Response{State: 'T'}} }
+				stream, err := f.client.Open(context.Background(), testTarget)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for i, request := range []*Request{first(executor.VerbWrite, "x"), {Statement: executor.Request{ID: "2", Verb: executor.VerbWrite}}} {
+					if reply, err := stream.Run(request, time.Now().Add(time.Second), false); err != nil || reply.EndsOperation() {
+						t.Fatalf("statement %d: got %+v, %v, want an open transaction", i, reply, err)
+					}
+				}
+				if closed, _, _, _ := f.counts(); closed != 0 || f.server.Active() != 1 {
+					t.Errorf("open transaction: %d ended, %d active, want 0 and 1", closed, f.server.Active())
+				}
+				test.leave(f, stream)
+				time.Sleep(test.wantWithin)
+				synctest.Wait()
+				if closed, _, _, _ := f.counts(); closed != 1 || f.server.Active() != 0 {
+					t.Errorf("after the caller has gone: %d ended, %d active, want 1 and 0", closed, f.server.Active())
+				}
+			})
+		})
+	}
+}
+
+// TestStatementOfEndedTransaction guards against a statement that runs on its own after
+// the pool host has rolled its transaction back.
+func TestStatementOfEndedTransaction(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		runs := 0
+		f.run = func(context.Context, *Request) Reply {
+			runs++
+			return Reply{Response: executor.Response{State: 'I'}}
+		}
+		request := &Request{Statement: executor.Request{ID: "2", Verb: executor.VerbWrite}}
+		got, err := f.runSingle(request, time.Second, false)
+		if err != nil || got.Response.Code != executor.CodeAborted || runs != 0 {
+			t.Errorf("got %+v, %v and %d runs, want aborted and none", got.Response, err, runs)
+		}
+	})
+}
+
+// TestRefusals guards against operations that run on a host that stops or has no room, and
+// against callers that do not learn that it stops.
+func TestRefusals(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		release := make(chan struct{})
+		f.run = func(context.Context, *Request) Reply {
+			<-release
+			return Reply{Response: executor.Response{State: 'I'}}
+		}
+		var running sync.WaitGroup
+		for range f.server.MaxOperations {
+			running.Go(func() {
+				if reply, err := f.runSingle(first(executor.VerbWrite, "x"), 10*time.Second, false); err != nil || reply.Refused {
+					t.Errorf("operation within the limit: got %+v, %v", reply, err)
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		if reply, err := f.runSingle(first(executor.VerbWrite, "x"), time.Second, false); err != nil || !reply.Refused || reply.Stopping {
+			t.Errorf("operation above the limit: got %+v, %v, want a refusal", reply, err)
+		}
+		f.server.Stop()
+		if reply, err := f.runSingle(first(executor.VerbWrite, "x"), time.Second, false); err != nil || !reply.Refused {
+			t.Errorf("operation on a stopping host: got %+v, %v, want a refusal", reply, err)
+		}
+		if f.client.Judge.Usable(testTarget.Name, testTarget.Incarnation) {
+			t.Error("a stopping host is usable")
+		}
+		if _, suspected, _, stopping := f.counts(); suspected != 0 || stopping != 1 {
+			t.Errorf("got %d suspicions and %d notices of a stop, want 0 and 1", suspected, stopping)
+		}
+		close(release)
+		running.Wait()
+	})
+}
+
+// TestJudge guards against hosts that are tried too often while they are out of reach, or
+// that stay suspected or stopping after a restart.
+func TestJudge(t *testing.T) {
+	now := time.Unix(0, 0)
+	j := &Judge{Now: func() time.Time { return now }}
+	if !j.Usable("a", "1") || j.BeginProbe("a") {
+		t.Error("a host that nothing is known of is not usable, or is tried")
+	}
+	for i, backoff := range []time.Duration{500, 1000, 2000, 4000, 4000} {
+		backoff *= time.Millisecond
+		if i == 0 && !j.Suspect("a", "1") || j.Suspect("a", "1") || j.Usable("a", "1") {
+			t.Error("suspicion is not recorded once")
+		}
+		now = now.Add(backoff - time.Millisecond)
+		if j.BeginProbe("a") {
+			t.Errorf("probe %d began before %v", i, backoff)
+		}
+		now = now.Add(time.Millisecond)
+		if !j.BeginProbe("a") || j.BeginProbe("a") {
+			t.Errorf("probe %d did not begin once after %v", i, backoff)
+		}
+		j.EndProbe("a", false)
+	}
+	now = now.Add(maxProbeBackoff)
+	if !j.BeginProbe("a") || !j.EndProbe("a", true) || !j.Usable("a", "1") {
+		t.Error("host that replied to a probe is not usable")
+	}
+	if !j.MarkStopping("a", "1") || j.Usable("a", "1") || !j.Usable("a", "2") {
+		t.Error("want a stopping process to be unusable until its next process")
+	}
+}
