--- a/cataloger/placement.go
+++ b/cataloger/placement.go
@@ -164,13 +164,13 @@
 // largest one is chosen with a probability proportional to its weight.
 func rendezvousScore(service, host string, weight float64) float64 {
 	const mantissaBits = 53
-	uniform := (float64(placementHash(service, host)>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+	uniform := (float64(RendezvousHash(service, host)>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
 	return -weight / math.Log(uniform)
 }
 
-// placementHash is FNV-1a over both names, with the finalizer of MurmurHash3, since FNV
+// RendezvousHash is the hash of a pair of names: FNV-1a over both, with the finalizer of MurmurHash3, since FNV
 // alone distributes names that differ in the last characters unevenly.
-func placementHash(service, host string) uint64 {
+func RendezvousHash(service, host string) uint64 {
 	const offset, prime = 14695981039346656037, 1099511628211
 	hash := uint64(offset)
 	for i := range len(service) {
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -150,8 +150,22 @@
 		now.Sub(s.primary.lastSuccess) > primaryUnreachableTimeout
 }
 
-// prefersReplica reports whether this host normally reads from a replica. The load of a
-// service with a pool host is spread over all of them.
-func (s *service) prefersReplica(id string) bool {
-	return len(s.poolHosts) > 0 || id == s.preferredReplica
+// preferredReplicaOf returns the ID of the replica that this host normally reads from for a
+// customer. A service with a pool host spreads its customers over the replicas, so that
+// each customer needs connections to one of them only: with reads spread over all
+// replicas, the pool host opened two to three times as many connections.
+func (s *service) preferredReplicaOf(customer string) string {
+	if len(s.poolHosts) == 0 {
+		return s.preferredReplica
+	}
+	preferred, best := "", uint64(0)
+	for _, db := range s.databases {
+		if db == s.primary || !db.deregisteredAt.IsZero() || db.endpoint.Draining {
+			continue
+		}
+		if score := cataloger.RendezvousHash(customer, db.id); preferred == "" || score > best {
+			preferred, best = db.id, score
+		}
+	}
+	return preferred
 }
--- a/director/service.go
+++ b/director/service.go
@@ -273,6 +273,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.director.Now()
+	preferred := s.preferredReplicaOf(customer)
 	list := make([]Candidate, 0, len(s.databases))
 	databases := make([]*database, 0, len(s.databases))
 	for _, db := range s.databases {
@@ -290,7 +291,7 @@
 			WarmingUp: now.Before(db.warmingUpUntil) && now.Before(db.nextWarmupRequest),
 			Local:     db.endpoint.DataCentre == s.director.DataCentre,
 			Latency:   db.decayedLatency(now),
-			Preferred: s.prefersReplica(db.id),
+			Preferred: db.id == preferred,
 		})
 		databases = append(databases, db)
 	}
