--- a/director/forward.go
+++ b/director/forward.go
@@ -26,6 +26,9 @@
 	localNoPoolHost = "no_pool_host_usable"
 	localRefused    = "refused_by_pool_host"
 	localTooLarge   = "too_large"
+	// localOutdatedView is the reason of a host whose view is too old to check keys for
+	// others.
+	localOutdatedView = "view_is_outdated"
 )
 
 // forward tries to run the first statement of an operation on the pool hosts of its
--- a/director/forward_test.go
+++ b/director/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,3 +147,181 @@
 		})
 	}
 }
+
+// A lossyConn is a connection that breaks when the next reply arrives, if lose is set.
+type lossyConn struct {
+	net.Conn
+	lose *atomic.Bool
+}
+
+func (c lossyConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if c.lose.Load() {
+		_ = c.Conn.Close()
+		return 0, errConnectionLost
+	}
+	return n, err
+}
+
+// loseReplies returns a switch that makes connections between the hosts break as soon as
+// a reply arrives.
+func (f *poolFixture) loseReplies() *atomic.Bool {
+	lose := new(atomic.Bool)
+	f.wrap = func(conn net.Conn) net.Conn { return lossyConn{Conn: conn, lose: lose} }
+	return lose
+}
+
+// executedTimes returns how often databases have run a statement with the given verb and arguments.
+func (f *poolFixture) executedTimes(verb executor.Verb, arguments string) int {
+	count := 0
+	for _, db := range []*fakeDatabase{f.entry.primary, f.entry.replica} {
+		for _, r := range db.statements() {
+			if r.Verb == verb && r.Arguments == arguments {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// TestLostReplies guards against writes and commits that are repeated or reported as not
+// run after the reply of the pool host was lost, and against reads that fail although
+// another attempt could serve them.
+func TestLostReplies(t *testing.T) {
+	tests := []struct {
+		name string
+		// before runs before replies are lost, run afterwards.
+		before, run []executor.Request
+		want        executor.Code
+		wantState   byte
+		verb        executor.Verb
+		wantTimes   int
+		wantUsed    int64
+	}{
+		{
+			name: "read", run: []executor.Request{{Verb: executor.VerbRead, Arguments: "x"}},
+			want: executor.CodeNone, wantState: 'I', verb: executor.VerbRead, wantTimes: 2, wantUsed: 2,
+		},
+		{
+			name: "write", run: []executor.Request{{Verb: executor.VerbWrite, Arguments: "x"}},
+			want: executor.CodeInDoubt, wantState: 'I', verb: executor.VerbWrite, wantTimes: 1, wantUsed: 1,
+		},
+		{
+			name: "first statement of a transaction", before: []executor.Request{{Verb: executor.VerbBegin}},
+			run:  []executor.Request{{Verb: executor.VerbWrite, Arguments: "x"}},
+			want: executor.CodeAborted, wantState: 'E', verb: executor.VerbWrite, wantTimes: 1, wantUsed: 1,
+		},
+		{
+			name:   "later statement of a transaction",
+			before: []executor.Request{{Verb: executor.VerbBegin}, {Verb: executor.VerbWrite, Arguments: "w"}},
+			run:    []executor.Request{{Verb: executor.VerbRead, Arguments: "x"}},
+			want:   executor.CodeAborted, wantState: 'E', verb: executor.VerbRead, wantTimes: 1, wantUsed: 1,
+		},
+		{
+			name:   "commit after a write",
+			before: []executor.Request{{Verb: executor.VerbBegin}, {Verb: executor.VerbWrite, Arguments: "w"}},
+			run:    []executor.Request{{Verb: executor.VerbCommit}},
+			want:   executor.CodeInDoubt, wantState: 'I', verb: executor.VerbCommit, wantTimes: 1, wantUsed: 1,
+		},
+		{
+			name:   "commit without a write",
+			before: []executor.Request{{Verb: executor.VerbBeginRead}, {Verb: executor.VerbRead, Arguments: "w"}},
+			run:    []executor.Request{{Verb: executor.VerbCommit}},
+			want:   executor.CodeRunFailed, wantState: 'I', verb: executor.VerbCommit, wantTimes: 1, wantUsed: 1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newPoolFixture(t, cataloger.Primary)
+			lose := f.loseReplies()
+			s := f.entry.newSession()
+			runAll := func(requests []executor.Request) (last executor.Response) {
+				for _, r := range requests {
+					r.ID = "id"
+					last = s.execute(context.Background(), r)
+				}
+				return last
+			}
+			// The first operation opens the connection between the hosts.
+			if got := runVerb(f.entry.newSession(), executor.VerbRead, "first"); got.Code != executor.CodeNone {
+				t.Fatalf("first read: got %+v", got)
+			}
+			runAll(test.before)
+			lose.Store(true)
+			got := runAll(test.run)
+			if got.Code != test.want || got.State != test.wantState {
+				t.Errorf("got %v %q in state %c, want %v in state %c", got.Code, got.Text, got.State, test.want, test.wantState)
+			}
+			if got := f.executedTimes(test.verb, test.run[len(test.run)-1].Arguments); got != test.wantTimes {
+				t.Errorf("databases ran the statement %d times, want %d", got, test.wantTimes)
+			}
+			// The first operation counts too.
+			if got := f.entry.used() - 1; got != test.wantUsed {
+				t.Errorf("operations counted: got %d, want %d", got, test.wantUsed)
+			}
+			deadline := time.Now().Add(5 * time.Second)
+			for f.server.Active() > 0 && time.Now().Before(deadline) {
+				time.Sleep(time.Millisecond)
+			}
+			if got := f.server.Active(); got != 0 {
+				t.Errorf("operations open on the pool host: got %d, want 0", got)
+			}
+		})
+	}
+}
+
+// TestOperationsThatThePoolHostDoesNotRun guards against operations that fail although
+// this host can run them, that run twice, or that cost a token of the rate limit although
+// no database ran them.
+func TestOperationsThatThePoolHostDoesNotRun(t *testing.T) {
+	tests := []struct {
+		name      string
+		prepare   func(f *poolFixture)
+		want      executor.Code
+		wantTimes int
+		wantLocal bool
+	}{
+		{name: "unreachable", prepare: func(f *poolFixture) { f.unreachable = true }, wantTimes: 1, wantLocal: true},
+		{name: "stopping", prepare: func(f *poolFixture) { f.server.Stop() }, wantTimes: 1, wantLocal: true},
+		{name: "no room", prepare: func(f *poolFixture) { f.server.MaxOperations = 0 }, wantTimes: 1, wantLocal: true},
+		{name: "outdated view", prepare: func(f *poolFixture) { f.pool.viewConfirmedAt = f.pool.now.Add(-MaxViewAge) }, wantTimes: 1, wantLocal: true},
+		{name: "own view outdated for long", prepare: func(f *poolFixture) {
+			f.entry.viewConfirmedAt = f.entry.now.Add(-maxForwardingViewAge - time.Millisecond)
+		}, want: executor.CodeBusy, wantTimes: 0},
+		{name: "primary out of reach", prepare: func(f *poolFixture) {
+			db := f.pool.database("p")
+			db.consecutiveFailures, db.failingSince = 1, time.Now().Add(-time.Second)
+		}, wantTimes: 1, wantLocal: true},
+		{name: "databases busy", prepare: func(f *poolFixture) {
+			f.entry.primary.refuse[executor.VerbWrite] = executor.CodeBusy
+		}, want: executor.CodeBusy, wantTimes: 0},
+	}
+	for _, test := range tests {
+		for _, inTransaction := range []bool{false, true} {
+			t.Run(fmt.Sprint(test.name, " ", inTransaction), func(t *testing.T) {
+				f := newPoolFixture(t, cataloger.Primary)
+				test.prepare(f)
+				s := f.entry.newSession()
+				if inTransaction {
+					runVerb(s, executor.VerbBegin)
+				}
+				got := runVerb(s, executor.VerbWrite, "x")
+				if inTransaction && got.Code == executor.CodeNone {
+					got = runVerb(s, executor.VerbCommit)
+				}
+				if got.Code != test.want {
+					t.Errorf("got %v %q, want %v", got.Code, got.Text, test.want)
+				}
+				if got := f.executedTimes(executor.VerbWrite, "x"); test.wantTimes > 0 && got != test.wantTimes {
+					t.Errorf("databases ran the write %d times, want %d", got, test.wantTimes)
+				}
+				if got := f.entry.dials() > 0; got != test.wantLocal {
+					t.Errorf("ran on the entry host: got %v, want %v", got, test.wantLocal)
+				}
+				if got := f.entry.used(); got != int64(test.wantTimes) {
+					t.Errorf("operations counted: got %d, want %d", got, test.wantTimes)
+				}
+			})
+		}
+	}
+}
--- a/director/forwarded.go
+++ b/director/forwarded.go
@@ -69,6 +69,7 @@
 	if service == nil {
 		return "service is unknown here"
 	}
+	service.verifyPoolHosts()
 	needsPrimary := o.Begin == executor.VerbBegin || o.Begin == executor.VerbUnknown && forwardedWrites(request)
 	if needsPrimary && service.primaryOutOfReach() {
 		return "primary is out of reach of the pool host"
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -14,6 +14,11 @@
 // reaches it may run them.
 const primaryUnreachableTimeout = 250 * time.Millisecond
 
+// maxForwardingViewAge is the age of this host's view above which it forwards nothing, so
+// that a withdrawn key stops working within 3 s on a host that is isolated from all but
+// the pool host.
+const maxForwardingViewAge = 2 * time.Second
+
 // HasScarceConnections reports whether the hosts of the fleet forward operations on a
 // service to its pool host: in large fleets in which a database has few connections per
 // host.
@@ -107,6 +112,9 @@
 		return nil, ""
 	}
 	d := s.director
+	if d.SinceBoot().Sub(d.ViewCompleteAsOf()) > maxForwardingViewAge {
+		return nil, localOutdatedView
+	}
 	for _, target := range pools {
 		if target.Name == d.Host {
 			return targets, localAsPoolHost
@@ -120,6 +128,24 @@
 	return targets, localNoPoolHost
 }
 
+// verifyPoolHosts checks the pool hosts before this one in the list: another host has
+// forwarded an operation here, so that it may not reach them. If this host does not reach
+// them either, it becomes the acting pool host.
+func (s *service) verifyPoolHosts() {
+	s.mu.Lock()
+	pools, acting := s.poolHosts, s.isActingPoolHost
+	s.mu.Unlock()
+	if acting || s.director.Forwarder == nil {
+		return
+	}
+	for _, target := range pools {
+		if target.Name == s.director.Host {
+			return
+		}
+		s.director.Forwarder.VerifyIfDue(target)
+	}
+}
+
 // UpdatePoolHosts puts a changed judgement of another host into force.
 func (d *Director) UpdatePoolHosts() {
 	d.mu.Lock()
--- a/forwarder/client.go
+++ b/forwarder/client.go
@@ -128,6 +128,23 @@
 	}()
 }
 
+// VerifyIfDue checks in the background whether a host can be reached that other hosts seem
+// not to reach.
+func (c *Client) VerifyIfDue(target Target) {
+	if !c.Judge.BeginVerify(target.Name, target.Incarnation) {
+		return
+	}
+	c.init()
+	go func() {
+		verified, err := c.open(context.Background(), target)
+		if err != nil {
+			c.suspect(target, err)
+			return
+		}
+		c.pool.Put(target.Address, verified)
+	}()
+}
+
 // suspect records that a host did not respond.
 func (c *Client) suspect(target Target, reason error) {
 	c.mu.Lock()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -259,6 +259,63 @@
 	}
 }
 
+// TestSuspendedCaller guards against a pool host that is suspected by a host that was
+// suspended itself, although the response has arrived meanwhile.
+func TestSuspendedCaller(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		var suspended time.Duration
+		var mu sync.Mutex
+		f.client.Now = func() time.Time {
+			mu.Lock()
+			defer mu.Unlock()
+			return time.Now().Add(suspended)
+		}
+		f.client.Judge.Now = f.client.Now
+		f.run = func(context.Context, *Request) Reply {
+			time.Sleep(20 * time.Millisecond)
+			return Reply{Response: executor.Response{State: 'I'}}
+		}
+		if _, err := f.runSingle(first(executor.VerbRead, "x"), time.Minute, true); err != nil {
+			t.Fatal(err)
+		}
+		conn := f.conns[0]
+		time.AfterFunc(10*time.Millisecond, func() {
+			conn.hang(true)
+			mu.Lock()
+			defer mu.Unlock()
+			suspended = 2 * time.Second
+		})
+		time.AfterFunc(SilenceTimeout+lateTimerGrace/2, func() { conn.hang(false) })
+		if _, err := f.runSingle(first(executor.VerbRead, "x"), time.Minute, true); err != nil {
+			t.Errorf("read of a host that was suspended: got %v, want the response", err)
+		}
+		if _, suspected, _, _ := f.counts(); suspected != 0 {
+			t.Errorf("suspicions: got %d, want 0", suspected)
+		}
+	})
+}
+
+// TestVerifyIfDue guards against a host that forwards to a pool host that it could know to
+// be out of reach, and against checks for each operation.
+func TestVerifyIfDue(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		for range 5 {
+			f.client.VerifyIfDue(testTarget)
+		}
+		synctest.Wait()
+		if _, suspected, _, _ := f.counts(); suspected != 0 || len(f.conns) != 1 {
+			t.Errorf("host that replies: got %d suspicions and %d connections, want 0 and 1", suspected, len(f.conns))
+		}
+		f.record(func() { f.unreachable = true })
+		time.Sleep(verifyInterval)
+		f.client.VerifyIfDue(testTarget)
+		synctest.Wait()
+		if _, suspected, _, _ := f.counts(); suspected != 1 {
+			t.Errorf("host that does not reply: got %d suspicions, want 1", suspected)
+		}
+	})
+}
+
 // TestLostConnection guards against a statement that counts as not sent although a part of
 // it may have arrived, and against one that counts as sent although its connection had
 // been closed before.
--- a/forwarder/judge.go
+++ b/forwarder/judge.go
@@ -13,6 +13,9 @@
 	// reliableAge is how long a host must not have been suspected for its next suspicion
 	// to be the first in a row.
 	reliableAge = 5 * time.Second
+	// verifyInterval is the minimum time between two checks of a host that other hosts
+	// seem not to reach.
+	verifyInterval = 500 * time.Millisecond
 )
 
 // A Judge decides which hosts operations may be forwarded to, from the outcomes of this
@@ -39,6 +42,8 @@
 	// failures counts the suspicions and failed probes in a row.
 	failures int
 	stopping bool
+	// verifiedAt is when the last check began.
+	verifiedAt time.Time
 }
 
 // verdictOf returns the verdict on a host. A new process of the host is not stopping; it
@@ -145,6 +150,19 @@
 	return true
 }
 
+// BeginVerify reports whether a host that is not suspected is to be checked now.
+func (j *Judge) BeginVerify(host, incarnation string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	v := j.verdictOf(host, incarnation)
+	now := j.Now()
+	if v.suspected || v.stopping || now.Sub(v.verifiedAt) < verifyInterval {
+		return false
+	}
+	v.verifiedAt = now
+	return true
+}
+
 // Retain forgets all hosts but those for which keep returns true.
 func (j *Judge) Retain(keep func(host string) bool) {
 	j.mu.Lock()
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -13,8 +13,13 @@
 	"github.com/endiveturn/endiveturn/executor"
 )
 
-// replyWriteTimeout is how long another host may take to read a reply.
-const replyWriteTimeout = 5 * time.Second
+const (
+	// replyWriteTimeout is how long another host may take to read a reply.
+	replyWriteTimeout = 5 * time.Second
+	// idleServerTimeout is how long a connection without an operation is kept. It is longer
+	// than the other side keeps one, so that only connections that hang reach it.
+	idleServerTimeout = idleConnTimeout + 30*time.Second
+)
 
 // An Execution is an operation of another host that runs on this one.
 type Execution struct {
@@ -78,8 +83,8 @@
 	h.heartbeat = time.AfterFunc(time.Hour, h.sendHeartbeat)
 	h.heartbeat.Stop()
 	h.guard = time.AfterFunc(time.Hour, h.closeTransport)
-	h.guard.Stop()
 	defer h.end()
+	h.guard.Reset(idleServerTimeout)
 	for {
 		request := new(Request)
 		if err := stream.MsgRecv(request, encoding{}); err != nil {
@@ -90,6 +95,7 @@
 		if err := h.handle(request); err != nil {
 			return err
 		}
+		h.guard.Reset(h.idleTimeout())
 	}
 }
 
@@ -135,10 +141,15 @@
 	if err := h.send(&reply); err != nil {
 		return err
 	}
+	return nil
+}
+
+// idleTimeout returns how long the next request may take to arrive.
+func (h *handler) idleTimeout() time.Duration {
 	if h.execution != nil {
-		h.guard.Reset(h.server.IdleTransactionTimeout())
+		return h.server.IdleTransactionTimeout()
 	}
-	return nil
+	return idleServerTimeout
 }
 
 // begin begins an operation, or returns the refusal of one that does not run here.
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -65,6 +65,7 @@
 func (h *Host) updateGauges() {
 	set := func(name string, value int64) { gometrics.GetOrRegisterGauge(name, h.Registry).Update(value) }
 	set("sessions", int64(h.director.Sessions()))
+	set("operations_open_for_others", int64(h.forwarder.Active()))
 	set("log_lines_dropped", h.Writer.Dropped())
 	set("view_age_ms", timekeeper.Now().Sub(h.viewCompleteAsOf()).Milliseconds())
 	set("store_revision", h.mirror.Revision())
