--- a/director/director.go
+++ b/director/director.go
@@ -87,6 +87,10 @@
 	var pools map[string][]forwarder.Target
 	if d.Forwarder != nil {
 		pools = placePools(catalog)
+		d.Forwarder.Judge.Retain(func(host string) bool {
+			_, ok := catalog.Hosts[host]
+			return ok
+		})
 	}
 	for _, s := range d.services {
 		s.applyCatalog(catalog, pools[s.name])
--- a/director/forward_test.go
+++ b/director/forward_test.go
@@ -157,7 +157,7 @@
 func (c lossyConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if c.lose.Load() {
-		_ = c.Conn.Close()
+		_ = c.Close()
 		return 0, errConnectionLost
 	}
 	return n, err
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -19,10 +19,10 @@
 // the pool host.
 const maxForwardingViewAge = 2 * time.Second
 
-// HasScarceConnections reports whether the hosts of the fleet forward operations on a
+// hasScarceConnections reports whether the hosts of the fleet forward operations on a
 // service to its pool host: in large fleets in which a database has few connections per
 // host.
-func HasScarceConnections(catalog *cataloger.Catalog, service string) bool {
+func hasScarceConnections(catalog *cataloger.Catalog, service string) bool {
 	if catalog.Configuration == nil || !catalog.IsLargeFleet() {
 		return false
 	}
@@ -35,7 +35,7 @@
 	var services []string
 	if catalog.Configuration != nil {
 		for name := range catalog.Configuration.Services {
-			if HasScarceConnections(catalog, name) {
+			if hasScarceConnections(catalog, name) {
 				services = append(services, name)
 			}
 		}
--- a/exchanger/codec_test.go
+++ b/exchanger/codec_test.go
@@ -18,7 +18,7 @@
 		{name: "all fields", message: Message{
 			Report: Report{
 				Host: "a", Incarnation: "i1", Address: "10.0.0.1:1", DataCentre: "dc1", Revision: 77, Age: 12 * time.Millisecond, Stopping: true, Digest: 99, Uptime: time.Minute, Hosts: 4,
-				Listed: true, MajorityHeardAge: 340 * time.Millisecond, VotersRevision: 1<<40 + 7,
+				StoppingHosts: []string{"b", "c"}, Listed: true, MajorityHeardAge: 340 * time.Millisecond, VotersRevision: 1<<40 + 7,
 				Usages: map[string]Usage{"c1": {Used: 1000, Demand: 12.5}},
 				Primaries: map[string]PrimaryHealth{
 					"s1": {ID: "d1", StartedAtMillis: 1781000000000, SinceSuccess: -1, SinceFailure: time.Second},
--- a/forwarder/judge.go
+++ b/forwarder/judge.go
@@ -74,14 +74,6 @@
 	return !v.suspected && !v.stopping
 }
 
-// Suspected reports whether a host is suspected.
-func (j *Judge) Suspected(host string) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	v := j.verdicts[host]
-	return v != nil && v.suspected
-}
-
 // Suspect records that a host did not respond. It reports whether the host was not
 // suspected before.
 func (j *Judge) Suspect(host, incarnation string) bool {
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -32,7 +32,10 @@
 	h.stopping.Store(true)
 	h.forwarder.Stop()
 	h.notifyChange()
-	h.exchanger.TriggerExchanges()
+	if h.largeFleet() {
+		// The hub tells all hosts to use other pool hosts.
+		h.exchanger.TriggerExchanges()
+	}
 	h.overseer.StopCampaigning()
 	stopTimeout := h.stopTimeout()
 	// Clients that connect before the load balancer has detected the stop are
