--- a/cataloger/placement_test.go
+++ b/cataloger/placement_test.go
@@ -133,3 +133,11 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// BenchmarkPoolHosts measures the placement, which each host computes with each catalog.
+func BenchmarkPoolHosts(b *testing.B) {
+	hosts, services := mixedHosts(6, 189), serviceNames(8)
+	for b.Loop() {
+		PoolHosts(services, hosts, neverLastResort)
+	}
+}
