--- a/director/director.go
+++ b/director/director.go
@@ -11,6 +11,7 @@
 
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
+	"github.com/endiveturn/endiveturn/forwarder"
 	"github.com/endiveturn/endiveturn/limiter"
 )
 
@@ -48,8 +49,10 @@
 	// are nil where requests are not counted.
 	BeginRequest func(customer string) (window int64)
 	EndRequest   func(customer string, window int64, mayHaveRun bool)
-	Logger       *slog.Logger
-	Metrics      *Metrics
+	// Forwarder runs operations on other hosts. If it is nil, this host runs all itself.
+	Forwarder *forwarder.Client
+	Logger    *slog.Logger
+	Metrics   *Metrics
 
 	catalog atomic.Pointer[cataloger.Catalog]
 
@@ -86,8 +89,16 @@
 			d.services[name] = &service{name: name, director: d, databases: make(map[endpointKey]*database)}
 		}
 	}
+	var pools map[string][]forwarder.Target
+	if d.Forwarder != nil {
+		pools = placePools(catalog)
+		d.Forwarder.Judge.Retain(func(host string) bool {
+			_, ok := catalog.Hosts[host]
+			return ok
+		})
+	}
 	for _, s := range d.services {
-		s.applyCatalog(catalog)
+		s.applyCatalog(catalog, pools[s.name])
 	}
 }
 
