--- a/balancer/detector.go
+++ b/balancer/detector.go
@@ -189,6 +189,14 @@
 	t.trials++
 }
 
+// CancelTrial records that a trial request was not sent.
+func (d *Detector) CancelTrial(key Target) {
+	if t, ok := d.targets[key]; ok && !t.trialSince.IsZero() {
+		t.trialSince = time.Time{}
+		t.trials--
+	}
+}
+
 // EjectedCount returns the number of ejected targets.
 func (d *Detector) EjectedCount() int {
 	count := 0
--- /dev/null
+++ b/director/admission.go
@@ -0,0 +1,118 @@
+package director
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/admitter"
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/connector"
+)
+
+// BalanceMode determines whether a host uses the modules admitter and balancer.
+type BalanceMode uint8
+
+// The modes. The zero value is the default.
+const (
+	// BalanceAuto balances in large fleets.
+	BalanceAuto BalanceMode = iota
+	BalanceOn
+	BalanceOff
+)
+
+// applies reports whether the host balances in the given fleet.
+func (m BalanceMode) applies(catalog *cataloger.Catalog) bool {
+	return m == BalanceOn || m == BalanceAuto && catalog.IsLargeFleet()
+}
+
+// maxHoldShare is the fraction of its latency objective that an operation may wait
+// for a database if it can only be late.
+const maxHoldShare = 0.25
+
+// An admissionError reports that an operation got no slot. It is a kind of
+// connector.ErrQueueTimeout: nothing was sent.
+type admissionError struct{ refusal *admitter.Refusal }
+
+// Error returns the reason for the log.
+func (e *admissionError) Error() string { return "not admitted: " + e.refusal.Reason.String() }
+
+// Is reports whether the target is connector.ErrQueueTimeout.
+func (e *admissionError) Is(target error) bool { return target == connector.ErrQueueTimeout }
+
+// busyTextOf returns the text of the response to a statement that got no slot or no
+// connection.
+func busyTextOf(err error) string {
+	var refused *admissionError
+	if errors.As(err, &refused) {
+		return refused.refusal.Error()
+	}
+	return busyText
+}
+
+// refusedOnArrival reports whether an operation was refused at once, so that it may
+// try another database.
+func refusedOnArrival(err error) bool {
+	var refused *admissionError
+	return errors.As(err, &refused) && refused.refusal.Reason == admitter.ReasonExpectedWait
+}
+
+// isBalanced reports whether admission and balancing are in use.
+func (s *service) isBalanced() bool { return s.balanced.Load() }
+
+// admit waits for a slot of the attempt's database. deadline is the deadline of a
+// statement of an open transaction.
+func (a *attempt) admit(ctx context.Context, r rank, deadline time.Time) error {
+	op := a.operation
+	timeout := deadline
+	if !r.inTransaction {
+		timeout = op.statementTimeout()
+	}
+	request := admitter.Request{
+		Customer: op.customer, Weight: op.service.customerWeight(op.customer),
+		Class:     admitter.Class{Route: op.route.Name, Priority: r.priority, Writes: op.writes, InTransaction: r.inTransaction},
+		Objective: r.due, Timeout: timeout, MaxHold: time.Duration(maxHoldShare * float64(op.route.TargetLatency)),
+	}
+	ticket, err := a.database.gate.Acquire(ctx, request)
+	if err != nil {
+		var refusal *admitter.Refusal
+		if errors.As(err, &refusal) {
+			op.session.director.Metrics.recordRefusal(refusal.Reason)
+			return &admissionError{refusal}
+		}
+		return err
+	}
+	a.ticket, a.served = ticket, false
+	return nil
+}
+
+// statementTimeout returns when the statement that is about to take a slot fails. A
+// transaction may have been idle since it began.
+func (op *operation) statementTimeout() time.Time {
+	if tx := op.session.tx; tx != nil && tx.operation == op {
+		return op.session.director.Now().Add(op.route.StatementTimeout)
+	}
+	return op.began.Add(op.route.StatementTimeout)
+}
+
+// connectDeadline returns the time until which an operation with a slot may wait for
+// a connection.
+func (op *operation) connectDeadline() time.Time {
+	byObjective := op.began.Add(time.Duration(maxHoldShare * float64(op.route.TargetLatency)))
+	enough := op.session.director.Now().Add(minQueueTime)
+	if byObjective.After(enough) {
+		return byObjective
+	}
+	return enough
+}
+
+// customerWeight returns the customer's weight, which is its rate.
+func (s *service) customerWeight(customer string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.catalog == nil || s.catalog.Configuration == nil {
+		return 1
+	}
+	return s.catalog.Configuration.Customers[customer].Rate
+}
--- a/director/attempt.go
+++ b/director/attempt.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endiveturn/endiveturn/admitter"
+	"github.com/endiveturn/endiveturn/balancer"
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
 	"github.com/endiveturn/endiveturn/executor"
@@ -67,6 +69,10 @@
 	// floorIsOwnCommit is set if the floor of the attempt's statements is a
 	// commit of the same session.
 	floorIsOwnCommit bool
+	// ticket is the attempt's slot while it holds one of the database's gate, and
+	// served is set once a statement of the client has succeeded with that slot.
+	ticket *admitter.Ticket
+	served bool
 	// hasPermit is set while the attempt holds a permit of the database's
 	// semaphore.
 	hasPermit bool
@@ -99,9 +105,9 @@
 // force, it waits for one.
 func (op *operation) openAttempt(ctx context.Context, required Requirements, since time.Time) (*attempt, error) {
 	deadline := op.queueDeadline()
-	op.floor = required.Floor
-	candidates, databases := op.service.candidates(op.customer)
-	i := ChooseCandidate(required, candidates)
+	op.floor, op.writes = required.Floor, required.Writes
+	candidates, databases := op.service.candidates(op.customer, kindOf(required.Writes))
+	i := op.service.choose(required, candidates)
 	if i >= 0 && !candidates[i].Primary {
 		return op.connect(ctx, databases[i], nil, required.FloorIsOwnCommit, deadline)
 	}
@@ -109,7 +115,7 @@
 	if ref != nil {
 		return op.connect(ctx, ref.database, ref, false, deadline)
 	}
-	if j := chooseReplica(required, candidates); j >= 0 {
+	if j := op.service.chooseReplica(required, candidates); j >= 0 {
 		return op.connect(ctx, databases[j], nil, required.FloorIsOwnCommit, deadline)
 	}
 	wait := time.Duration(primaryWaitShare * float64(op.route.StatementTimeout))
@@ -172,11 +178,18 @@
 	a := &attempt{operation: op, database: db, primaryRef: ref, floorIsOwnCommit: floorIsOwnCommit}
 	op.service.recordStart(db)
 	a.startWait()
+	balanced := op.service.isBalanced()
+	if balanced {
+		op.service.beginTrial(db, kindOf(op.writes))
+	}
 	if err := a.acquirePermit(ctx, op.rank(false), deadline); err != nil {
 		a.release()
 		op.recordConnectError(db, err)
 		return a, err
 	}
+	if balanced {
+		deadline = op.connectDeadline()
+	}
 	conn, err := db.pool.Get(ctx, op.customer, op.session.variables, op.priority, deadline)
 	if err != nil {
 		a.release()
@@ -199,9 +212,12 @@
 
 // acquirePermit waits for a permit of the database's semaphore.
 func (a *attempt) acquirePermit(ctx context.Context, r rank, deadline time.Time) error {
-	if a.hasPermit {
+	if a.hasPermit || a.ticket != nil {
 		return nil
 	}
+	if a.operation.service.isBalanced() {
+		return a.admit(ctx, r, deadline)
+	}
 	if err := a.database.semaphore.acquire(ctx, r, deadline); err != nil {
 		return err
 	}
@@ -211,6 +227,10 @@
 
 // releasePermit returns the permit of the database's semaphore, if one is held.
 func (a *attempt) releasePermit() {
+	if a.ticket != nil {
+		a.database.gate.Release(a.ticket, a.served)
+		a.ticket = nil
+	}
 	if a.hasPermit {
 		a.hasPermit = false
 		a.database.semaphore.release()
@@ -218,10 +238,15 @@
 }
 
 func (op *operation) recordConnectError(db *database, err error) {
+	var refused *admissionError
 	switch {
+	case errors.As(err, &refused):
+		op.service.cancelTrial(db, kindOf(op.writes))
 	case errors.Is(err, connector.ErrQueueTimeout), errors.Is(err, connector.ErrTooManyConnections), errors.Is(err, connector.ErrClosed):
+		op.service.cancelTrial(db, kindOf(op.writes))
 		op.service.recordBusy(db)
 	default:
+		op.service.recordOutcome(db, kindOf(op.writes), balancer.Outcome{Failed: true})
 		op.service.recordConnectFailure(db, err)
 	}
 }
@@ -314,6 +339,9 @@
 		return executor.Response{}, err
 	}
 	response, err := a.conn.Receive(deadline)
+	if statement.ID != "" {
+		a.recordOutcome(response, err, a.operation.session.director.Now().Sub(began))
+	}
 	if err != nil {
 		if a.clientStatementSent {
 			a.operation.markMayHaveRun()
--- a/director/database.go
+++ b/director/database.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/endiveturn/endiveturn/admitter"
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
 	"github.com/endiveturn/endiveturn/executor"
@@ -44,6 +45,8 @@
 	id        string
 	pool      *connector.Pool
 	semaphore *prioritySemaphore
+	// gate takes the place of semaphore while the service is balanced.
+	gate *admitter.Gate
 
 	// The fields below are guarded by the mutex of the service.
 
@@ -67,6 +70,10 @@
 	// floor of the read.
 	consecutiveLags int
 	laggingUntil    time.Time
+	// permits is the number of statements that this host may run concurrently, and
+	// scarceConnections is set if it may keep hardly any connection.
+	permits           int
+	scarceConnections bool
 	// inFlight counts the attempts of this host at the database, including those
 	// whose transaction is idle.
 	inFlight int
--- a/director/director.go
+++ b/director/director.go
@@ -33,6 +33,8 @@
 	// Dial opens a connection to a database for a customer. Errors wrap the
 	// sentinel errors of package connector.
 	Dial func(ctx context.Context, endpoint cataloger.Endpoint, customer string) (connector.Transport, error)
+	// Balance determines whether this host uses the modules admitter and balancer.
+	Balance BalanceMode
 	// Limits enforces the rate limits of customers.
 	Limits *limiter.FleetLimiter
 	// Now returns the time with a monotonic reading.
@@ -143,6 +145,9 @@
 	d.mu.Unlock()
 	for _, s := range services {
 		s.cleanUp(idle)
+		if s.isBalanced() {
+			s.recordSpread()
+		}
 	}
 }
 
--- a/director/metrics.go
+++ b/director/metrics.go
@@ -6,6 +6,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/endiveturn/endiveturn/admitter"
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/executor"
 )
@@ -25,10 +26,21 @@
 	}
 }
 
+func (m *Metrics) setGauge(name string, value int64) {
+	if m.Registry != nil {
+		gometrics.GetOrRegisterGauge(name, m.Registry).Update(value)
+	}
+}
+
 func (m *Metrics) recordSessionRefusal(code executor.Code) {
 	m.increment("sessions_refused." + code.String())
 }
 
+// recordRefusal counts an operation that got no slot.
+func (m *Metrics) recordRefusal(reason admitter.Reason) {
+	m.increment("admission_refused." + reason.String())
+}
+
 // recordStatement counts a completed statement by its route's consistency and
 // its result code, and records its latency.
 func (m *Metrics) recordStatement(route cataloger.Route, response executor.Response, latency time.Duration) {
--- a/director/quota.go
+++ b/director/quota.go
@@ -70,19 +70,24 @@
 		}
 	}
 	hostCount := max(1, len(hosts))
+	shares := capacityShares(hosts)
 	for _, e := range endpoints {
 		assigned := hostsPerReplica[e.ID]
 		activeHosts := assigned
 		if assigned == 0 {
 			activeHosts = hostCount
 		}
+		share := shares.of(host, activeHosts, func(name string) bool { return assigned == 0 || preferred[name] == e.ID })
 		quotas.Statements[e.ID] = statementQuota(e.Slots, activeHosts)
+		if shares != nil {
+			quotas.Statements[e.ID] = weightedStatementQuota(e.Slots, activeHosts, share)
+		}
 		quota := nonPreferredQuota(int(limit), hostCount)
 		switch {
 		case assigned == 0:
-			quota = max(1, int(limit)/hostCount)
+			quota = connectionQuota(int(limit), hostCount, share)
 		case e.ID == quotas.PreferredReplica:
-			quota = max(1, (int(limit)-nonPreferredQuota(int(limit), hostCount)*(hostCount-assigned))/assigned)
+			quota = connectionQuota(int(limit)-nonPreferredQuota(int(limit), hostCount)*(hostCount-assigned), assigned, share)
 		}
 		quotas.Connections[e.ID] = poolLimits(quota, limit/float64(activeHosts))
 	}
--- a/director/route.go
+++ b/director/route.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/endiveturn/endiveturn/balancer"
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/executor"
 )
@@ -39,6 +40,18 @@
 	Latency time.Duration
 	// Preferred is set for the replica that this host normally reads from.
 	Preferred bool
+	// Permits is the number of statements that this host may run there at once.
+	Permits int
+	// ScarceConnections is set if this host may keep hardly any connection there.
+	ScarceConnections bool
+	// RecentLatency is the mean response time as of LatencyAge ago.
+	RecentLatency, LatencyAge time.Duration
+	// Detected is the state of the database by its outcomes for requests of the
+	// kind.
+	Detected balancer.State
+
+	// unusable is set if the candidate must not be chosen.
+	unusable bool
 }
 
 // Requirements are what an operation requires of a database.
--- a/director/service.go
+++ b/director/service.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/endiveturn/endiveturn/admitter"
+	"github.com/endiveturn/endiveturn/balancer"
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
 	"github.com/endiveturn/endiveturn/executor"
@@ -20,7 +23,12 @@
 	name     string
 	director *Director
 
-	mu        sync.Mutex
+	// balanced is set while admission and balancing are in use.
+	balanced atomic.Bool
+
+	mu sync.Mutex
+	// detector is used only while the service is balanced.
+	detector  balancer.Detector
 	databases map[endpointKey]*database
 	// primary is the database that may be used as primary, or nil if there is
 	// none.
@@ -53,6 +61,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.catalog = catalog
+	s.setBalanced(s.director.Balance.applies(catalog))
 	present := make(map[endpointKey]bool)
 	for _, endpoint := range catalog.Endpoints[s.name] {
 		present[endpointKeyOf(endpoint)] = true
@@ -71,6 +80,14 @@
 	s.setQuotas(catalog)
 }
 
+// setBalanced switches admission and balancing on or off. Slots that were granted
+// before remain valid until they are returned.
+func (s *service) setBalanced(balanced bool) {
+	if s.balanced.Swap(balanced) != balanced {
+		s.director.Logger.Info("balancing_changed", "service", s.name, "on", balanced)
+	}
+}
+
 // setQuotas sets this host's quotas of connections and statements for each
 // database. While the primary is being replaced the quotas stay unchanged.
 func (s *service) setQuotas(catalog *cataloger.Catalog) {
@@ -89,6 +106,8 @@
 	for _, db := range s.databases {
 		db.pool.SetLimits(quotas.Connections[db.id])
 		db.semaphore.setLimit(quotas.Statements[db.id])
+		db.gate.SetSlots(quotas.Statements[db.id])
+		db.permits, db.scarceConnections = quotas.Statements[db.id], quotas.Connections[db.id].Burst > 0
 	}
 }
 
@@ -104,7 +123,7 @@
 		}
 		db.pool.Close()
 	}
-	db := &database{id: endpoint.ID, endpoint: endpoint, semaphore: &prioritySemaphore{now: s.director.Now}}
+	db := &database{id: endpoint.ID, endpoint: endpoint, semaphore: &prioritySemaphore{now: s.director.Now}, gate: &admitter.Gate{Now: s.director.Now}}
 	if endpoint.WarmupRemaining > 0 {
 		db.warmingUpUntil = s.director.Now().Add(endpoint.WarmupRemaining)
 	}
@@ -246,7 +265,7 @@
 
 // candidates returns the registered databases that an operation may be routed
 // to, with their state. Evacuated data centres are left out.
-func (s *service) candidates(customer string) ([]Candidate, []*database) {
+func (s *service) candidates(customer string, kind balancer.Kind) ([]Candidate, []*database) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.director.Now()
@@ -268,6 +287,9 @@
 			Local:     db.endpoint.DataCentre == s.director.DataCentre,
 			Latency:   db.decayedLatency(now),
 			Preferred: db.id == s.preferredReplica,
+			Permits:   db.permits, ScarceConnections: db.scarceConnections,
+			RecentLatency: db.meanLatency, LatencyAge: now.Sub(db.meanLatencyAt),
+			Detected: s.detector.State(balancer.Target{Database: db.detectorID(), Kind: kind}, now),
 		})
 		databases = append(databases, db)
 	}
@@ -290,6 +312,7 @@
 		db.pool.CloseIdle(idle)
 		if !db.deregisteredAt.IsZero() && now.Sub(db.deregisteredAt) > deregisteredRetention {
 			db.pool.Close()
+			s.detector.Forget(db.detectorID())
 			delete(s.databases, key)
 		}
 	}
--- a/director/session.go
+++ b/director/session.go
@@ -249,6 +249,8 @@
 	// limit.
 	admitted bool
 	attempts int
+	// writes is set if the last attempt needed the primary because it writes.
+	writes bool
 	// floor is the position that the database of the last attempt had to have
 	// reached.
 	floor executor.Position
--- a/director/single.go
+++ b/director/single.go
@@ -140,7 +140,7 @@
 	var rejected *responseError
 	switch {
 	case errors.Is(err, connector.ErrQueueTimeout):
-		return executor.Response{Code: executor.CodeBusy, Text: busyText}, false
+		return executor.Response{Code: executor.CodeBusy, Text: busyTextOf(err)}, r.mayTryOther(err)
 	case errors.Is(err, errNoPrimary):
 		return executor.Response{Code: executor.CodeBusy, Text: err.Error()}, false
 	case isFenced(err):
@@ -152,6 +152,12 @@
 	}
 }
 
+// mayTryOther reports whether a read that a database's queue refused at once may try
+// another database.
+func (r *singleStatement) mayTryOther(err error) bool {
+	return !r.writes && len(r.tried) < 2 && refusedOnArrival(err)
+}
+
 // fencedResponse returns the response to a statement that was not sent because
 // its primary must not be used.
 func fencedResponse(err error) executor.Response {
--- a/director/transaction.go
+++ b/director/transaction.go
@@ -179,7 +179,7 @@
 	response, err := t.roundTripWithRetry(ctx, statement, deadline)
 	switch {
 	case errors.Is(err, connector.ErrQueueTimeout):
-		response = t.operation.session.errorResponse(executor.CodeBusy, busyText)
+		response = t.operation.session.errorResponse(executor.CodeBusy, busyTextOf(err))
 		t.operation.finish(databaseID, err.Error(), response)
 		return response
 	case err != nil:
@@ -324,7 +324,7 @@
 	a := t.attempt
 	if errors.Is(err, connector.ErrQueueTimeout) {
 		a.returnOrDiscardConn(executor.StateTransaction)
-		return executor.Response{Code: executor.CodeBusy, Text: busyText, State: executor.StateIdle}
+		return executor.Response{Code: executor.CodeBusy, Text: busyTextOf(err), State: executor.StateIdle}
 	}
 	if !isFenced(err) {
 		t.operation.service.recordFailure(a.database, err)
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -144,7 +144,7 @@
 	h.recentHosts = make(recentHosts)
 	h.limits = limiter.NewFleetLimiter(timekeeper.Now)
 	h.director = &director.Director{
-		Host: h.Settings.Host, DataCentre: h.Settings.DataCentre, Dial: h.Platform.Databases.Dial, Limits: h.limits, Now: time.Now,
+		Host: h.Settings.Host, DataCentre: h.Settings.DataCentre, Dial: h.Platform.Databases.Dial, Balance: h.Settings.Balance, Limits: h.limits, Now: time.Now,
 		SinceBoot: timekeeper.Now, ViewCompleteAsOf: h.viewCompleteAsOf, Logger: h.Logger,
 		Metrics: &director.Metrics{Registry: h.Registry},
 	}
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/director"
 )
 
 // ErrInvalidSettings is wrapped by every error about settings.
@@ -46,8 +48,14 @@
 	// LinkMegabits is the bandwidth of the host's link in megabits per second, 0 if
 	// unknown.
 	LinkMegabits float64
+	// Balance determines whether the host uses admission by value and load balancing
+	// by outcomes.
+	Balance director.BalanceMode
 }
 
+// balanceModes are the values of the setting balance.
+var balanceModes = map[string]director.BalanceMode{"auto": director.BalanceAuto, "on": director.BalanceOn, "off": director.BalanceOff}
+
 // ReadSettings reads and validates a settings file. Errors wrap ErrInvalidSettings.
 func ReadSettings(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
@@ -77,9 +85,21 @@
 		checkAddress(d, "metrics_address", s.MetricsAddress)
 	}
 	d.Optional("seeds", &s.Seeds)
+	s.Balance = decodeBalance(d)
 	return s, NewValidationError(ErrInvalidSettings, violations)
 }
 
+// decodeBalance returns the optional mode of balancing.
+func decodeBalance(d *ObjectDecoder) director.BalanceMode {
+	name := "auto"
+	d.Optional("balance", &name)
+	mode, ok := balanceModes[name]
+	if !ok {
+		d.Reject("balance", "%q is not auto, on or off", name)
+	}
+	return mode
+}
+
 // decodeSeconds returns a required positive duration that is given in seconds.
 func decodeSeconds(d *ObjectDecoder, field string) time.Duration {
 	seconds := Positive[float64](d, field)
--- a/hoster/settings_test.go
+++ b/hoster/settings_test.go
@@ -38,6 +38,7 @@
 		{name: "stop timeout below a nanosecond", old: `"stop_timeout_s": 6`, new: `"stop_timeout_s": 1e-12`, want: "stop_timeout_s"},
 		{name: "negative CPU share", old: `0.4`, new: `-1`, want: "processor_share"},
 		{name: "negative link", old: `1000`, new: `-1000`, want: "link_megabits"},
+		{name: "unknown balance mode", old: `"memory_mb"`, new: `"balance": "maybe", "memory_mb"`, want: "balance"},
 		{name: "negative memory", old: `284`, new: `-284`, want: "memory_mb"},
 		{name: "no object", old: validSettings, new: `null`, want: "want an object"},
 		{name: "text after the object", old: validSettings, new: validSettings + "}", want: "line 6: invalid character"},
