--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -87,7 +87,7 @@
 	q.queued++
 	inTimeUntil := t.Objective.Add(-seconds(startMargin * t.cost))
 	switch {
-	case t.Request.Class.InTransaction:
+	case t.Class.InTransaction:
 		t.expires = t.Timeout
 		q.transactions.push(t)
 	case now.After(inTimeUntil):
--- a/admitter/ticket_list.go
+++ b/admitter/ticket_list.go
@@ -11,8 +11,6 @@
 	work float64
 }
 
-func (l *ticketList) len() int { return len(l.first) }
-
 func (l *ticketList) push(t *Ticket) {
 	t.list = l
 	heap.Push(&l.first, t)
--- a/balancer/simulation_test.go
+++ b/balancer/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -295,7 +294,7 @@
 				}
 			}
 			if own > 1.1*best {
-				t.Error(fmt.Sprintf("got a mean response time of %.1f ms, want at most 1.1 times the best policy's %.1f ms", 1000*own, 1000*best))
+				t.Errorf("got a mean response time of %.1f ms, want at most 1.1 times the best policy's %.1f ms", 1000*own, 1000*best)
 			}
 		})
 	}
--- a/director/admission.go
+++ b/director/admission.go
@@ -14,17 +14,17 @@
 // BalanceMode determines whether a host uses the modules admitter and balancer.
 type BalanceMode uint8
 
-// The modes. The zero value is the default.
+// The modes. The zero value stands for BalanceAuto.
 const (
 	// BalanceAuto balances in large fleets.
-	BalanceAuto BalanceMode = iota
+	BalanceAuto BalanceMode = iota + 1
 	BalanceOn
 	BalanceOff
 )
 
 // applies reports whether the host balances in the given fleet.
 func (m BalanceMode) applies(catalog *cataloger.Catalog) bool {
-	return m == BalanceOn || m == BalanceAuto && catalog.IsLargeFleet()
+	return m == BalanceOn || m != BalanceOff && catalog.IsLargeFleet()
 }
 
 // maxHoldShare is the fraction of its latency objective that an operation may wait
--- a/director/balance.go
+++ b/director/balance.go
@@ -147,11 +147,12 @@
 	if !ok {
 		return
 	}
-	name := "database_returned"
-	if event.Ejected {
-		name = "database_ejected"
+	if !event.Ejected {
+		s.director.Metrics.increment("databases_returned." + kind.String())
+		s.director.Logger.Info("database_returned", "service", s.name, "database", db.id, "kind", kind.String(), "trials", event.Trials)
+		return
 	}
-	s.director.Metrics.increment(name + "." + kind.String())
-	s.director.Logger.Warn(name, "service", s.name, "database", db.id, "kind", kind.String(), "failure_share", event.FailureShare,
+	s.director.Metrics.increment("database_ejections." + kind.String())
+	s.director.Logger.Warn("database_ejected", "service", s.name, "database", db.id, "kind", kind.String(), "failure_share", event.FailureShare,
 		"others_share", event.OthersShare, "pause", event.Pause, "trials", event.Trials)
 }
--- a/overseer/leadership.go
+++ b/overseer/leadership.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/informer"
 	"github.com/endiveturn/endiveturn/storer"
 )
@@ -18,6 +20,11 @@
 	// campaign.
 	newHostDelayFactor     = 8
 	lowCapacityDelayFactor = 50
+	// largerHostsLead is how long leadership must have been vacant before a host of a
+	// large fleet campaigns that has less than the largest capacity. Until then a
+	// larger host that can reach the store has become the leader: all of them campaign
+	// in each evaluateInterval, or in every third one if they have started recently.
+	largerHostsLead = 3 * time.Second
 	// unreachableWindow is the time within which the databases of two services must
 	// fail to respond to the leader for it to resign. campaignBackoff is how long it
 	// does not campaign after that.
@@ -113,8 +120,9 @@
 	}
 	o.mu.Lock()
 	registered, ineligible := o.hostLease.id != 0, o.stopping || o.Now().Before(o.campaignAfter) || o.Now().Before(campaignFrom)
+	vacantFor := o.recordVacancy(taken, campaignFrom)
 	o.mu.Unlock()
-	if taken || !registered || ineligible || !o.Mirror.Loaded() || !o.shouldCampaign() {
+	if taken || !registered || ineligible || !o.Mirror.Loaded() || o.defersToLarger(vacantFor) || !o.shouldCampaign() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -152,6 +160,32 @@
 	return true
 }
 
+// recordVacancy records whether there is a leader, and returns for how long there has
+// been none although hosts may campaign. The caller holds mu.
+func (o *Overseer) recordVacancy(taken bool, campaignFrom time.Time) time.Duration {
+	if taken {
+		o.vacantSince = time.Time{}
+		return 0
+	}
+	if o.vacantSince.IsZero() {
+		o.vacantSince = o.Now()
+	}
+	if o.vacantSince.Before(campaignFrom) {
+		o.vacantSince = campaignFrom
+	}
+	return o.Now().Sub(o.vacantSince)
+}
+
+// defersToLarger reports whether this host leaves leadership to a host of larger
+// capacity, which it does until leadership has been vacant for largerHostsLead.
+func (o *Overseer) defersToLarger(vacantFor time.Duration) bool {
+	catalog := o.Catalog()
+	if catalog == nil || !catalog.IsLargeFleet() || vacantFor >= largerHostsLead {
+		return false
+	}
+	return slices.ContainsFunc(catalog.RecentHosts, func(host cataloger.Host) bool { return host.Capacity > o.Host.Capacity })
+}
+
 // shouldCampaign spreads out the campaigns of a large fleet. Hosts of the largest
 // capacity that have run for long go first, since the leader also serves as the
 // fleet's hub.
--- a/overseer/leadership_test.go
+++ b/overseer/leadership_test.go
@@ -79,6 +79,37 @@
 	}
 }
 
+// TestSmallHostDefers guards against a small host that leads a large fleet because it
+// campaigned a moment before the big ones, and against a fleet without a leader after
+// all big hosts are lost.
+func TestSmallHostDefers(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			env := newTestEnv(t)
+			hosts := []cataloger.Host{{Name: "big", Capacity: 9}}
+			for i := range 20 {
+				hosts = append(hosts, cataloger.Host{Name: fmt.Sprint("small", i), Capacity: 1})
+			}
+			env.overseer.Catalog = func() *cataloger.Catalog {
+				catalog := env.catalog()
+				catalog.RecentHosts = hosts
+				return catalog
+			}
+			env.overseer.Host.Capacity = 1
+			env.start()
+			time.Sleep(largerHostsLead - 100*time.Millisecond)
+			if _, ok := env.overseer.leaderToken(); ok {
+				t.Error("a small host leads the fleet though a big one could")
+			}
+			time.Sleep(2 * time.Minute)
+			synctest.Wait()
+			if _, ok := env.overseer.leaderToken(); !ok {
+				t.Error("no small host leads the fleet though no big one does")
+			}
+		})
+	}
+}
+
 // TestIsolatedLeaderResigns guards against a leader that is slow or partitioned from
 // the databases, concludes that all primaries are down and replaces them.
 func TestIsolatedLeaderResigns(t *testing.T) {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -137,6 +137,8 @@
 	voters voterList
 	// campaignAfter is the time before which this host does not campaign.
 	campaignAfter time.Time
+	// vacantSince is since when this host has seen no leader; zero while there is one.
+	vacantSince time.Time
 	// era is the latest era of the store that this host has seen, and eraCampaignFrom
 	// the earliest time to campaign in it.
 	era             int64
