--- a/director/admission.go
+++ b/director/admission.go
@@ -51,6 +51,16 @@
 	return busyText
 }
 
+// refusalText returns the text of the refusal of a transaction that no database has
+// begun.
+func refusalText(err error) string {
+	var refused *admissionError
+	if errors.As(err, &refused) {
+		return refused.refusal.Error()
+	}
+	return withRetryHint(err.Error())
+}
+
 // refusedOnArrival reports whether an operation was refused at once, so that it may
 // try another database.
 func refusedOnArrival(err error) bool {
--- a/director/transaction.go
+++ b/director/transaction.go
@@ -100,14 +100,14 @@
 	var tried map[string]bool
 	since := op.session.director.Now()
 	until := since.Add(time.Duration(primaryWaitShare * float64(op.route.StatementTimeout)))
-	reason := ""
+	reason, text := "", ""
 	for {
 		a, err := t.beginOnDatabase(ctx, since, tried)
 		if err == nil {
 			t.attempt = a
 			return t.executeOnConn(ctx, statement, writes, p, deadline)
 		}
-		reason = err.Error()
+		reason, text = err.Error(), refusalText(err)
 		if a != nil {
 			tried = withTried(tried, a.database.id)
 		}
@@ -119,7 +119,7 @@
 		time.Sleep(retryDelay)
 	}
 	op.attempts = 0
-	return t.fail(executor.Response{Code: executor.CodeBusy, Text: withRetryHint(reason)}, "", reason)
+	return t.fail(executor.Response{Code: executor.CodeBusy, Text: text}, "", reason)
 }
 
 // withRetryHint returns the text of a refusal with a retry delay, which is added
@@ -288,7 +288,7 @@
 	if t.attempt == nil {
 		a, err := t.beginOnDatabase(ctx, s.director.Now(), nil)
 		if err != nil {
-			response := s.errorResponse(executor.CodeBusy, withRetryHint(err.Error()))
+			response := s.errorResponse(executor.CodeBusy, refusalText(err))
 			t.operation.finish("", err.Error(), response)
 			return response
 		}
