--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -21,6 +21,9 @@
 	// maxSampleRatio bounds a sample relative to the mean, so that statements that
 	// hang on a failed database don't cause refusals after it has returned.
 	maxSampleRatio = 4
+	// slotTimeHalfLife is the half-life of a mean slot time that no request confirms.
+	// Without it a class whose mean has come near its timeout would be refused for ever.
+	slotTimeHalfLife = time.Second
 	// startMargin is the number of mean slot times before its objective at which a
 	// request has to start to be in time. Slot times vary, so it is above 1.
 	startMargin = 1.5
@@ -169,6 +172,8 @@
 	// slotTime is the mean slot time in seconds.
 	slotTime float64
 	sampled  bool
+	// sampledAt is when the mean was last updated.
+	sampledAt time.Time
 	// density is the value per second of slot time.
 	density float64
 	waiting ticketList
@@ -185,7 +190,8 @@
 }
 
 // recordSample adds the slot time of one request to the mean.
-func (c *class) recordSample(seconds float64) {
+func (c *class) recordSample(seconds float64, now time.Time) {
+	c.sampledAt = now
 	if !c.sampled {
 		c.slotTime, c.sampled = seconds, true
 	} else {
@@ -195,6 +201,18 @@
 	c.density = c.key.value() / c.slotTime
 }
 
+// decay lowers a mean slot time that has not been confirmed for a while towards the
+// initial one.
+func (c *class) decay(now time.Time) {
+	age := now.Sub(c.sampledAt)
+	if !c.sampled || age < slotTimeHalfLife || c.slotTime <= initialSlotTime.Seconds() {
+		return
+	}
+	c.slotTime = max(initialSlotTime.Seconds(), c.slotTime*math.Exp2(-age.Seconds()/slotTimeHalfLife.Seconds()))
+	c.density = c.key.value() / c.slotTime
+	c.sampledAt = now
+}
+
 // minSlotTime is the least slot time that is assumed, so that slots are shared by
 // number of requests when these are too short to measure.
 const minSlotTime = 100 * time.Microsecond
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -65,6 +65,7 @@
 	q.fairShare.advance(now, q.slots)
 	q.sequence++
 	t := &Ticket{Request: request, class: q.class(request.Class), customer: q.customer(request.Customer), sequence: q.sequence}
+	t.class.decay(now)
 	t.cost = t.class.slotTime
 	t.customer.setWeight(request.Weight, &q.fairShare)
 	lastStart := request.Timeout.Add(-seconds(t.cost))
@@ -214,7 +215,7 @@
 		}
 		t.State = Released
 		t.customer.removeOutstanding(&q.fairShare)
-		q.recordSlotTime(t, learn, now.Sub(t.grantedAt).Seconds())
+		q.recordSlotTime(t, learn, now)
 	case Refused, Released:
 	}
 	q.dispatch(now)
@@ -222,13 +223,18 @@
 }
 
 // recordSlotTime corrects the customer's charge by the actual slot time.
-func (q *Queue) recordSlotTime(t *Ticket, learn bool, slotTime float64) {
+func (q *Queue) recordSlotTime(t *Ticket, learn bool, now time.Time) {
+	slotTime := now.Sub(t.grantedAt).Seconds()
 	actual := min(max(slotTime, minSlotTime.Seconds()), maxSampleRatio*t.cost)
 	t.customer.addCharge(t.class.key.level(), actual/t.customer.weight-t.charge)
 	if !learn {
 		return
 	}
-	t.class.recordSample(slotTime)
+	t.class.recordSample(slotTime, now)
+	q.sortClasses()
+}
+
+func (q *Queue) sortClasses() {
 	slices.SortStableFunc(q.classes, func(a, b *class) int { return cmp.Compare(b.density, a.density) })
 }
 
@@ -276,6 +282,7 @@
 		c = newClass(key)
 		q.byKey[key] = c
 		q.classes = append(q.classes, c)
+		q.sortClasses()
 	}
 	return c
 }
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// TestSlowClassRecovers guards against a class that is refused for ever because its
+// requests once took as long as their timeout.
+func TestSlowClassRecovers(t *testing.T) {
+	now := simEpoch
+	var q Queue
+	q.SetSlots(1, now)
+	ticket, _ := q.Add(newRequest("a", 0, now), now)
+	now = now.Add(2 * time.Second)
+	q.Release(ticket, true, now)
+	if ticket, _ = q.Add(newRequest("a", 0, now), now); ticket.State != Refused {
+		t.Fatalf("got state %d for a request of 2 s with a timeout of 0.8 s, want a refusal", ticket.State)
+	}
+	now = now.Add(5 * time.Second)
+	if ticket, _ = q.Add(newRequest("a", 0, now), now); ticket.State != Granted {
+		t.Errorf("got state %d after 5 s, want the request to be tried", ticket.State)
+	}
+}
+
 // TestRetriesAreSpread guards against refused requests that all return at once.
 func TestRetriesAreSpread(t *testing.T) {
 	now := simEpoch
--- a/director/admission.go
+++ b/director/admission.go
@@ -82,7 +82,7 @@
 	request := admitter.Request{
 		Customer: op.customer, Weight: op.service.customerWeight(op.customer),
 		Class:     admitter.Class{Route: op.route.Name, Priority: r.priority, Writes: op.writes, InTransaction: r.inTransaction},
-		Objective: r.due, Timeout: timeout, MaxHold: time.Duration(maxHoldShare * float64(op.route.TargetLatency)),
+		Objective: op.began.Add(op.objective()), Timeout: timeout, MaxHold: time.Duration(maxHoldShare * float64(op.objective())),
 	}
 	ticket, err := a.database.gate.Acquire(ctx, request)
 	if err != nil {
@@ -97,6 +97,15 @@
 	return nil
 }
 
+// objective returns the latency objective of the operation; a route without one has
+// its timeout.
+func (op *operation) objective() time.Duration {
+	if op.route.TargetLatency > 0 {
+		return op.route.TargetLatency
+	}
+	return op.route.StatementTimeout
+}
+
 // statementTimeout returns when the statement that is about to take a slot fails. A
 // transaction may have been idle since it began.
 func (op *operation) statementTimeout() time.Time {
@@ -109,7 +118,7 @@
 // connectDeadline returns the time until which an operation with a slot may wait for
 // a connection.
 func (op *operation) connectDeadline() time.Time {
-	byObjective := op.began.Add(time.Duration(maxHoldShare * float64(op.route.TargetLatency)))
+	byObjective := op.began.Add(time.Duration(maxHoldShare * float64(op.objective())))
 	enough := op.session.director.Now().Add(minQueueTime)
 	if byObjective.After(enough) {
 		return byObjective
@@ -117,12 +126,42 @@
 	return enough
 }
 
-// customerWeight returns the customer's weight, which is its rate.
+// customerWeight returns the customer's weight: its rate, or the mean rate if it has
+// none.
 func (s *service) customerWeight(customer string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.catalog == nil || s.catalog.Configuration == nil {
-		return 1
+	if rate := s.catalog.Configuration.Customers[customer].Rate; rate > 0 {
+		return rate
+	}
+	return s.meanRate
+}
+
+// setMeanRate sets the mean rate of the customers that have one, or 1 if none has. The
+// caller holds mu.
+func (s *service) setMeanRate(configuration *cataloger.Configuration) {
+	if configuration == nil || configuration == s.meanRateOf {
+		return
+	}
+	sum, count := 0.0, 0
+	for _, customer := range configuration.Customers {
+		if customer.Rate > 0 {
+			sum += customer.Rate
+			count++
+		}
+	}
+	s.meanRate, s.meanRateOf = 1, configuration
+	if count > 0 {
+		s.meanRate = sum / float64(count)
+	}
+}
+
+// primaryWait returns how long the operation may wait for a primary. While balancing,
+// it is refused when it could no longer be in time.
+func (op *operation) primaryWait() time.Duration {
+	limit := op.route.StatementTimeout
+	if op.service.isBalanced() {
+		limit = min(limit, op.objective())
 	}
-	return s.catalog.Configuration.Customers[customer].Rate
+	return time.Duration(primaryWaitShare * float64(limit))
 }
--- a/director/admission_test.go
+++ b/director/admission_test.go
@@ -117,6 +117,48 @@
 	})
 }
 
+// TestPrimaryWaitIsWithinObjective guards against writes that are held during a change
+// of primary until they can only be late, and are then refused.
+func TestPrimaryWaitIsWithinObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBalancedFixture(cataloger.Primary)
+		f.replacePrimary()
+		began := time.Now()
+		got := runVerb(f.newSession(), executor.VerbWrite, "a x")
+		if took := time.Since(began); got.Code != executor.CodeBusy || took > 400*time.Millisecond {
+			t.Errorf("got %v after %v, want busy within the latency objective of 400 ms", got.Code, took)
+		}
+	})
+}
+
+// TestRouteWithoutObjective guards against requests that are refused whenever no slot
+// is free, because their route has no latency objective.
+func TestRouteWithoutObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBalancedFixture(cataloger.Primary)
+		f.director.Catalog().Configuration.Routes["db"] = cataloger.Route{Name: "route", Database: "db", Service: "s", StatementTimeout: time.Second}
+		release := f.holdSlots(t)
+		time.AfterFunc(100*time.Millisecond, release)
+		if got := runVerb(f.newSession(), executor.VerbRead, "a"); got.Code != executor.CodeNone {
+			t.Errorf("got %v %q, want the request to wait for a slot", got.Code, got.Text)
+		}
+	})
+}
+
+// TestCustomerWeight guards against customers without a rate limit that get a tiny
+// share of the slots.
+func TestCustomerWeight(t *testing.T) {
+	f := newFixture(cataloger.Primary)
+	f.updateCatalog(func(c *cataloger.Catalog) {
+		c.Configuration = &cataloger.Configuration{Version: 2, Customers: map[string]cataloger.Customer{"a": {Rate: 10}, "b": {Rate: 30}, "c": {}}}
+	})
+	for customer, want := range map[string]float64{"a": 10, "b": 30, "c": 20} {
+		if got := f.director.service("s").customerWeight(customer); got != want {
+			t.Errorf("customer %s has weight %v, want %v", customer, got, want)
+		}
+	}
+}
+
 // TestFailingReplicaIsEjected guards against reads that keep failing at a replica
 // whose registration is good, and against one that stays ejected after it recovered.
 func TestFailingReplicaIsEjected(t *testing.T) {
--- a/director/attempt.go
+++ b/director/attempt.go
@@ -19,8 +19,9 @@
 	// setupTimeout is the timeout of statements that the proxy itself runs on
 	// a connection.
 	setupTimeout = 500 * time.Millisecond
-	// primaryWaitShare is the fraction of the statement timeout that an
-	// operation may wait for a primary while none is in force.
+	// primaryWaitShare is the fraction of the statement timeout, or of the latency
+	// objective while balancing, that an operation may wait for a primary while none is
+	// in force.
 	primaryWaitShare = 0.8
 	// queueTimeShare is the fraction of its latency objective that an operation
 	// may wait for a connection. Under overload the operations that are served
@@ -118,8 +119,7 @@
 	if j := op.service.chooseReplica(required, candidates); j >= 0 {
 		return op.connect(ctx, databases[j], nil, required.FloorIsOwnCommit, deadline)
 	}
-	wait := time.Duration(primaryWaitShare * float64(op.route.StatementTimeout))
-	return nil, op.awaitPrimary(ctx, changed, since.Add(wait))
+	return nil, op.awaitPrimary(ctx, changed, since.Add(op.primaryWait()))
 }
 
 // queueDeadline returns the time until which the operation may wait for a
--- a/director/balance.go
+++ b/director/balance.go
@@ -132,6 +132,7 @@
 	case response.Code == executor.CodeNone:
 		a.served = true
 	default:
+		op.service.cancelTrial(a.database, kindOf(op.writes))
 		return
 	}
 	op.service.recordOutcome(a.database, kindOf(op.writes), outcome)
--- a/director/service.go
+++ b/director/service.go
@@ -27,6 +27,9 @@
 	balanced atomic.Bool
 
 	mu sync.Mutex
+	// meanRate is the mean rate of the customers of the configuration meanRateOf.
+	meanRate   float64
+	meanRateOf *cataloger.Configuration
 	// detector is used only while the service is balanced.
 	detector  balancer.Detector
 	databases map[endpointKey]*database
@@ -61,6 +64,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.catalog = catalog
+	s.setMeanRate(catalog.Configuration)
 	s.setBalanced(s.director.Balance.applies(catalog))
 	present := make(map[endpointKey]bool)
 	for _, endpoint := range catalog.Endpoints[s.name] {
