--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -23,7 +23,7 @@
 	maxSampleRatio = 4
 	// slotTimeHalfLife is the half-life of a mean slot time that no request confirms.
 	// Without it a class whose mean has come near its timeout would be refused for ever.
-	slotTimeHalfLife = time.Second
+	slotTimeHalfLife = 2 * time.Second
 	// startMargin is the number of mean slot times before its objective at which a
 	// request has to start to be in time. Slot times vary, so it is above 1.
 	startMargin = 1.5
@@ -62,11 +62,13 @@
 	ReasonLate
 	// ReasonTimeout means that the timeout of the request is too near to serve it.
 	ReasonTimeout
+	// ReasonThrottled means that too few recent attempts to use the database succeeded.
+	ReasonThrottled
 	// ReasonCanceled means that the client's context ended.
 	ReasonCanceled
 )
 
-var reasonNames = [...]string{"expected_wait", "displaced", "late", "timeout", "canceled"}
+var reasonNames = [...]string{"expected_wait", "displaced", "late", "timeout", "throttled", "canceled"}
 
 // String returns the name of the reason for logs and metrics.
 func (r Reason) String() string { return reasonNames[r] }
--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -12,8 +12,28 @@
 	// Now returns the time with a monotonic reading.
 	Now func() time.Time
 
-	mu    sync.Mutex
-	queue Queue
+	mu       sync.Mutex
+	queue    Queue
+	throttle Throttle
+}
+
+// Throttle refuses an attempt that needs a new connection if too few of the recent
+// ones succeeded.
+func (g *Gate) Throttle(class Class, uniform func() float64) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	if g.throttle.Admit(class.level(), uniform, now) {
+		return nil
+	}
+	return &Refusal{Reason: ReasonThrottled, RetryAfter: g.queue.retryAfter(initialSlotTime.Seconds(), now)}
+}
+
+// RecordAttempt records whether an attempt that Throttle admitted got a connection.
+func (g *Gate) RecordAttempt(succeeded bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.throttle.Record(succeeded, g.Now())
 }
 
 // SetSlots sets the number of requests that may run concurrently.
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"testing"
@@ -127,6 +128,36 @@
 	}
 }
 
+// TestThrottle guards against attempts that take the capacity of those that could
+// succeed, and against a database that is no longer tried after it has recovered.
+func TestThrottle(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	now := simEpoch
+	var throttle Throttle
+	admitted := func(attempts int, succeeds float64) int {
+		count := 0
+		for range attempts {
+			now = now.Add(20 * time.Millisecond)
+			if throttle.Admit(1, random.Float64, now) {
+				count++
+				throttle.Record(random.Float64() < succeeds, now)
+			}
+		}
+		return count
+	}
+	if got := admitted(500, 1); got < 490 {
+		t.Errorf("admitted %d of 500 attempts that all succeed, want nearly all", got)
+	}
+	admitted(250, 0.1)
+	if got := admitted(500, 0.1); got > 100 {
+		t.Errorf("admitted %d of 500 attempts of which a tenth succeeds, want few", got)
+	}
+	admitted(500, 1)
+	if got := admitted(500, 1); got < 490 {
+		t.Errorf("admitted %d of 500 attempts after the database has recovered, want nearly all", got)
+	}
+}
+
 // TestGate guards against slots that are lost or granted twice when requests are
 // withdrawn, refused and served concurrently, and against refusals that come only
 // at the timeout.
--- a/director/admission.go
+++ b/director/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,7 +66,7 @@
 // try another database.
 func refusedOnArrival(err error) bool {
 	var refused *admissionError
-	return errors.As(err, &refused) && refused.refusal.Reason == admitter.ReasonExpectedWait
+	return errors.As(err, &refused) && (refused.refusal.Reason == admitter.ReasonExpectedWait || refused.refusal.Reason == admitter.ReasonThrottled)
 }
 
 // isBalanced reports whether admission and balancing are in use.
@@ -86,17 +87,30 @@
 	}
 	ticket, err := a.database.gate.Acquire(ctx, request)
 	if err != nil {
-		var refusal *admitter.Refusal
-		if errors.As(err, &refusal) {
-			op.session.director.Metrics.recordRefusal(refusal.Reason)
-			return &admissionError{refusal}
-		}
-		return err
+		return op.admissionError(err)
 	}
 	a.ticket, a.served = ticket, false
 	return nil
 }
 
+// throttle refuses an attempt that needs a new connection if too few of this host's
+// recent ones to the database succeeded.
+func (a *attempt) throttle() error {
+	op := a.operation
+	err := a.database.gate.Throttle(admitter.Class{Route: op.route.Name, Priority: op.priority, Writes: op.writes}, rand.Float64)
+	return op.admissionError(err)
+}
+
+// admissionError counts a refusal and returns it as an admissionError.
+func (op *operation) admissionError(err error) error {
+	var refusal *admitter.Refusal
+	if !errors.As(err, &refusal) {
+		return err
+	}
+	op.session.director.Metrics.recordRefusal(refusal.Reason)
+	return &admissionError{refusal}
+}
+
 // objective returns the latency objective of the operation; a route without one has
 // its timeout.
 func (op *operation) objective() time.Duration {
--- a/director/attempt.go
+++ b/director/attempt.go
@@ -187,10 +187,21 @@
 		op.recordConnectError(db, err)
 		return a, err
 	}
+	throttled := balanced && !db.pool.HasIdle(op.customer)
+	if throttled {
+		if err := a.throttle(); err != nil {
+			a.release()
+			op.recordConnectError(db, err)
+			return a, err
+		}
+	}
 	if balanced {
 		deadline = op.connectDeadline()
 	}
 	conn, err := db.pool.Get(ctx, op.customer, op.session.variables, op.priority, deadline)
+	if throttled && !errors.Is(err, connector.ErrQueueTimeout) {
+		db.gate.RecordAttempt(err == nil)
+	}
 	if err != nil {
 		a.release()
 		op.recordConnectError(db, err)
