--- a/director/database.go
+++ b/director/database.go
@@ -112,6 +112,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.director.Now()
+	s.earlyRetries = min(maxEarlyRetries, s.earlyRetries+earlyRetryRatio)
 	mean := db.decayedLatency(now)
 	db.meanLatency = mean + time.Duration(latencySmoothing*float64(latency-mean))
 	db.meanLatencyAt = now
--- a/director/service.go
+++ b/director/service.go
@@ -30,6 +30,8 @@
 	// meanRate is the mean rate of the customers of the configuration meanRateOf.
 	meanRate   float64
 	meanRateOf *cataloger.Configuration
+	// earlyRetries is the number of reads that may be retried early.
+	earlyRetries float64
 	// detector is used only while the service is balanced.
 	detector  balancer.Detector
 	databases map[endpointKey]*database
--- a/director/single.go
+++ b/director/single.go
@@ -109,7 +109,7 @@
 		r.statement.Floor = executor.Position{}
 	}
 	op.attempts++
-	response, err := a.roundTrip(r.statement, r.attemptDeadline())
+	response, err := a.roundTrip(r.statement, r.attemptDeadline(a))
 	if err != nil {
 		return r.connectionLostResponse(a, err)
 	}
@@ -124,10 +124,13 @@
 // attemptDeadline returns the deadline of the current attempt. The first
 // attempt of a read gets only a part of the timeout, which leaves time for a
 // retry on another database.
-func (r *singleStatement) attemptDeadline() time.Time {
+func (r *singleStatement) attemptDeadline(a *attempt) time.Time {
 	if r.writes || r.operation.attempts > 1 {
 		return r.deadline
 	}
+	if early, ok := a.earlyDeadline(); ok && early.Before(r.deadline) {
+		return early
+	}
 	share := time.Duration(firstAttemptShare * float64(r.operation.route.StatementTimeout))
 	now := r.operation.session.director.Now()
 	return now.Add(min(share, r.deadline.Sub(now)))
@@ -177,6 +180,9 @@
 	}
 	r.operation.service.recordFailure(a.database, err)
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	if timedOut && !r.writes && r.operation.session.director.Now().Before(r.deadline) {
+		r.operation.service.recordEarlyRetry()
+	}
 	switch {
 	case !a.clientStatementSent:
 		return executor.Response{Code: executor.CodeBusy, Text: "database unreachable, retry in 200ms"}, true
