--- a/director/transaction.go
+++ b/director/transaction.go
@@ -111,14 +111,14 @@
 	var tried map[string]bool
 	since := op.session.director.Now()
 	until := since.Add(time.Duration(primaryWaitShare * float64(op.route.StatementTimeout)))
-	reason := ""
+	reason, text := "", ""
 	for {
 		a, err := t.beginOnDatabase(ctx, since, tried)
 		if err == nil {
 			t.attempt = a
 			return t.executeOnConn(ctx, statement, writes, p, deadline)
 		}
-		reason = err.Error()
+		reason, text = err.Error(), refusalText(err)
 		if a != nil {
 			tried = withTried(tried, a.database.id)
 		}
@@ -130,7 +130,7 @@
 		time.Sleep(retryDelay)
 	}
 	op.attempts = 0
-	return t.fail(executor.Response{Code: executor.CodeBusy, Text: withRetryHint(reason)}, "", reason)
+	return t.fail(executor.Response{Code: executor.CodeBusy, Text: text}, "", reason)
 }
 
 // withRetryHint returns the text of a refusal with a retry delay, which is added
@@ -190,7 +190,7 @@
 	response, err := t.roundTripWithRetry(ctx, statement, deadline)
 	switch {
 	case errors.Is(err, connector.ErrQueueTimeout):
-		response = t.operation.session.errorResponse(executor.CodeBusy, busyText)
+		response = t.operation.session.errorResponse(executor.CodeBusy, busyTextOf(err))
 		t.operation.finish(databaseID, err.Error(), response)
 		return response
 	case err != nil:
@@ -305,7 +305,7 @@
 	if t.attempt == nil {
 		a, err := t.beginOnDatabase(ctx, s.director.Now(), nil)
 		if err != nil {
-			response := s.errorResponse(executor.CodeBusy, withRetryHint(err.Error()))
+			response := s.errorResponse(executor.CodeBusy, refusalText(err))
 			t.operation.finish("", err.Error(), response)
 			return response
 		}
@@ -341,7 +341,7 @@
 	a := t.attempt
 	if errors.Is(err, connector.ErrQueueTimeout) {
 		a.returnOrDiscardConn(executor.StateTransaction)
-		return executor.Response{Code: executor.CodeBusy, Text: busyText, State: executor.StateIdle}
+		return executor.Response{Code: executor.CodeBusy, Text: busyTextOf(err), State: executor.StateIdle}
 	}
 	if !isFenced(err) {
 		t.operation.service.recordFailure(a.database, err)
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/director"
 )
 
 // ErrInvalidSettings is wrapped by every error about settings.
@@ -58,6 +60,9 @@
 	UsageTolerance float64
 	// DutyGap is the time after a change of leader in which the next one sends no report.
 	DutyGap time.Duration
+	// Balance determines whether the host uses admission by value and load balancing
+	// by outcomes.
+	Balance director.BalanceMode
 }
 
 const (
@@ -68,6 +73,9 @@
 	minUsageWindow = time.Second
 )
 
+// balanceModes are the values of the setting balance.
+var balanceModes = map[string]director.BalanceMode{"auto": director.BalanceAuto, "on": director.BalanceOn, "off": director.BalanceOff}
+
 // ReadSettings reads and validates a settings file. Errors wrap ErrInvalidSettings.
 func ReadSettings(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
@@ -97,6 +105,7 @@
 		checkAddress(d, "metrics_address", s.MetricsAddress)
 	}
 	d.Optional("seeds", &s.Seeds)
+	s.Balance = decodeBalance(d)
 	s.decodeUsage(d)
 	return s, NewValidationError(ErrInvalidSettings, violations)
 }
@@ -123,6 +132,17 @@
 	}
 }
 
+// decodeBalance returns the optional mode of balancing.
+func decodeBalance(d *ObjectDecoder) director.BalanceMode {
+	name := "auto"
+	d.Optional("balance", &name)
+	mode, ok := balanceModes[name]
+	if !ok {
+		d.Reject("balance", "%q is not auto, on or off", name)
+	}
+	return mode
+}
+
 // decodeSeconds returns a required positive duration that is given in seconds.
 func decodeSeconds(d *ObjectDecoder, field string) time.Duration {
 	seconds := Positive[float64](d, field)
