--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -52,10 +52,24 @@
 	// GracePeriod is how long open transactions may continue while Changing is
 	// set.
 	GracePeriod time.Duration
+	// Pending is the last promotion that was requested or is about to be, and that may
+	// still take effect.
+	Pending PendingPromotion
 	// Revision is the store revision of the record, 0 if there is none.
 	Revision int64
 }
 
+// A PendingPromotion is a promotion that may still take effect. Its zero value stands for
+// none.
+type PendingPromotion struct {
+	// ID and StartedAtMillis identify the incarnation of the database to be promoted.
+	ID              string
+	StartedAtMillis int64
+	// FormerTerm is the highest term that was seen in the service before the request.
+	// The promotion gives the database a higher one.
+	FormerTerm uint64
+}
+
 // A Host is a proxy process of the fleet.
 type Host struct {
 	Name string
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -184,7 +184,7 @@
 		if o.SinceFailure > 0 {
 			o.SinceFailure += age
 		}
-		observations[service] = overseer.HostObservation{ID: p.ID, StartedAtMillis: p.StartedAtMillis, Observation: o}
+		observations[service] = overseer.HostObservation{ID: p.ID, StartedAtMillis: p.StartedAtMillis, Age: age, Observation: o}
 	}
 }
 
--- a/overseer/decide.go
+++ b/overseer/decide.go
@@ -69,6 +69,13 @@
 	return o.SinceSuccess >= 0 && o.SinceSuccess < noResponseThreshold
 }
 
+// After returns the part of the observation that was made after the primary was assigned,
+// sinceAssigned ago.
+func (o Observation) After(sinceAssigned time.Duration) Observation {
+	o.SinceFailure = max(0, min(o.SinceFailure, sinceAssigned))
+	return o
+}
+
 // IsRelevant reports whether Evaluate takes the observation into account. One of a
 // healthy primary that the host has not used recently shows nothing.
 func (o Observation) IsRelevant() bool {
@@ -141,6 +148,8 @@
 	// Term and Offset are the last log position that it received.
 	Term   uint64
 	Offset uint64
+	// DatabaseTerm is the highest term known to the database: its own if it is a primary.
+	DatabaseTerm uint64
 	// Reachable is set if it responded to this host, Busy if it runs and refused to say more.
 	Reachable, Busy bool
 	// IsPrimary is set if it reports itself as the primary.
--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -34,6 +34,8 @@
 
 	// statuses are by database; a missing one is unreachable.
 	statuses map[string]executor.DatabaseStatus
+	// hidden holds the databases that run and can't be reached.
+	hidden map[string]bool
 	// busy holds the databases that run and are too busy to answer.
 	busy map[string]bool
 	// syncReplicas is that of the service.
@@ -42,12 +44,20 @@
 	promoted []promotion
 	// notRunning holds the databases that can't be promoted.
 	notRunning map[string]bool
-	demoted    []string
-	revoked    []storer.LeaseID
-	members    []Member
-	endpoints  []cataloger.Endpoint
-	evacuated  map[string]bool
-	hosts      map[string]cataloger.Host
+	// promotionDelay is how long a promotion takes, and lostResponse is set if requests for
+	// promotions are carried out and have no response.
+	promotionDelay time.Duration
+	lostResponse   bool
+	// inProgress is the database whose promotion has not taken effect, and overlapping
+	// counts the requests for another one meanwhile.
+	inProgress  string
+	overlapping int
+	demoted     []string
+	revoked     []storer.LeaseID
+	members     []Member
+	endpoints   []cataloger.Endpoint
+	evacuated   map[string]bool
+	hosts       map[string]cataloger.Host
 
 	// era is the era of the store, seenEra that of its last response, and viewCompleteAsOf is when the other hosts last
 	// confirmed the view of the overseer's host.
@@ -73,7 +83,7 @@
 func newTestEnv(t *testing.T) *testEnv {
 	env := &testEnv{
 		t: t, entries: make(map[string]storer.Entry), revision: 10, notRunning: make(map[string]bool),
-		evacuated: make(map[string]bool),
+		evacuated: make(map[string]bool), hidden: make(map[string]bool),
 		statuses: map[string]executor.DatabaseStatus{
 			"p": {Primary: true, Term: 1, Received: executor.Position{Term: 1, Offset: 20}},
 			"a": {Term: 1, Received: executor.Position{Term: 1, Offset: 18}},
@@ -85,17 +95,30 @@
 	}
 	env.mirror = &informer.Mirror{Now: time.Now, WrittenIn: WrittenIn}
 	env.listStore()
-	env.overseer = &Overseer{
-		Host: cataloger.Host{Name: "h1", Incarnation: "i1"}, Mirror: env.mirror, Catalog: env.catalog,
+	env.overseer = env.newOverseer("h1")
+	return env
+}
+
+func (env *testEnv) newOverseer(name string) *Overseer {
+	return &Overseer{
+		Host: cataloger.Host{Name: name, Incarnation: "i1"}, Mirror: env.mirror, Catalog: env.catalog,
 		Store:   storer.KeyValueStore{Write: env.write, Grant: env.grant, Renew: env.renew, Revoke: env.revoke, Era: env.currentEra},
 		Members: env.otherMembers, Self: env.self, TriggerExchanges: func() {}, Status: env.status, Demote: env.demote, Promote: env.promote,
 		ViewCompleteAsOf: func() time.Time { return env.viewCompleteAsOf },
 		MaxViewAge:       time.Second, MajorityExpiry: testMajorityExpiry, FleetExpiry: testFleetExpiry, RecentlyStarted: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
-	return env
 }
 
-func (env *testEnv) start() {
+// startOther makes another host the leader, whose process knows only the store.
+func (env *testEnv) startOther() {
+	env.update(func() { delete(env.entries, leaderKey) })
+	env.listStore()
+	env.overseer = env.newOverseer("h2")
+	env.start()
+}
+
+// start runs the overseer until the end of the test, or until cancel is called.
+func (env *testEnv) start() (cancel func()) {
 	ctx, cancel := context.WithCancel(env.t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -110,6 +133,7 @@
 	})
 	time.Sleep(2 * evaluateInterval)
 	synctest.Wait()
+	return cancel
 }
 
 // listStore makes the mirror list all keys of the store.
@@ -237,6 +261,7 @@
 func (env *testEnv) status(ctx context.Context, e cataloger.Endpoint) (executor.DatabaseStatus, error) {
 	env.mu.Lock()
 	status, ok := env.statuses[e.ID]
+	ok = ok && !env.hidden[e.ID]
 	busy := env.busy[e.ID]
 	env.mu.Unlock()
 	if busy {
@@ -249,10 +274,15 @@
 	return status, nil
 }
 
-func (env *testEnv) demote(_ context.Context, e cataloger.Endpoint, _ uint64) error {
+// demote makes a primary of a lower term a replica.
+func (env *testEnv) demote(_ context.Context, e cataloger.Endpoint, term uint64) error {
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.demoted = append(env.demoted, e.ID)
+	if status, ok := env.statuses[e.ID]; ok && status.Term < term {
+		status.Primary, status.Term = false, term
+		env.statuses[e.ID] = status
+	}
 	return nil
 }
 
@@ -264,10 +294,35 @@
 		return ErrNotRunning
 	}
 	env.promoted = append(env.promoted, promotion{id: id, token: token, at: time.Now()})
+	if env.inProgress != "" && env.inProgress != id {
+		env.overlapping++
+	}
+	env.inProgress = id
+	if env.promotionDelay == 0 {
+		env.takeEffect(id)
+	} else {
+		time.AfterFunc(env.promotionDelay, func() { env.update(func() { env.takeEffect(id) }) })
+	}
+	if env.lostResponse {
+		return storer.ErrUnavailable
+	}
+	return nil
+}
+
+// takeEffect makes a database the primary of the next term, unless it is the current primary:
+// that of the highest term.
+func (env *testEnv) takeEffect(id string) {
+	env.inProgress = ""
+	highest := uint64(0)
+	for _, status := range env.statuses {
+		highest = max(highest, status.Term)
+	}
 	status := env.statuses[id]
-	status.Primary, status.Term = true, 2
+	if status.Primary && status.Term == highest {
+		return
+	}
+	status.Primary, status.Term = true, highest+1
 	env.statuses[id] = status
-	return nil
 }
 
 func (env *testEnv) promotions() []promotion {
--- /dev/null
+++ b/overseer/evidence.go
@@ -0,0 +1,138 @@
+package overseer
+
+import (
+	"time"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+)
+
+// Evidence is what shows that a database is the current primary after a promotion.
+type Evidence string
+
+const (
+	// EvidenceNone shows nothing: the promotion may take effect later.
+	EvidenceNone Evidence = ""
+	// EvidenceHigherTerm is a primary whose term is above every term that was seen in the
+	// service before the request.
+	EvidenceHigherTerm Evidence = "higher_term"
+	// EvidenceOnlyPrimary is a primary that was one before the request, for which a promotion
+	// changes nothing: all databases of the service have responded, it is the only primary,
+	// and no term is above its own.
+	EvidenceOnlyPrimary Evidence = "only_primary"
+	// EvidenceUnchangedTerm is the same if a database does not respond. It counts once a
+	// promotion of the primary has been accepted and would have taken effect.
+	EvidenceUnchangedTerm Evidence = "unchanged_term"
+	// EvidenceFormerRestored is the former primary, which was put back into use because no
+	// database could be promoted and no promotion was requested.
+	EvidenceFormerRestored Evidence = "former_restored"
+)
+
+// EvidenceOf returns what the responses of databases show about a promotion of the database
+// with the given ID. formerTerm is the highest term seen before the request. effective is set
+// once an accepted request would have taken effect.
+func EvidenceOf(id string, formerTerm uint64, responses []Candidate, effective bool) Evidence {
+	var promoted Candidate
+	silent, contested := false, false
+	for _, r := range responses {
+		if r.Endpoint.ID == id {
+			promoted = r
+		}
+	}
+	if !promoted.IsPrimary || promoted.DatabaseTerm < formerTerm {
+		return EvidenceNone
+	}
+	for _, r := range responses {
+		other := r.Endpoint.ID != id
+		silent = silent || !r.Reachable
+		contested = contested || other && (r.IsPrimary || r.DatabaseTerm > promoted.DatabaseTerm)
+	}
+	switch {
+	case promoted.DatabaseTerm > formerTerm:
+		return EvidenceHigherTerm
+	case contested:
+		return EvidenceNone
+	case !silent:
+		return EvidenceOnlyPrimary
+	case effective:
+		return EvidenceUnchangedTerm
+	default:
+		return EvidenceNone
+	}
+}
+
+// An observedAssignment is what this host has seen of a service's primary assignment.
+type observedAssignment struct {
+	assignment cataloger.PrimaryAssignment
+	// assignedAt is when this host first saw that the primary is assigned.
+	assignedAt time.Time
+	// pendingSince is when this host first saw the pending promotion, or when it last
+	// requested it.
+	pendingSince time.Time
+	// requestToken is the fencing token with which this host requested the pending promotion,
+	// 0 if it did not.
+	requestToken int64
+}
+
+// observeAssignments records when the assignments of a catalog were first seen. Every host
+// does so, since any may become the leader.
+func (o *Overseer) observeAssignments(catalog *cataloger.Catalog) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, assignment := range catalog.Assignments {
+		o.observeAssignment(assignment)
+	}
+}
+
+// observeAssignment records an assignment; the caller holds the mutex. Older ones are ignored.
+func (o *Overseer) observeAssignment(assignment cataloger.PrimaryAssignment) {
+	seen, ok := o.observed[assignment.Service]
+	if ok && assignment.Revision < seen.assignment.Revision {
+		return
+	}
+	now := o.Now()
+	same := assignment.ID == seen.assignment.ID && assignment.StartedAtMillis == seen.assignment.StartedAtMillis
+	if !ok || !same || seen.assignment.Changing && !assignment.Changing {
+		seen.assignedAt = now
+	}
+	if !ok || assignment.Pending != seen.assignment.Pending {
+		seen.pendingSince, seen.requestToken = now, 0
+	}
+	seen.assignment = assignment
+	o.observed[assignment.Service] = seen
+}
+
+// sinceAssigned returns for how long this host has known that the primary is assigned.
+func (o *Overseer) sinceAssigned(service string) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.Now().Sub(o.observed[service].assignedAt)
+}
+
+// recordRequest records that this host requests the pending promotion of a service.
+func (o *Overseer) recordRequest(service string, token int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	seen := o.observed[service]
+	seen.pendingSince, seen.requestToken = o.Now(), token
+	o.observed[service] = seen
+}
+
+// pendingExpired reports whether the pending promotion of a service would have taken effect. A
+// former leader may have requested it until this host became the leader.
+func (o *Overseer) pendingExpired(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	since := o.observed[service].pendingSince
+	if o.ledSince.After(since) {
+		since = o.ledSince
+	}
+	return o.Now().Sub(since) >= promotionEffectTimeout
+}
+
+// requestedIn reports whether this host has requested the pending promotion of a service in the
+// leadership with the given token.
+func (o *Overseer) requestedIn(service string, token int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return token > 0 && o.observed[service].requestToken == token
+}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -59,6 +59,8 @@
 type HostObservation struct {
 	ID              string
 	StartedAtMillis int64
+	// Age is how long ago the host reported it.
+	Age time.Duration
 	Observation
 }
 
@@ -126,13 +128,15 @@
 	probeRespondedAt map[string]time.Time
 	// partitionedSince holds since when, in the current leadership, a primary has been
 	// unreachable from many hosts, by service.
-	partitionedSince map[string]time.Time
+	partitionedSince map[string]observedPartition
 	// primaryMissingSince holds since when, in the current leadership, no database of
 	// a service without an assignment has registered as primary, by service.
 	primaryMissingSince map[string]time.Time
 	// unreachableAt holds when last no database eligible for promotion responded, by
 	// service.
 	unreachableAt map[string]time.Time
+	// observed holds what this host has seen of the primary assignments, by service.
+	observed map[string]observedAssignment
 	// voters is the list of voters that this host wrote last as the leader.
 	voters voterList
 	// campaignAfter is the time before which this host does not campaign.
@@ -149,12 +153,19 @@
 	stopped bool
 }
 
+// An observedPartition is since when the primary of one assignment has been unreachable from
+// many hosts.
+type observedPartition struct {
+	revision int64
+	since    time.Time
+}
+
 // Run registers the host, renews its lease and acts as the leader while this host is
 // elected, until ctx ends.
 func (o *Overseer) Run(ctx context.Context) error {
-	o.changing, o.probeRespondedAt, o.partitionedSince = make(map[string]bool), make(map[string]time.Time), make(map[string]time.Time)
+	o.changing, o.probeRespondedAt, o.partitionedSince = make(map[string]bool), make(map[string]time.Time), make(map[string]observedPartition)
 	o.deferred, o.unreachableAt = make(map[string]bool), make(map[string]time.Time)
-	o.primaryMissingSince = make(map[string]time.Time)
+	o.primaryMissingSince, o.observed = make(map[string]time.Time), make(map[string]observedAssignment)
 	o.startedAt = o.Now()
 	o.keyMissing = make(chan struct{}, 1)
 	go o.evaluateLoop(ctx)
@@ -181,6 +192,9 @@
 			return
 		}
 		o.checkRegistration()
+		if catalog := o.Catalog(); catalog != nil {
+			o.observeAssignments(catalog)
+		}
 		if o.campaign(ctx) {
 			o.evaluateServices(ctx)
 		}
@@ -234,9 +248,9 @@
 		o.confirmPrimary(ctx, catalog, assignment)
 		return
 	}
-	state := serviceStateOf(catalog, assignment, members)
+	state := serviceStateOf(catalog, assignment, members, o.sinceAssigned(service))
 	reason := Evaluate(state)
-	persistent := o.partitionPersists(service, reason)
+	persistent := o.partitionPersists(assignment, reason)
 	switch {
 	case reason == ReasonNone:
 		return
@@ -272,29 +286,33 @@
 // partitionPersists reports whether a primary has been unreachable from many hosts
 // without interruption for long enough. Hosts that were partitioned themselves
 // report failures that are already over when they return.
-func (o *Overseer) partitionPersists(service string, reason Reason) bool {
+func (o *Overseer) partitionPersists(assignment cataloger.PrimaryAssignment, reason Reason) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if reason != ReasonPartitioned {
-		delete(o.partitionedSince, service)
+		delete(o.partitionedSince, assignment.Service)
 		return false
 	}
-	if _, ok := o.partitionedSince[service]; !ok {
-		o.partitionedSince[service] = o.Now()
+	partition, ok := o.partitionedSince[assignment.Service]
+	if !ok || partition.revision != assignment.Revision {
+		partition = observedPartition{revision: assignment.Revision, since: o.Now()}
+		o.partitionedSince[assignment.Service] = partition
 	}
-	return o.Now().Sub(o.partitionedSince[service]) >= partitionPersistence
+	return o.Now().Sub(partition.since) >= partitionPersistence
 }
 
-// serviceStateOf collects the state of a service from the catalog and the members.
-func serviceStateOf(catalog *cataloger.Catalog, assignment cataloger.PrimaryAssignment, members []Member) ServiceState {
+// serviceStateOf collects the state of a service from the catalog and the members. What they
+// observed before the primary was assigned does not count.
+func serviceStateOf(catalog *cataloger.Catalog, assignment cataloger.PrimaryAssignment, members []Member, sinceAssigned time.Duration) ServiceState {
 	s := ServiceState{Assignment: assignment, Hosts: len(members)}
 	s.Primary, s.Registered = catalog.Endpoint(assignment.Service, assignment.ID)
 	s.Registered = s.Registered && s.Primary.StartedAtMillis == assignment.StartedAtMillis
 	s.Evacuated = s.Registered && catalog.Evacuated[s.Primary.DataCentre]
 	s.Candidates = len(eligible(catalog, assignment))
 	for _, member := range members {
-		if o, ok := member.Observations[assignment.Service]; ok && o.ID == assignment.ID && o.StartedAtMillis == assignment.StartedAtMillis {
-			s.Observations = append(s.Observations, o.Observation)
+		o, ok := member.Observations[assignment.Service]
+		if ok && o.ID == assignment.ID && o.StartedAtMillis == assignment.StartedAtMillis && o.Age < sinceAssigned {
+			s.Observations = append(s.Observations, o.After(sinceAssigned))
 		}
 	}
 	return s
@@ -341,6 +359,9 @@
 	}
 	assignment.Revision = revision
 	o.Mirror.ApplyWrite(informer.Record{Key: put.Key, Value: put.Value, Revision: revision})
+	o.mu.Lock()
+	o.observeAssignment(assignment)
+	o.mu.Unlock()
 	o.TriggerExchanges()
 	return assignment, nil
 }
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -20,14 +20,9 @@
 	catchUpTimeout = 800 * time.Millisecond
 	// pollInterval is the pause between two checks of a condition that is awaited.
 	pollInterval = 20 * time.Millisecond
-	// promotionEffectTimeout bounds how long a database may take to become the
-	// primary after a promotion.
-	promotionEffectTimeout = 5 * time.Second
 	// fenceMargin is added to the view age at which hosts stop using primaries by
 	// themselves.
 	fenceMargin = 150 * time.Millisecond
-	// promoteTimeout bounds one promotion request.
-	promoteTimeout = 1500 * time.Millisecond
 )
 
 // errNoCandidate is returned when no database can be promoted.
@@ -50,6 +45,21 @@
 	// fenceRevision is the revision of the assignment that first fenced the former
 	// primary.
 	fenceRevision int64
+	// fencedPending is the pending promotion of a former change when this one was recorded.
+	fencedPending cataloger.PendingPromotion
+	// highestTerm is the highest term seen in the service: in the assignment and in the
+	// responses of databases.
+	highestTerm uint64
+	// requests counts the requests for the promotion of the present candidate.
+	requests int
+	// evidence is what shows that the change is complete, and formerTerm the highest term seen
+	// before the promotion was requested.
+	evidence   Evidence
+	formerTerm uint64
+}
+
+func (c *primaryChange) observeTerm(answer Candidate) {
+	c.highestTerm = max(c.highestTerm, answer.DatabaseTerm, answer.Term)
 }
 
 func (c *primaryChange) run(ctx context.Context) {
@@ -63,23 +73,24 @@
 		return
 	}
 	o.Logger.Info("primary_change_done", "service", c.service, "to", c.assignment.ID, "reason", string(c.reason),
-		"lead_revision", c.assignment.Revision, "took", o.Now().Sub(began))
+		"lead_revision", c.assignment.Revision, "evidence", string(c.evidence), "term", c.assignment.Term, "former_term", c.formerTerm, "took", o.Now().Sub(began))
 }
 
 func (c *primaryChange) replacePrimary(ctx context.Context) error {
-	o := c.overseer
+	c.highestTerm = max(c.assignment.Term, c.assignment.Pending.FormerTerm)
 	// Without a candidate the service keeps its primary, whatever its state.
-	if _, err := c.selectCandidate(ctx, nil); err != nil {
+	expected, err := c.selectCandidate(ctx, nil)
+	if err != nil {
 		return err
 	}
 	if err := c.fence(ctx); err != nil {
 		return err
 	}
-	var candidate Candidate
-	var err error
-	if c.reason.Planned() {
-		candidate, err = c.awaitCatchUp(ctx)
-	} else {
+	candidate, err := c.selectAfterFence(ctx, expected)
+	if c.awaitsPending(candidate, err) {
+		if completed, err := c.settlePending(ctx); err != nil || completed {
+			return err
+		}
 		candidate, err = c.selectCandidate(ctx, nil)
 	}
 	if errors.Is(err, errNoCandidate) || errors.Is(err, errTooFewAnswers) {
@@ -88,20 +99,16 @@
 	if err != nil {
 		return err
 	}
-	candidate, term, err := c.promoteBest(ctx, candidate)
-	if err != nil {
-		return err
-	}
-	next := cataloger.PrimaryAssignment{
-		Service: c.service, ID: candidate.Endpoint.ID, StartedAtMillis: candidate.Endpoint.StartedAtMillis, Term: term, Revision: c.assignment.Revision,
-	}
-	if c.assignment, err = o.writeAssignment(ctx, next); err != nil {
-		return err
-	}
-	if c.registered && c.former.ID != candidate.Endpoint.ID {
-		go c.demoteFormer(ctx, term)
+	return c.promoteBest(ctx, candidate)
+}
+
+// awaitsPending reports whether another promotion than that of the candidate may still take
+// effect.
+func (c *primaryChange) awaitsPending(candidate Candidate, err error) bool {
+	if c.fencedPending == (cataloger.PendingPromotion{}) {
+		return false
 	}
-	return nil
+	return err != nil || !c.repeats(candidate.Endpoint)
 }
 
 // restoreFormer puts the former primary back into use, if it is still the primary,
@@ -117,35 +124,15 @@
 		return reason
 	}
 	assignment := c.assignment
-	assignment.Changing, assignment.GracePeriod = false, 0
+	assignment.Changing, assignment.GracePeriod, assignment.Pending = false, 0, c.fencedPending
 	written, err := c.overseer.writeAssignment(ctx, assignment)
 	if err != nil {
 		return errors.Wrap(err, "restore the former primary")
 	}
-	c.assignment = written
+	c.assignment, c.evidence = written, EvidenceFormerRestored
 	return nil
 }
 
-// promoteBest promotes the candidate, or the next best one if the platform reports
-// that it is not running.
-func (c *primaryChange) promoteBest(ctx context.Context, candidate Candidate) (Candidate, uint64, error) {
-	excluded := make(map[string]bool)
-	for {
-		token, ok := c.overseer.leaderToken()
-		if !ok || token != c.token {
-			return candidate, 0, errLeadershipLost
-		}
-		term, err := c.promote(ctx, candidate.Endpoint, token)
-		if !errors.Is(err, ErrNotRunning) {
-			return candidate, term, err
-		}
-		excluded[candidate.Endpoint.ID] = true
-		if candidate, err = c.selectCandidate(ctx, excluded); err != nil {
-			return candidate, 0, err
-		}
-	}
-}
-
 // fence records that the primary is being replaced and waits until no host uses it
 // any more. A change that was started before is recorded again: the conditional
 // write shows that no other host has completed it in the meantime, which this host's
@@ -166,7 +153,7 @@
 	if !c.assignment.Changing || storer.EraOf(c.assignment.Revision) < storer.EraOf(written.Revision) {
 		c.fenceRevision = written.Revision
 	}
-	c.assignment = written
+	c.assignment, c.fencedPending = written, written.Pending
 	return c.awaitRelease(ctx)
 }
 
@@ -237,6 +224,9 @@
 	if len(s.answers) == 0 && len(s.silent) > 0 && !s.busy() {
 		c.overseer.recordUnreachable(ctx, c.service)
 	}
+	for _, answer := range s.answers {
+		c.observeTerm(answer)
+	}
 	if err != nil {
 		return Candidate{}, err
 	}
@@ -264,6 +254,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	former := c.overseer.queryStatus(ctx, c.former)
+	c.observeTerm(former)
 	deadline := o.Now().Add(catchUpTimeout)
 	for {
 		candidate, err := c.selectCandidate(ctx, nil)
@@ -278,57 +269,3 @@
 		timekeeper.Sleep(ctx, 2*pollInterval)
 	}
 }
-
-// promote repeats the promotion request until the platform accepts it, waits until
-// the database is the primary, and returns its term. It gives up when the leadership ends
-// in which the change was recorded, also if this host is the leader again.
-func (c *primaryChange) promote(ctx context.Context, endpoint cataloger.Endpoint, token int64) (uint64, error) {
-	o := c.overseer
-	deadline := o.Now().Add(promotionEffectTimeout)
-	requested := false
-	for o.Now().Before(deadline) {
-		if current, ok := o.leaderToken(); !ok || current != token {
-			return 0, errLeadershipLost
-		}
-		if !requested {
-			err := c.requestPromotion(ctx, endpoint, token)
-			if errors.Is(err, ErrNotRunning) {
-				return 0, err
-			}
-			requested = err == nil
-		}
-		probe, cancel := context.WithTimeout(ctx, probeTimeout)
-		status, err := o.Status(probe, endpoint)
-		cancel()
-		if err == nil && status.Primary {
-			return status.Term, nil
-		}
-		if !timekeeper.Sleep(ctx, pollInterval) {
-			return 0, ctx.Err()
-		}
-	}
-	return 0, errors.New("promotion did not take effect in time")
-}
-
-func (c *primaryChange) requestPromotion(ctx context.Context, endpoint cataloger.Endpoint, token int64) error {
-	o := c.overseer
-	validUntil := o.leaderUntil()
-	ctx, cancel := context.WithTimeout(ctx, min(promoteTimeout, validUntil.Sub(o.Now())))
-	defer cancel()
-	err := o.Promote(ctx, Promotion{Service: c.service, ID: endpoint.ID, Token: token, ValidUntil: validUntil})
-	o.Logger.Info("promotion_asked", "service", c.service, "database", endpoint.ID, "token", token, "error", errorText(err))
-	return err
-}
-
-// demoteFormer makes a former primary that still runs follow the new one.
-func (c *primaryChange) demoteFormer(ctx context.Context, term uint64) {
-	for range 3 {
-		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
-		err := c.overseer.Demote(attempt, c.former, term)
-		cancel()
-		if err == nil {
-			return
-		}
-		timekeeper.Sleep(ctx, time.Second)
-	}
-}
--- /dev/null
+++ b/overseer/promotion_test.go
@@ -0,0 +1,207 @@
+package overseer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/informer"
+	"github.com/endiveturn/endiveturn/storer"
+)
+
+// failPrimary makes the primary unreachable for the leader and the hosts.
+func (env *testEnv) failPrimary(id string) {
+	env.update(func() {
+		env.hidden[id] = true
+		member := memberReporting(failedObservation, func() int64 { return 1 << 40 })
+		member.Observations[service] = HostObservation{ID: id, Observation: failedObservation}
+		env.members = []Member{member}
+	})
+}
+
+// assign writes an assignment to the store before the start of the overseer.
+func (env *testEnv) assign(assignment cataloger.PrimaryAssignment) {
+	env.t.Helper()
+	value := encodeAssignment(assignment, 0)
+	revision, err := env.write(env.t.Context(), storer.Put{Key: assignmentsPrefix + service, Value: value})
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	env.mirror.ApplyWrite(informer.Record{Key: assignmentsPrefix + service, Value: value, Revision: revision})
+}
+
+// TestEarlierTermDoesNotCompleteChange guards against a change that completes because the
+// promoted database, which was partitioned, is still a primary by an earlier promotion. The
+// requested one then takes effect later, when another database may be the primary.
+func TestEarlierTermDoesNotCompleteChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		env.promotionDelay = time.Second
+		env.assign(cataloger.PrimaryAssignment{Service: service, ID: "p", Term: 2})
+		env.statuses["p"] = executor.DatabaseStatus{Primary: true, Term: 2, Received: executor.Position{Term: 2, Offset: 40}}
+		env.statuses["a"] = executor.DatabaseStatus{Term: 1, Received: executor.Position{Term: 1, Offset: 18}}
+		env.statuses["b"] = executor.DatabaseStatus{Primary: true, Term: 1, Received: executor.Position{Term: 1, Offset: 30}}
+		env.start()
+		env.failPrimary("p")
+		time.Sleep(900 * time.Millisecond)
+		synctest.Wait()
+		if got := env.promotions(); len(got) != 1 || got[0].id != "b" {
+			t.Fatalf("got promotions %+v, want one of b", got)
+		}
+		if got := env.assignment(); !got.Changing {
+			t.Errorf("got assignment %+v before the promotion took effect, want a change in progress", got)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if got := env.assignment(); got.Changing || got.ID != "b" || got.Term != 3 {
+			t.Errorf("got assignment %+v, want b in term 3", got)
+		}
+	})
+}
+
+// TestPromotionsDoNotOverlap guards against a promotion that takes effect after a later one has
+// been requested, so that hosts write to a database that is not the primary any more.
+func TestPromotionsDoNotOverlap(t *testing.T) {
+	tests := []struct {
+		name string
+		// newLeader is set if another host leads after the first request, and newLeadership
+		// if the same one does with another token.
+		newLeader, newLeadership bool
+		// lostResponse is set if the request has no response.
+		lostResponse bool
+		// unreachable is set if the promoted database can't be reached until the promotion
+		// has taken effect.
+		unreachable bool
+		// wantPromotions are the databases whose promotion is requested.
+		wantPromotions []string
+	}{
+		{name: "another leader", newLeader: true, wantPromotions: []string{"b"}},
+		{name: "another leader, database unreachable", newLeader: true, unreachable: true, wantPromotions: []string{"b"}},
+		{name: "leadership regained, database unreachable", newLeadership: true, unreachable: true, wantPromotions: []string{"b"}},
+		{name: "response lost, another leader", newLeader: true, lostResponse: true, unreachable: true, wantPromotions: []string{"b"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t)
+				env.promotionDelay, env.lostResponse = 3*time.Second, test.lostResponse
+				cancel := env.start()
+				time.Sleep(time.Second)
+				env.failPrimary("p")
+				for len(env.promotions()) == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				requested := time.Now()
+				if test.unreachable {
+					env.update(func() { env.hidden["b"] = true })
+				}
+				if test.newLeadership {
+					env.overseer.mu.Lock()
+					env.overseer.token += 1000
+					env.overseer.mu.Unlock()
+				}
+				if test.newLeader {
+					cancel()
+					env.startOther()
+				}
+				time.Sleep(3100*time.Millisecond - time.Since(requested))
+				env.update(func() { delete(env.hidden, "b") })
+				time.Sleep(4 * time.Second)
+				synctest.Wait()
+				env.update(func() {
+					if env.overlapping > 0 {
+						t.Errorf("%d promotions were requested while another one could take effect", env.overlapping)
+					}
+				})
+				var got []string
+				for _, p := range env.promotions() {
+					got = append(got, p.id)
+				}
+				if len(got) != len(test.wantPromotions) || got[0] != test.wantPromotions[0] {
+					t.Errorf("got promotions %v, want %v", got, test.wantPromotions)
+				}
+				if got := env.assignment(); got.Changing || got.ID != "b" || got.Term != 2 {
+					t.Errorf("got assignment %+v, want b in term 2", got)
+				}
+			})
+		})
+	}
+}
+
+// TestPendingPromotionExpires guards against a service without a primary for good because a
+// leader recorded a promotion and did not live to request it.
+func TestPendingPromotionExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		env.assign(cataloger.PrimaryAssignment{
+			Service: service, ID: "p", Term: 1, Changing: true, Pending: cataloger.PendingPromotion{ID: "a", FormerTerm: 1},
+		})
+		delete(env.statuses, "p")
+		began := time.Now()
+		env.start()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		got := env.promotions()
+		if len(got) != 1 || got[0].id != "b" || got[0].at.Sub(began) < promotionEffectTimeout {
+			t.Errorf("got promotions %+v, want one of b not before %v", got, promotionEffectTimeout)
+		}
+		if got := env.assignment(); got.Changing || got.ID != "b" || got.Pending != (cataloger.PendingPromotion{}) {
+			t.Errorf("got assignment %+v, want b with nothing pending", got)
+		}
+	})
+}
+
+// TestPromotionIsRecordedFirst guards against a promotion that the next leader does not know of
+// because the store did not have its record when it was requested.
+func TestPromotionIsRecordedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		var recorded cataloger.PendingPromotion
+		promote := env.overseer.Promote
+		env.overseer.Promote = func(ctx context.Context, p Promotion) error {
+			recorded = env.assignment().Pending
+			return promote(ctx, p)
+		}
+		env.start()
+		env.failPrimary("p")
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if want := (cataloger.PendingPromotion{ID: "b", FormerTerm: 1}); recorded != want {
+			t.Errorf("recorded %+v at the request, want %+v", recorded, want)
+		}
+	})
+}
+
+// TestStaleFailuresAreIgnored guards against replacing a primary again that has just been
+// assigned, because of what hosts observed before.
+func TestStaleFailuresAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		env.start()
+		time.Sleep(time.Second)
+		released := func() int64 { return 1 << 40 }
+		unreachable := Observation{SinceSuccess: 6 * time.Second, SinceFailure: 5 * time.Second}
+		report := func(id string, observation Observation) {
+			member := memberReporting(observation, released)
+			member.Observations[service] = HostObservation{ID: id, Observation: observation}
+			healthy := memberReporting(Observation{SinceSuccess: time.Millisecond}, released)
+			healthy.Observations[service] = HostObservation{ID: id, Observation: Observation{SinceSuccess: time.Millisecond}}
+			env.update(func() { env.members = []Member{member, healthy} })
+		}
+		report("p", unreachable)
+		for env.assignment().ID != "b" {
+			time.Sleep(10 * time.Millisecond)
+		}
+		report("b", unreachable)
+		time.Sleep(partialFailureThreshold)
+		report("b", Observation{SinceSuccess: time.Millisecond})
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if got := env.promotions(); len(got) != 1 {
+			t.Errorf("got promotions %+v, want one", got)
+		}
+	})
+}
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -35,6 +35,14 @@
 	// Era is the era of the store in which the leader wrote the record. Leaders of a
 	// former version leave it out.
 	Era *int64 `json:"era"`
+	// Pending is left out if no promotion is pending, and by leaders of a former version.
+	Pending *pendingRecord `json:"pending,omitempty"`
+}
+
+type pendingRecord struct {
+	ID         string `json:"id"`
+	Born       int64  `json:"born"`
+	FormerTerm uint64 `json:"former_term"`
 }
 
 type leaderRecord struct {
@@ -55,9 +63,11 @@
 }
 
 func encodeAssignment(a cataloger.PrimaryAssignment, era int64) []byte {
-	return encode(assignmentRecord{
-		ID: a.ID, Born: a.StartedAtMillis, Term: a.Term, Moving: a.Changing, Grace: a.GracePeriod.String(), Era: &era,
-	})
+	record := assignmentRecord{ID: a.ID, Born: a.StartedAtMillis, Term: a.Term, Moving: a.Changing, Grace: a.GracePeriod.String(), Era: &era}
+	if p := a.Pending; p != (cataloger.PendingPromotion{}) {
+		record.Pending = &pendingRecord{ID: p.ID, Born: p.StartedAtMillis, FormerTerm: p.FormerTerm}
+	}
+	return encode(record)
 }
 
 // WrittenIn returns the era of the store in which a leader wrote a primary assignment; ok
@@ -159,7 +169,11 @@
 	if gracePeriod < 0 || gracePeriod > maxGracePeriod {
 		return cataloger.PrimaryAssignment{}, true, errors.Errorf("primary assignment of %s: grace period %v is not from 0 to %v", service, gracePeriod, maxGracePeriod)
 	}
-	return cataloger.PrimaryAssignment{
+	assignment = cataloger.PrimaryAssignment{
 		Service: service, ID: record.ID, StartedAtMillis: record.Born, Term: record.Term, Changing: record.Moving, GracePeriod: gracePeriod, Revision: revision,
-	}, true, nil
+	}
+	if p := record.Pending; p != nil {
+		assignment.Pending = cataloger.PendingPromotion{ID: p.ID, StartedAtMillis: p.Born, FormerTerm: p.FormerTerm}
+	}
+	return assignment, true, nil
 }
--- a/overseer/survey.go
+++ b/overseer/survey.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		return Candidate{Endpoint: endpoint, Busy: errors.Is(err, connector.ErrTooManyConnections)}
 	}
-	return Candidate{Endpoint: endpoint, Reachable: true, IsPrimary: status.Primary, Term: status.Received.Term, Offset: status.Received.Offset}
+	return Candidate{Endpoint: endpoint, Reachable: true, IsPrimary: status.Primary, DatabaseTerm: status.Term, Term: status.Received.Term, Offset: status.Received.Offset}
 }
 
 // logSurvey logs what each database answered.
