--- a/director/database.go
+++ b/director/database.go
@@ -52,6 +52,7 @@
 	// consecutiveFailures counts failed attempts since the last success.
 	consecutiveFailures int
 	failingSince        time.Time
+	lastFailure         time.Time
 	avoidUntil          time.Time
 	busyUntil           time.Time
 	lastSuccess         time.Time
@@ -197,6 +198,7 @@
 	}
 	backoff := min(minFailureBackoff<<min(db.consecutiveFailures, 8), maxFailureBackoff)
 	db.consecutiveFailures++
+	db.lastFailure = now
 	db.avoidUntil = now.Add(backoff)
 }
 
--- a/director/health.go
+++ b/director/health.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endiveturn/endiveturn/cataloger"
@@ -31,13 +32,20 @@
 	// never did.
 	SinceSuccess time.Duration
 	// SinceFailure is how long the primary has been failing, or has left requests
-	// without a response beyond suspicionTimeout; 0 if it is healthy.
+	// without a response beyond suspicionTimeout, since it became the primary; 0 if it is
+	// healthy or has not been tried since.
 	SinceFailure time.Duration
 	// RefusesWrites is set if the primary has refused a statement as a replica within
 	// readOnlyWindow.
 	RefusesWrites bool
+	// Unreachable are the IDs of the other databases of the service that failed recently.
+	Unreachable []string
 }
 
+// unreachableWindow is how long a database counts as unreachable after its last failure. It
+// is longer than maxFailureBackoff, so that one that is still used is tried again meanwhile.
+const unreachableWindow = 2 * time.Second
+
 // readOnlyWindow is how long a primary counts as one that refuses writes after it refused one.
 const readOnlyWindow = time.Second
 
@@ -66,12 +74,36 @@
 	if !s.primary.lastSuccess.IsZero() {
 		health.SinceSuccess = now.Sub(s.primary.lastSuccess)
 	}
-	if s.primary.consecutiveFailures > 0 {
-		health.SinceFailure = max(time.Millisecond, now.Sub(s.primary.failingSince))
+	// A former failure of a database that has just become the primary shows nothing.
+	if s.primary.consecutiveFailures > 0 && !s.primary.lastFailure.Before(s.primarySince) {
+		health.SinceFailure = max(time.Millisecond, now.Sub(latest(s.primary.failingSince, s.primarySince)))
 	}
 	if !s.primary.awaitingResponseSince.IsZero() {
-		health.SinceFailure = max(health.SinceFailure, now.Sub(s.primary.awaitingResponseSince)-suspicionTimeout)
+		health.SinceFailure = max(health.SinceFailure, now.Sub(latest(s.primary.awaitingResponseSince, s.primarySince))-suspicionTimeout)
 	}
-	health.RefusesWrites = !s.primary.lastReadOnly.IsZero() && now.Sub(s.primary.lastReadOnly) < readOnlyWindow
+	health.RefusesWrites = !s.primary.lastReadOnly.Before(s.primarySince) && now.Sub(s.primary.lastReadOnly) < readOnlyWindow
+	health.Unreachable = s.unreachableReplicas(now)
 	return health, true
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// unreachableReplicas returns the databases beside the primary that failed recently or leave
+// requests without a response.
+func (s *service) unreachableReplicas(now time.Time) []string {
+	var ids []string
+	for _, db := range s.databases {
+		failing := db.consecutiveFailures > 0 && now.Sub(db.lastFailure) < unreachableWindow
+		silent := !db.awaitingResponseSince.IsZero() && now.Sub(db.awaitingResponseSince) > suspicionTimeout
+		if db != s.primary && db.deregisteredAt.IsZero() && (failing || silent) {
+			ids = append(ids, db.id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/director/health_test.go
+++ b/director/health_test.go
@@ -5,10 +5,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/executor"
 )
 
+var errTest = errors.New("no response")
+
 // TestIdleTransactionIsNoFailure guards against a primary that hosts report as
 // failing, and that the leader then replaces, because a client leaves its
 // transaction idle and nothing else runs.
@@ -84,3 +88,33 @@
 		}
 	})
 }
+
+// TestFailuresBeforeAssignmentAreNotReported guards against replacing a primary that has just
+// been assigned, because of failures that the host observed while it was a replica, and
+// against reporting a replica as reachable that fails.
+func TestFailuresBeforeAssignmentAreNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(cataloger.Primary)
+		s := f.director.services["s"]
+		replica := s.databases[endpointKey{id: "r"}]
+		s.recordFailure(replica, errTest)
+		s.recordReadOnly(replica)
+		s.recordWaitStart(replica)
+		time.Sleep(500 * time.Millisecond)
+		if got := f.director.PrimaryHealths()["s"].Unreachable; len(got) != 1 || got[0] != "r" {
+			t.Errorf("got unreachable databases %v, want r", got)
+		}
+		f.updateCatalog(func(c *cataloger.Catalog) {
+			c.Assignments = map[string]cataloger.PrimaryAssignment{"s": {Service: "s", ID: "r", Revision: 6}}
+		})
+		time.Sleep(100 * time.Millisecond)
+		if got := f.director.PrimaryHealths()["s"]; got.SinceFailure > 0 || got.RefusesWrites || len(got.Unreachable) > 0 {
+			t.Errorf("got health %+v of the new primary, want no failure", got)
+		}
+		s.recordFailure(replica, errTest)
+		time.Sleep(200 * time.Millisecond)
+		if got, want := f.director.PrimaryHealths()["s"].SinceFailure, 300*time.Millisecond; got != want {
+			t.Errorf("the primary counts as failing for %v, want %v since its assignment", got, want)
+		}
+	})
+}
--- a/director/service.go
+++ b/director/service.go
@@ -25,6 +25,8 @@
 	// primary is the database that may be used as primary, or nil if there is
 	// none.
 	primary *database
+	// primarySince is when primary was set.
+	primarySince time.Time
 	// assignment is the primary assignment by which primary was chosen.
 	assignment cataloger.PrimaryAssignment
 	history    PositionHistory
@@ -131,7 +133,7 @@
 		return
 	}
 	former := s.primary
-	s.primary = next
+	s.primary, s.primarySince = next, s.director.Now()
 	if next != nil {
 		s.history.Reset()
 	}
--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -42,6 +42,10 @@
 	fieldVotersRevision
 )
 
+// fieldUnreachable has one element for each database. The numbers from 21 to 28 are reserved
+// for other additions.
+const fieldUnreachable = 29
+
 // Field numbers of the nested messages.
 const (
 	fieldName = iota + 1
@@ -160,6 +164,13 @@
 		nested = appendNumber(nested, fieldFirst, uint64(revision))
 		b = appendNested(b, fieldReleased, nested)
 	}
+	for service, ids := range r.Unreachable {
+		for _, id := range ids {
+			nested = appendString(nested[:0], fieldName, service)
+			nested = appendString(nested, fieldFirst, id)
+			b = appendNested(b, fieldUnreachable, nested)
+		}
+	}
 	for _, record := range m.Records {
 		nested = appendString(nested[:0], fieldName, record.Key)
 		nested = appendNumber(nested, fieldFirst, uint64(record.Revision))
@@ -182,14 +193,19 @@
 	return appendNested(b, fieldThird, record.Value)
 }
 
-// fieldLimit is greater than all field numbers in use. Fields from it on are
-// ignored.
-const fieldLimit = fieldVotersRevision + 1
+// fieldLimit and nestedFieldLimit are greater than all field numbers in use, of a message and
+// of a nested one. Fields from them on are ignored. A message has up to hundreds of nested
+// ones; arrays of fieldLimit for each took 15 % longer (BenchmarkExchange).
+const (
+	fieldLimit       = fieldUnreachable + 1
+	nestedFieldLimit = fieldFifth + 1
+)
 
-// fields holds the last value of each field of one message by field number.
+// fields holds the last value of each field of one message by field number. Both slices have
+// the same length.
 type fields struct {
-	numbers [fieldLimit]uint64
-	bytes   [fieldLimit][]byte
+	numbers []uint64
+	bytes   [][]byte
 }
 
 func (f *fields) text(field protowire.Number) string { return string(f.bytes[field]) }
@@ -217,7 +233,7 @@
 			return errors.Wrap(errMalformedMessage, protowire.ParseError(n).Error())
 		}
 		data = data[n:]
-		if field >= fieldLimit {
+		if int(field) >= len(f.numbers) {
 			continue
 		}
 		f.numbers[field], f.bytes[field] = number, value
@@ -234,7 +250,9 @@
 	m := Message{Report: Report{
 		Usages: make(map[string]Usage), Primaries: make(map[string]PrimaryHealth), ReleasedRevisions: make(map[string]int64),
 	}}
-	var f fields
+	var numbers [fieldLimit]uint64
+	var values [fieldLimit][]byte
+	f := fields{numbers: numbers[:], bytes: values[:]}
 	if err := f.parse(data, m.parseNested); err != nil {
 		return Message{}, err
 	}
@@ -256,10 +274,12 @@
 
 // parseNested parses one element of a repeated field; other fields are ignored.
 func (m *Message) parseNested(field protowire.Number, value []byte) error {
-	if field < fieldUsage || field > fieldRecord {
+	if (field < fieldUsage || field > fieldRecord) && field != fieldUnreachable {
 		return nil
 	}
-	var f fields
+	var numbers [nestedFieldLimit]uint64
+	var values [nestedFieldLimit][]byte
+	f := fields{numbers: numbers[:], bytes: values[:]}
 	if err := f.parse(value, nil); err != nil {
 		return err
 	}
@@ -277,6 +297,11 @@
 		}
 	case fieldReleased:
 		m.Report.ReleasedRevisions[name] = int64(f.numbers[fieldFirst])
+	case fieldUnreachable:
+		if m.Report.Unreachable == nil {
+			m.Report.Unreachable = make(map[string][]string)
+		}
+		m.Report.Unreachable[name] = append(m.Report.Unreachable[name], f.text(fieldFirst))
 	case fieldRecord:
 		value, err := recordValue(&f)
 		if err != nil {
--- a/exchanger/codec_test.go
+++ b/exchanger/codec_test.go
@@ -24,7 +24,7 @@
 					"s1": {ID: "d1", StartedAtMillis: 1781000000000, SinceSuccess: -1, SinceFailure: time.Second},
 					"s2": {ID: "d2", SinceSuccess: 3 * time.Millisecond, RefusesWrites: true},
 				},
-				ReleasedRevisions: map[string]int64{"s1": 9},
+				ReleasedRevisions: map[string]int64{"s1": 9}, Unreachable: map[string][]string{"s1": {"d3", "d4"}},
 			},
 			Sequence: 7, Echo: 8, AcceptsCompression: true,
 			Records: []Record{{Key: "k", Value: []byte{0, 255}, Revision: 3}, {Key: "gone", Revision: 4, Deleted: true}},
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -62,6 +62,9 @@
 	// Primaries are by service. They and ReleasedRevisions are empty in reports to
 	// hosts that do not replace primaries.
 	Primaries map[string]PrimaryHealth
+	// Unreachable holds, for each service whose primary fails for the host, the IDs of the
+	// other databases that fail for it too; nil if there are none.
+	Unreachable map[string][]string
 	// ReleasedRevisions holds, for each service whose primary is being replaced, the
 	// revision of the last primary assignment with which the host uses no primary.
 	ReleasedRevisions map[string]int64
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -164,7 +164,7 @@
 			return h.Platform.Promote(ctx, h.Settings.Host, promotion)
 		},
 		ViewCompleteAsOf: h.viewCompleteAsOf, MaxViewAge: director.MaxViewAge, MajorityExpiry: majorityExpiry, FleetExpiry: fleetExpiry,
-		RecentlyStarted: h.recentlyStarted, Now: timekeeper.Now, Logger: h.Logger,
+		RecentlyStarted: h.recentlyStarted, CountEvent: func(name string) { gometrics.GetOrRegisterCounter(name, h.Registry).Inc(1) }, Now: timekeeper.Now, Logger: h.Logger,
 	}
 }
 
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -47,7 +47,8 @@
 	}
 	if h.mayReplacePrimaries(receiver) {
 		r.ReleasedRevisions = h.director.ReleasedRevisions()
-		r.Primaries = primaryHealths(h.director.PrimaryHealths())
+		healths := h.director.PrimaryHealths()
+		r.Primaries, r.Unreachable = primaryHealths(healths), unreachableDatabases(healths)
 	}
 	return r
 }
@@ -76,6 +77,23 @@
 	return healths
 }
 
+// unreachableDatabases returns the databases that fail for this host of the services whose
+// primary fails for it, or nil.
+func unreachableDatabases(observed map[string]director.PrimaryHealth) map[string][]string {
+	var unreachable map[string][]string
+	for service, health := range observed {
+		observation := overseer.Observation{SinceSuccess: health.SinceSuccess, SinceFailure: health.SinceFailure}
+		if !observation.Failing() || len(health.Unreachable) == 0 {
+			continue
+		}
+		if unreachable == nil {
+			unreachable = make(map[string][]string)
+		}
+		unreachable[service] = health.Unreachable
+	}
+	return unreachable
+}
+
 func (h *Host) recordsSince(revision int64) []exchanger.Record {
 	records, _, _ := h.mirror.Since(revision)
 	list := make([]exchanger.Record, 0, len(records))
@@ -145,7 +163,7 @@
 		member.RecentlyHeard = timekeeper.Now().Sub(peer.HeardAt) < director.MaxViewAge
 		if peer.Report.Incarnation == host.Incarnation {
 			member.ReleasedRevisions, member.VotersRevision = peer.Report.ReleasedRevisions, peer.Report.VotersRevision
-			addObservations(member.Observations, peer.Report.Primaries, observationAge(peer, timekeeper.Now()))
+			addObservations(member.Observations, peer.Report, observationAge(peer, timekeeper.Now()))
 		}
 		members = append(members, member)
 	}
@@ -158,7 +176,7 @@
 	member := overseer.Member{
 		Name: h.Settings.Host, RecentlyHeard: true, ReleasedRevisions: report.ReleasedRevisions, Observations: make(map[string]overseer.HostObservation),
 	}
-	addObservations(member.Observations, report.Primaries, 0)
+	addObservations(member.Observations, report, 0)
 	return member
 }
 
@@ -172,11 +190,11 @@
 	return now.Sub(peer.ReceivedAt) + min(peer.ReceivedAt.Sub(peer.HeardAt), exchanger.Interval)
 }
 
-func addObservations(observations map[string]overseer.HostObservation, primaries map[string]exchanger.PrimaryHealth, age time.Duration) {
+func addObservations(observations map[string]overseer.HostObservation, report exchanger.Report, age time.Duration) {
 	if age > maxObservationAge {
 		return
 	}
-	for service, p := range primaries {
+	for service, p := range report.Primaries {
 		o := overseer.Observation{SinceSuccess: p.SinceSuccess, SinceFailure: p.SinceFailure, RefusesWrites: p.RefusesWrites}
 		if o.SinceSuccess >= 0 {
 			o.SinceSuccess += age
@@ -184,7 +202,7 @@
 		if o.SinceFailure > 0 {
 			o.SinceFailure += age
 		}
-		observations[service] = overseer.HostObservation{ID: p.ID, StartedAtMillis: p.StartedAtMillis, Age: age, Observation: o}
+		observations[service] = overseer.HostObservation{ID: p.ID, StartedAtMillis: p.StartedAtMillis, Age: age, Unreachable: report.Unreachable[service], Observation: o}
 	}
 }
 
--- a/hoster/peers_test.go
+++ b/hoster/peers_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/exchanger"
+	"github.com/endiveturn/endiveturn/overseer"
 	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
@@ -47,3 +50,22 @@
 		})
 	}
 }
+
+// TestUnreachableDatabasesAreReported guards against reports that grow with the number of
+// services while their primaries work, and against a leader that does not learn of them.
+func TestUnreachableDatabasesAreReported(t *testing.T) {
+	failing := director.PrimaryHealth{SinceSuccess: time.Second, SinceFailure: time.Second, Unreachable: []string{"b"}}
+	healthy := director.PrimaryHealth{SinceSuccess: time.Millisecond, Unreachable: []string{"b"}}
+	if got := unreachableDatabases(map[string]director.PrimaryHealth{"s": healthy}); got != nil {
+		t.Errorf("got %v for a primary that responds, want nil", got)
+	}
+	report := exchanger.Report{
+		Primaries:   primaryHealths(map[string]director.PrimaryHealth{"s": failing}),
+		Unreachable: unreachableDatabases(map[string]director.PrimaryHealth{"s": failing, "t": healthy}),
+	}
+	observations := make(map[string]overseer.HostObservation)
+	addObservations(observations, report, 0)
+	if got := observations["s"].Unreachable; len(got) != 1 || got[0] != "b" || len(report.Unreachable) != 1 {
+		t.Errorf("got unreachable databases %v, want b of s alone", report.Unreachable)
+	}
+}
--- a/overseer/decide.go
+++ b/overseer/decide.go
@@ -76,6 +76,9 @@
 	return o
 }
 
+// Failing reports whether the primary fails for the host.
+func (o Observation) Failing() bool { return o.SinceFailure > 0 && !o.responds() }
+
 // IsRelevant reports whether Evaluate takes the observation into account. One of a
 // healthy primary that the host has not used recently shows nothing.
 func (o Observation) IsRelevant() bool {
@@ -93,6 +96,9 @@
 	Evacuated bool
 	// Observations are those of all hosts that use the primary.
 	Observations []Observation
+	// UnreachableFrom is, by the ID of a database, for how many of the hosts whose primary
+	// fails that database fails too.
+	UnreachableFrom map[string]int
 	// Hosts is the number of hosts in the fleet.
 	Hosts int
 	// Candidates is the number of databases eligible for promotion.
@@ -119,7 +125,7 @@
 		if o.RefusesWrites {
 			return ReasonReadOnly
 		}
-		if o.SinceFailure > 0 && !o.responds() {
+		if o.Failing() {
 			if o.SinceFailure >= failingThreshold {
 				failing++
 			}
@@ -141,6 +147,18 @@
 	return ReasonNone
 }
 
+// Improves reports whether the hosts reach the database with the given ID better than the
+// primary that fails for them. What they do not report about it counts as reachable.
+func (s ServiceState) Improves(id string) bool {
+	failing := 0
+	for _, o := range s.Observations {
+		if o.Failing() {
+			failing++
+		}
+	}
+	return s.UnreachableFrom[id] == 0 || s.UnreachableFrom[id] < failing
+}
+
 // A Candidate is a database eligible for promotion, with the replication state that
 // it reports.
 type Candidate struct {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -61,6 +61,9 @@
 	StartedAtMillis int64
 	// Age is how long ago the host reported it.
 	Age time.Duration
+	// Unreachable are the IDs of the other databases of the service that fail for the host,
+	// if the primary does.
+	Unreachable []string
 	Observation
 }
 
@@ -96,6 +99,8 @@
 	ViewCompleteAsOf func() time.Time
 	// MaxViewAge is the age of a host's view at which it stops using primaries.
 	MaxViewAge time.Duration
+	// CountEvent increments the metric with the given name. It may be nil.
+	CountEvent func(name string)
 	// Now returns a monotonic time that includes the time the machine is suspended.
 	Now    func() time.Time
 	Logger *slog.Logger
@@ -135,6 +140,8 @@
 	// unreachableAt holds when last no database eligible for promotion responded, by
 	// service.
 	unreachableAt map[string]time.Time
+	// notBegun holds why a change was not begun when that was last logged, by service.
+	notBegun map[string]notBegun
 	// observed holds what this host has seen of the primary assignments, by service.
 	observed map[string]observedAssignment
 	// voters is the list of voters that this host wrote last as the leader.
@@ -166,6 +173,7 @@
 	o.changing, o.probeRespondedAt, o.partitionedSince = make(map[string]bool), make(map[string]time.Time), make(map[string]observedPartition)
 	o.deferred, o.unreachableAt = make(map[string]bool), make(map[string]time.Time)
 	o.primaryMissingSince, o.observed = make(map[string]time.Time), make(map[string]observedAssignment)
+	o.notBegun = make(map[string]notBegun)
 	o.startedAt = o.Now()
 	o.keyMissing = make(chan struct{}, 1)
 	go o.evaluateLoop(ctx)
@@ -262,7 +270,7 @@
 	if reason.Planned() && !o.quorumReachable(service, reason, members) {
 		return
 	}
-	change := &primaryChange{overseer: o, service: service, assignment: assignment, former: state.Primary, registered: state.Registered, reason: reason}
+	change := &primaryChange{overseer: o, service: service, assignment: assignment, former: state.Primary, registered: state.Registered, reason: reason, state: state}
 	change.run(ctx)
 }
 
@@ -278,6 +286,7 @@
 	defer o.mu.Unlock()
 	if !quorum && !o.deferred[service] {
 		o.Logger.Info("primary_change_deferred", "service", service, "reason", string(reason), "hosts", len(members))
+		o.countEvent("primary_changes_not_begun.hosts_missing")
 	}
 	o.deferred[service] = !quorum
 	return quorum
@@ -304,7 +313,7 @@
 // serviceStateOf collects the state of a service from the catalog and the members. What they
 // observed before the primary was assigned does not count.
 func serviceStateOf(catalog *cataloger.Catalog, assignment cataloger.PrimaryAssignment, members []Member, sinceAssigned time.Duration) ServiceState {
-	s := ServiceState{Assignment: assignment, Hosts: len(members)}
+	s := ServiceState{Assignment: assignment, Hosts: len(members), UnreachableFrom: make(map[string]int)}
 	s.Primary, s.Registered = catalog.Endpoint(assignment.Service, assignment.ID)
 	s.Registered = s.Registered && s.Primary.StartedAtMillis == assignment.StartedAtMillis
 	s.Evacuated = s.Registered && catalog.Evacuated[s.Primary.DataCentre]
@@ -313,6 +322,9 @@
 		o, ok := member.Observations[assignment.Service]
 		if ok && o.ID == assignment.ID && o.StartedAtMillis == assignment.StartedAtMillis && o.Age < sinceAssigned {
 			s.Observations = append(s.Observations, o.After(sinceAssigned))
+			for _, id := range o.Unreachable {
+				s.UnreachableFrom[id]++
+			}
 		}
 	}
 	return s
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -40,6 +40,8 @@
 	// registered is set if the former primary is registered.
 	registered bool
 	reason     Reason
+	// state is that of the service when the change was decided.
+	state ServiceState
 	// token is the fencing token of the leadership in which the change was recorded.
 	token int64
 	// fenceRevision is the revision of the assignment that first fenced the former
@@ -65,24 +67,40 @@
 func (c *primaryChange) run(ctx context.Context) {
 	o := c.overseer
 	began := o.Now()
-	o.Logger.Info("primary_change_began", "service", c.service, "from", c.assignment.ID, "reason", string(c.reason), "lead_revision", c.assignment.Revision)
-	err := c.replacePrimary(ctx)
+	expected, err := c.prepare(ctx)
 	if err != nil {
+		o.recordNotBegun(c, expected.Endpoint.ID, err)
+		timekeeper.Sleep(ctx, notBegunPause)
+		return
+	}
+	o.Logger.Info("primary_change_began", "service", c.service, "from", c.assignment.ID, "reason", string(c.reason), "lead_revision", c.assignment.Revision)
+	if err := c.replacePrimary(ctx, expected); err != nil {
+		o.countEvent("primary_changes_failed." + string(c.reason))
 		o.Logger.Warn("primary_change_failed", "service", c.service, "reason", string(c.reason), "error", err.Error(), "took", o.Now().Sub(began))
 		timekeeper.Sleep(ctx, evaluateInterval)
 		return
 	}
+	o.countEvent("primary_changes." + string(c.reason))
 	o.Logger.Info("primary_change_done", "service", c.service, "to", c.assignment.ID, "reason", string(c.reason),
 		"lead_revision", c.assignment.Revision, "evidence", string(c.evidence), "term", c.assignment.Term, "former_term", c.formerTerm, "took", o.Now().Sub(began))
 }
 
-func (c *primaryChange) replacePrimary(ctx context.Context) error {
+// prepare returns the database that would be promoted now. Without one, or without an
+// improvement for the hosts, the service keeps its primary, whatever its state.
+func (c *primaryChange) prepare(ctx context.Context) (Candidate, error) {
 	c.highestTerm = max(c.assignment.Term, c.assignment.Pending.FormerTerm)
-	// Without a candidate the service keeps its primary, whatever its state.
 	expected, err := c.selectCandidate(ctx, nil)
 	if err != nil {
-		return err
+		return expected, err
+	}
+	byHosts := c.reason == ReasonFailing || c.reason == ReasonPartitioned
+	if byHosts && !c.state.Improves(expected.Endpoint.ID) {
+		return expected, errNoImprovement
 	}
+	return expected, nil
+}
+
+func (c *primaryChange) replacePrimary(ctx context.Context, expected Candidate) error {
 	if err := c.fence(ctx); err != nil {
 		return err
 	}
--- a/overseer/promotion_test.go
+++ b/overseer/promotion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -205,3 +206,91 @@
 		}
 	})
 }
+
+// TestChangeWithoutImprovementIsNotBegun guards against a service that loses its primary for the
+// duration of a change and is as unreachable as before: a partition hides several databases.
+func TestChangeWithoutImprovementIsNotBegun(t *testing.T) {
+	tests := []struct {
+		name string
+		// cut and cutCandidate are for how many of 10 hosts the primary and also the next
+		// database fail.
+		cut, cutCandidate int
+		want              int
+	}{
+		{name: "both unreachable from the same hosts", cut: 4, cutCandidate: 4},
+		{name: "next one unreachable from fewer hosts", cut: 5, cutCandidate: 4, want: 1},
+		{name: "next one reachable", cut: 4, want: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t)
+				counts := make(map[string]int)
+				env.overseer.CountEvent = func(name string) { env.update(func() { counts[name]++ }) }
+				env.start()
+				time.Sleep(2 * time.Second)
+				var members []Member
+				for i := range 9 {
+					observation := HostObservation{ID: "p", Observation: Observation{SinceSuccess: time.Millisecond}}
+					if i < test.cut {
+						observation.Observation = Observation{SinceSuccess: 6 * time.Second, SinceFailure: 5 * time.Second}
+					}
+					if i < test.cutCandidate {
+						observation.Unreachable = []string{"b"}
+					}
+					members = append(members, Member{
+						Name: fmt.Sprint("m", i), ReleasedRevisions: map[string]int64{service: 1 << 40}, Observations: map[string]HostObservation{service: observation},
+					})
+				}
+				env.update(func() { env.members = members })
+				time.Sleep(4 * time.Second)
+				synctest.Wait()
+				if got := env.promotions(); len(got) != test.want {
+					t.Errorf("got promotions %+v, want %d", got, test.want)
+				}
+				env.update(func() {
+					done, notBegun := counts["primary_changes.primary_cut_from_hosts"], counts["primary_changes_not_begun.no_improvement"]
+					if done != test.want || notBegun != 1-test.want {
+						t.Errorf("got counts %v, want %d changes and %d that were not begun", counts, test.want, 1-test.want)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestEvidenceOf guards against a change that completes although another database may be the
+// current primary, and against one that never completes.
+func TestEvidenceOf(t *testing.T) {
+	primary := func(id string, term uint64) Candidate {
+		return Candidate{Endpoint: cataloger.Endpoint{ID: id}, Reachable: true, IsPrimary: true, DatabaseTerm: term}
+	}
+	replica := func(id string, term uint64) Candidate {
+		return Candidate{Endpoint: cataloger.Endpoint{ID: id}, Reachable: true, DatabaseTerm: term}
+	}
+	silent := Candidate{Endpoint: cataloger.Endpoint{ID: "b"}}
+	tests := []struct {
+		name      string
+		responses []Candidate
+		effective bool
+		want      Evidence
+	}{
+		{name: "no response", responses: []Candidate{{Endpoint: cataloger.Endpoint{ID: "a"}}}},
+		{name: "still a replica", responses: []Candidate{replica("a", 4)}},
+		{name: "higher term", responses: []Candidate{primary("a", 4)}, want: EvidenceHigherTerm},
+		{name: "higher term, former primary still one", responses: []Candidate{primary("a", 4), primary("b", 3)}, want: EvidenceHigherTerm},
+		{name: "earlier term", responses: []Candidate{primary("a", 2), replica("b", 2)}, effective: true},
+		{name: "only primary", responses: []Candidate{primary("a", 3), replica("b", 3)}, want: EvidenceOnlyPrimary},
+		{name: "another primary", responses: []Candidate{primary("a", 3), primary("b", 2)}, effective: true},
+		{name: "replica of a later term", responses: []Candidate{primary("a", 3), replica("b", 4)}, effective: true},
+		{name: "one is silent", responses: []Candidate{primary("a", 3), silent}},
+		{name: "one is silent, promotion would have taken effect", responses: []Candidate{primary("a", 3), silent}, effective: true, want: EvidenceUnchangedTerm},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := EvidenceOf("a", 3, test.responses, test.effective); got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
