--- a/hoster/fleet_model_test.go
+++ b/hoster/fleet_model_test.go
@@ -36,6 +36,7 @@
 	// promotions counts the promotions, confirmations the steps in which a host used a
 	// primary without the store.
 	promotions, confirmations int
+	group                     modelGroup
 }
 
 // A modelStore is the content of the store, and of a host's mirror.
@@ -74,6 +75,10 @@
 	// at fencedAt and acknowledged by enough hosts at quorumAt.
 	fencing            int64
 	fencedAt, quorumAt time.Time
+	// requested is set if the host has requested the pending promotion in this leadership, and
+	// pendingSince is when it did, or when it became the leader.
+	requested    bool
+	pendingSince time.Time
 }
 
 const (
@@ -86,6 +91,7 @@
 	m := &fleetModel{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), hosts: make(map[string]*modelHost),
 		partition: make(map[string]int), store: modelStore{revision: 1, registry: make(map[string]string)}, registeredAt: make(map[string]time.Time),
+		group: newModelGroup(),
 	}
 	for i := range hosts {
 		m.start(fmt.Sprint("h", i))
@@ -178,6 +184,7 @@
 	if m.random.IntN(20) == 0 {
 		m.injectFault()
 	}
+	m.stepDatabases()
 	for _, name := range slices.Sorted(maps.Keys(m.store.registry)) {
 		// The registration of a host that does not reach the store expires.
 		if h := m.hosts[name]; h != nil && m.reachesStore(name) && h.listed {
@@ -330,6 +337,7 @@
 		m.store.revision++
 		m.store.leaderToken, m.store.leader, m.renewedAt = m.store.revision, h.name, m.now
 		h.token, h.fencing = m.store.leaderToken, 0
+		h.requested, h.pendingSince = false, m.now
 		clear(h.absentSince)
 		return
 	default:
@@ -340,6 +348,7 @@
 		if h.votersToken == h.token && m.random.IntN(10) == 0 {
 			m.store.revision++
 			m.store.assignment = m.store.revision
+			m.group.record.Changing = true
 			h.mirror.assignment, h.fencing, h.fencedAt, h.quorumAt = m.store.assignment, m.store.assignment, m.now, time.Time{}
 		}
 		return
@@ -401,8 +410,11 @@
 	}
 	immediate := quorum && h.storeReadAt.After(h.fencedAt) && len(m.names) <= cataloger.MaxSmallFleetSize && m.allReleased(h, acknowledged)
 	if immediate || !h.quorumAt.IsZero() && m.now.Sub(h.quorumAt) > director.MaxViewAge {
-		m.promoted, h.fencing = h.fencing, 0
-		m.promotions++
+		m.promoted = h.fencing
+		if m.promote(h) {
+			h.fencing = 0
+			m.promotions++
+		}
 	}
 }
 
@@ -454,22 +466,29 @@
 	for _, hosts := range []int{1, 2, 3, 5, 7, 9, 17, 24} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
 			t.Parallel()
-			promotions, confirmations := 0, 0
+			promotions, confirmations, resumed := 0, 0, 0
 			for seed := range uint64(fleetModelSeeds) {
 				m := newFleetModel(seed, hosts)
 				for range 2400 {
 					m.step()
+					if m.group.fault != "" {
+						t.Fatalf("seed %d after %v: %s", seed, m.now.Sub(time.Unix(1000, 0)), m.group.fault)
+					}
 					if h := m.hostUsingFormerPrimary(); h != nil {
 						t.Fatalf("seed %d after %v: %s of %v uses the primary before assignment %d with assignment %d, read the store %v ago; voters %+v, the leader %s has %+v",
 							seed, m.now.Sub(time.Unix(1000, 0)), h.name, m.names, m.promoted, h.mirror.assignment, m.now.Sub(h.storeReadAt), h.mirror.voters, m.store.leader, m.store.voters)
 					}
 				}
 				promotions += m.promotions
+				resumed += m.group.resumed
 				confirmations += m.confirmations
 			}
 			if promotions < 4*fleetModelSeeds || confirmations < 100 {
 				t.Errorf("only %d promotions and %d confirmations without the store were simulated", promotions, confirmations)
 			}
+			if resumed == 0 {
+				t.Error("no change was simulated that another leader resumed")
+			}
 		})
 	}
 }
--- a/overseer/promotion.go
+++ b/overseer/promotion.go
@@ -122,7 +122,7 @@
 				}
 				c.evidence, c.formerTerm = EvidenceHigherTerm, pending.FormerTerm
 				// The leader before may have requested it more than once.
-				c.assignment.Pending = repeatedPromotion(answer)
+				c.assignment.Pending = remainingPromotion(answer)
 				return true, c.complete(ctx, answer)
 			}
 		}
@@ -141,9 +141,10 @@
 	return c.reason == ReasonInterrupted || c.reason == ReasonRestored
 }
 
-// repeatedPromotion returns the pending promotion that remains when a database has become the
-// primary by one of several requests. Another one of them may still raise its term.
-func repeatedPromotion(promoted Candidate) cataloger.PendingPromotion {
+// remainingPromotion returns the pending promotion that remains when a database is the primary
+// by another request than the last one. That one changes nothing now, but would replace the
+// next primary if it took effect after that had been promoted.
+func remainingPromotion(promoted Candidate) cataloger.PendingPromotion {
 	e := promoted.Endpoint
 	return cataloger.PendingPromotion{ID: e.ID, StartedAtMillis: e.StartedAtMillis, FormerTerm: promoted.DatabaseTerm}
 }
@@ -184,8 +185,8 @@
 		case evidence != EvidenceNone:
 			c.evidence, c.formerTerm = evidence, pending.FormerTerm
 			c.assignment.Pending = cataloger.PendingPromotion{}
-			if c.requests > 1 {
-				c.assignment.Pending = repeatedPromotion(promoted)
+			if evidence == EvidenceOnlyPrimary || evidence == EvidenceHigherTerm && c.requests > 1 {
+				c.assignment.Pending = remainingPromotion(promoted)
 			}
 			return promoted, nil
 		case expired:
--- a/overseer/promotion_test.go
+++ b/overseer/promotion_test.go
@@ -294,3 +294,32 @@
 		})
 	}
 }
+
+// TestRequestWithoutEffectStaysPending guards against a promotion that overlaps one of the
+// primary in place: that changed nothing, and would replace the next primary if it took effect
+// after that had been promoted.
+func TestRequestWithoutEffectStaysPending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		env.promotionDelay = 3 * time.Second
+		env.start()
+		env.update(func() {
+			env.statuses["p"] = executor.DatabaseStatus{Term: 2, Received: executor.Position{Term: 1, Offset: 20}}
+			env.statuses["b"] = executor.DatabaseStatus{Primary: true, Term: 2, Received: executor.Position{Term: 2, Offset: 31}}
+			env.members = []Member{memberReporting(Observation{SinceSuccess: time.Millisecond, RefusesWrites: true}, func() int64 { return 1 << 40 })}
+		})
+		for env.assignment().ID != "b" {
+			time.Sleep(10 * time.Millisecond)
+		}
+		env.failPrimary("b")
+		time.Sleep(12 * time.Second)
+		synctest.Wait()
+		got := env.promotions()
+		if len(got) != 2 || got[0].id != "b" || got[1].id == "b" || env.overlapping > 0 {
+			t.Errorf("got promotions %+v, %d overlapping, want b and then another one", got, env.overlapping)
+		}
+		if got := env.assignment(); got.Changing || got.ID == "b" {
+			t.Errorf("got assignment %+v, want another database than b", got)
+		}
+	})
+}
