--- a/overseer/not_begun.go
+++ b/overseer/not_begun.go
@@ -19,6 +19,10 @@
 // as many hosts as the primary.
 var errNoImprovement = errors.New("the next database is unreachable from as many hosts as the primary")
 
+// errPromotionPending is returned when a promotion may still take effect. A working primary is
+// kept until then.
+var errPromotionPending = errors.New("an earlier promotion may still take effect")
+
 // A notBegun is why a change was not begun, and when that was logged.
 type notBegun struct {
 	reason    Reason
@@ -33,6 +37,7 @@
 	name  string
 }{
 	{errNoImprovement, "no_improvement"},
+	{errPromotionPending, "promotion_pending"},
 	{errNoCandidate, "no_candidate"},
 	{errTooFewAnswers, "too_few_answers"},
 }
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -331,11 +331,22 @@
 // TestRecords guards against malformed records, such as those of other versions,
 // that make a host fail.
 func TestRecords(t *testing.T) {
-	assignment := cataloger.PrimaryAssignment{Service: service, ID: "p", StartedAtMillis: 7, Term: 3, Changing: true, GracePeriod: time.Second, Revision: 4}
+	assignment := cataloger.PrimaryAssignment{
+		Service: service, ID: "p", StartedAtMillis: 7, Term: 3, Changing: true, GracePeriod: time.Second, Revision: 4,
+		Pending: cataloger.PendingPromotion{ID: "a", StartedAtMillis: 8, FormerTerm: 3},
+	}
 	got, ok, err := DecodeAssignment(assignmentsPrefix+service, encodeAssignment(assignment, 0), 4)
 	if !ok || err != nil || got != assignment {
 		t.Errorf("got %+v, %v, %v, want %+v", got, ok, err, assignment)
 	}
+	former := `{"id":"p","born":7,"term":3,"moving":true,"grace":"1s","era":0}`
+	assignment.Pending = cataloger.PendingPromotion{}
+	if got, ok, err := DecodeAssignment(assignmentsPrefix+service, []byte(former), 4); !ok || err != nil || got != assignment {
+		t.Errorf("record of a former version: got %+v, %v, %v, want %+v", got, ok, err, assignment)
+	}
+	if got := string(encodeAssignment(assignment, 0)); got != former {
+		t.Errorf("got %s without a pending promotion, want %s", got, former)
+	}
 	for _, key := range []string{assignmentsPrefix + "x", hostsPrefix + "x"} {
 		_, isAssignment, assignmentErr := DecodeAssignment(key, []byte("{"), 1)
 		_, isHost, hostErr := DecodeHost(key, []byte("{"))
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -93,6 +93,9 @@
 	if err != nil {
 		return expected, err
 	}
+	if c.reason.Planned() && c.assignment.Pending != (cataloger.PendingPromotion{}) && !c.overseer.pendingExpired(c.service) {
+		return expected, errPromotionPending
+	}
 	byHosts := c.reason == ReasonFailing || c.reason == ReasonPartitioned
 	if byHosts && !c.state.Improves(expected.Endpoint.ID) {
 		return expected, errNoImprovement
--- a/overseer/promotion.go
+++ b/overseer/promotion.go
@@ -158,6 +158,7 @@
 	if c.repeats(endpoint) {
 		// The request before may already have raised the term.
 		pending.FormerTerm = c.assignment.Pending.FormerTerm
+		c.requests++
 	}
 	if c.assignment.Pending != pending {
 		if c.assignment, err = c.writePending(ctx, pending); err != nil {
@@ -215,6 +216,11 @@
 			o.Logger.Info("former_primary_demoted", "service", c.service, "database", r.Endpoint.ID, "term", promoted.DatabaseTerm, "error", errorText(err))
 		}
 	}
+	for _, r := range responses {
+		if r.Endpoint.ID == endpoint.ID {
+			promoted = r
+		}
+	}
 	return promoted, EvidenceOf(endpoint.ID, formerTerm, responses, effective)
 }
 
--- a/overseer/promotion_test.go
+++ b/overseer/promotion_test.go
@@ -323,3 +323,42 @@
 		}
 	})
 }
+
+// TestPlannedChangeAwaitsPendingPromotion guards against a service without a primary for
+// seconds because a planned change begins while an earlier promotion may still take effect.
+func TestPlannedChangeAwaitsPendingPromotion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		env.assign(cataloger.PrimaryAssignment{Service: service, ID: "p", Term: 1, Pending: cataloger.PendingPromotion{ID: "p", FormerTerm: 1}})
+		began := time.Now()
+		env.start()
+		env.update(func() { env.endpoints[2].Draining = true })
+		time.Sleep(promotionEffectTimeout - 500*time.Millisecond)
+		if got := env.assignment(); got.Changing || got.ID != "p" {
+			t.Errorf("got assignment %+v while a promotion is pending, want p", got)
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		got := env.promotions()
+		if len(got) != 1 || got[0].id != "b" || got[0].at.Sub(began) < promotionEffectTimeout {
+			t.Errorf("got promotions %+v, want one of b not before %v", got, promotionEffectTimeout)
+		}
+	})
+}
+
+// TestPartitionPersistsByAssignment guards against replacing a primary at once because its
+// predecessor had been unreachable from many hosts for long.
+func TestPartitionPersistsByAssignment(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := &Overseer{Now: func() time.Time { return now }, partitionedSince: make(map[string]observedPartition)}
+	former := cataloger.PrimaryAssignment{Service: service, ID: "p", Revision: 4}
+	next := cataloger.PrimaryAssignment{Service: service, ID: "b", Revision: 9}
+	o.partitionPersists(former, ReasonPartitioned)
+	now = now.Add(partitionPersistence)
+	if !o.partitionPersists(former, ReasonPartitioned) {
+		t.Error("the partition of the former primary does not persist")
+	}
+	if o.partitionPersists(next, ReasonPartitioned) {
+		t.Error("the partition of the former primary counts for the next one")
+	}
+}
