--- a/hoster/promotion_model_test.go
+++ b/hoster/promotion_model_test.go
@@ -59,7 +59,7 @@
 	return newest
 }
 
-// step cuts databases off or heals them, and lets promotions take effect.
+// stepDatabases cuts databases off or heals them, and lets promotions take effect.
 func (m *fleetModel) stepDatabases() {
 	g := &m.group
 	if m.random.IntN(40) == 0 {
--- a/overseer/evidence.go
+++ b/overseer/evidence.go
@@ -136,3 +136,28 @@
 	defer o.mu.Unlock()
 	return token > 0 && o.observed[service].requestToken == token
 }
+
+// An observedPartition is since when the primary of one assignment has been unreachable from
+// many hosts.
+type observedPartition struct {
+	revision int64
+	since    time.Time
+}
+
+// partitionPersists reports whether a primary has been unreachable from many hosts
+// without interruption for long enough. Hosts that were partitioned themselves
+// report failures that are already over when they return.
+func (o *Overseer) partitionPersists(assignment cataloger.PrimaryAssignment, reason Reason) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if reason != ReasonPartitioned {
+		delete(o.partitionedSince, assignment.Service)
+		return false
+	}
+	partition, ok := o.partitionedSince[assignment.Service]
+	if !ok || partition.revision != assignment.Revision {
+		partition = observedPartition{revision: assignment.Revision, since: o.Now()}
+		o.partitionedSince[assignment.Service] = partition
+	}
+	return o.Now().Sub(partition.since) >= partitionPersistence
+}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -160,13 +160,6 @@
 	stopped bool
 }
 
-// An observedPartition is since when the primary of one assignment has been unreachable from
-// many hosts.
-type observedPartition struct {
-	revision int64
-	since    time.Time
-}
-
 // Run registers the host, renews its lease and acts as the leader while this host is
 // elected, until ctx ends.
 func (o *Overseer) Run(ctx context.Context) error {
@@ -292,24 +285,6 @@
 	return quorum
 }
 
-// partitionPersists reports whether a primary has been unreachable from many hosts
-// without interruption for long enough. Hosts that were partitioned themselves
-// report failures that are already over when they return.
-func (o *Overseer) partitionPersists(assignment cataloger.PrimaryAssignment, reason Reason) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if reason != ReasonPartitioned {
-		delete(o.partitionedSince, assignment.Service)
-		return false
-	}
-	partition, ok := o.partitionedSince[assignment.Service]
-	if !ok || partition.revision != assignment.Revision {
-		partition = observedPartition{revision: assignment.Revision, since: o.Now()}
-		o.partitionedSince[assignment.Service] = partition
-	}
-	return o.Now().Sub(partition.since) >= partitionPersistence
-}
-
 // serviceStateOf collects the state of a service from the catalog and the members. What they
 // observed before the primary was assigned does not count.
 func serviceStateOf(catalog *cataloger.Catalog, assignment cataloger.PrimaryAssignment, members []Member, sinceAssigned time.Duration) ServiceState {
