--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -48,9 +48,9 @@
 	// promotions are carried out and have no response.
 	promotionDelay time.Duration
 	lostResponse   bool
-	// inProgress is the database whose promotion has not taken effect, and overlapping
-	// counts the requests for another one meanwhile.
-	inProgress  string
+	// inProgress counts the promotions of each database that have not taken effect, and
+	// overlapping the requests for another one meanwhile.
+	inProgress  map[string]int
 	overlapping int
 	demoted     []string
 	revoked     []storer.LeaseID
@@ -83,7 +83,7 @@
 func newTestEnv(t *testing.T) *testEnv {
 	env := &testEnv{
 		t: t, entries: make(map[string]storer.Entry), revision: 10, notRunning: make(map[string]bool),
-		evacuated: make(map[string]bool), hidden: make(map[string]bool),
+		evacuated: make(map[string]bool), hidden: make(map[string]bool), inProgress: make(map[string]int),
 		statuses: map[string]executor.DatabaseStatus{
 			"p": {Primary: true, Term: 1, Received: executor.Position{Term: 1, Offset: 20}},
 			"a": {Term: 1, Received: executor.Position{Term: 1, Offset: 18}},
@@ -294,10 +294,12 @@
 		return ErrNotRunning
 	}
 	env.promoted = append(env.promoted, promotion{id: id, token: token, at: time.Now()})
-	if env.inProgress != "" && env.inProgress != id {
-		env.overlapping++
+	for other, count := range env.inProgress {
+		if other != id && count > 0 {
+			env.overlapping++
+		}
 	}
-	env.inProgress = id
+	env.inProgress[id]++
 	if env.promotionDelay == 0 {
 		env.takeEffect(id)
 	} else {
@@ -312,7 +314,7 @@
 // takeEffect makes a database the primary of the next term, unless it is the current primary:
 // that of the highest term.
 func (env *testEnv) takeEffect(id string) {
-	env.inProgress = ""
+	env.inProgress[id]--
 	highest := uint64(0)
 	for _, status := range env.statuses {
 		highest = max(highest, status.Term)
--- a/overseer/promotion_test.go
+++ b/overseer/promotion_test.go
@@ -295,33 +295,54 @@
 	}
 }
 
-// TestRequestWithoutEffectStaysPending guards against a promotion that overlaps one of the
-// primary in place: that changed nothing, and would replace the next primary if it took effect
-// after that had been promoted.
+// TestRequestWithoutEffectStaysPending guards against a promotion that overlaps a request for the
+// primary in place, or one of several requests for it. That changes nothing, and would replace
+// the next primary if it took effect after that had been promoted.
 func TestRequestWithoutEffectStaysPending(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		env := newTestEnv(t)
-		env.promotionDelay = 3 * time.Second
-		env.start()
-		env.update(func() {
-			env.statuses["p"] = executor.DatabaseStatus{Term: 2, Received: executor.Position{Term: 1, Offset: 20}}
-			env.statuses["b"] = executor.DatabaseStatus{Primary: true, Term: 2, Received: executor.Position{Term: 2, Offset: 31}}
-			env.members = []Member{memberReporting(Observation{SinceSuccess: time.Millisecond, RefusesWrites: true}, func() int64 { return 1 << 40 })}
+	tests := []struct {
+		name string
+		// replaced is set if b is the primary before the leader requests its promotion, and
+		// lostResponse if the requests have no response, so that they are repeated.
+		replaced, lostResponse bool
+	}{
+		{name: "primary in place", replaced: true},
+		{name: "repeated requests", lostResponse: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t)
+				env.promotionDelay, env.lostResponse = 3*time.Second, test.lostResponse
+				env.start()
+				time.Sleep(time.Second)
+				if test.replaced {
+					env.update(func() {
+						env.statuses["p"] = executor.DatabaseStatus{Term: 2, Received: executor.Position{Term: 1, Offset: 20}}
+						env.statuses["b"] = executor.DatabaseStatus{Primary: true, Term: 2, Received: executor.Position{Term: 2, Offset: 31}}
+						env.members = []Member{memberReporting(Observation{SinceSuccess: time.Millisecond, RefusesWrites: true}, func() int64 { return 1 << 40 })}
+					})
+				} else {
+					env.failPrimary("p")
+				}
+				for env.assignment().ID != "b" {
+					time.Sleep(10 * time.Millisecond)
+				}
+				env.update(func() { env.lostResponse = false })
+				env.failPrimary("b")
+				time.Sleep(12 * time.Second)
+				synctest.Wait()
+				env.update(func() {
+					last := env.promoted[len(env.promoted)-1]
+					if env.promoted[0].id != "b" || last.id == "b" || env.overlapping > 0 {
+						t.Errorf("the first promotion is of %s, the last of %s, %d overlap; want b, another one, none", env.promoted[0].id, last.id, env.overlapping)
+					}
+				})
+				if got := env.assignment(); got.Changing || got.ID == "b" {
+					t.Errorf("got assignment %+v, want another database than b", got)
+				}
+			})
 		})
-		for env.assignment().ID != "b" {
-			time.Sleep(10 * time.Millisecond)
-		}
-		env.failPrimary("b")
-		time.Sleep(12 * time.Second)
-		synctest.Wait()
-		got := env.promotions()
-		if len(got) != 2 || got[0].id != "b" || got[1].id == "b" || env.overlapping > 0 {
-			t.Errorf("got promotions %+v, %d overlapping, want b and then another one", got, env.overlapping)
-		}
-		if got := env.assignment(); got.Changing || got.ID == "b" {
-			t.Errorf("got assignment %+v, want another database than b", got)
-		}
-	})
+	}
 }
 
 // TestPlannedChangeAwaitsPendingPromotion guards against a service without a primary for
