--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -41,11 +41,11 @@
 	fieldAcceptsCompression
 	fieldVotersRevision
 	fieldCounts
+	// fieldStoppingHost and fieldUnreachable are repeated.
+	fieldStoppingHost
+	fieldUnreachable
 )
 
-// fieldStoppingHost is the number of a repeated field of a message.
-const fieldStoppingHost = 25
-
 // Field numbers of the nested messages.
 const (
 	fieldName = iota + 1
@@ -170,6 +170,13 @@
 		nested = appendNumber(nested, fieldFirst, uint64(revision))
 		b = appendNested(b, fieldReleased, nested)
 	}
+	for service, ids := range r.Unreachable {
+		for _, id := range ids {
+			nested = appendString(nested[:0], fieldName, service)
+			nested = appendString(nested, fieldFirst, id)
+			b = appendNested(b, fieldUnreachable, nested)
+		}
+	}
 	for _, record := range m.Records {
 		nested = appendString(nested[:0], fieldName, record.Key)
 		nested = appendNumber(nested, fieldFirst, uint64(record.Revision))
@@ -192,14 +199,19 @@
 	return appendNested(b, fieldThird, record.Value)
 }
 
-// fieldLimit is greater than all field numbers in use. Fields from it on are
-// ignored.
-const fieldLimit = fieldStoppingHost + 1
+// fieldLimit and nestedFieldLimit are greater than all field numbers in use, of a message and
+// of a nested one. Fields from them on are ignored. A message has up to hundreds of nested
+// ones; arrays of fieldLimit for each took 15 % longer (BenchmarkExchange).
+const (
+	fieldLimit       = fieldUnreachable + 1
+	nestedFieldLimit = fieldFifth + 1
+)
 
-// fields holds the last value of each field of one message by field number.
+// fields holds the last value of each field of one message by field number. Both slices have
+// the same length.
 type fields struct {
-	numbers [fieldLimit]uint64
-	bytes   [fieldLimit][]byte
+	numbers []uint64
+	bytes   [][]byte
 }
 
 func (f *fields) text(field protowire.Number) string { return string(f.bytes[field]) }
@@ -227,7 +239,7 @@
 			return errors.Wrap(errMalformedMessage, protowire.ParseError(n).Error())
 		}
 		data = data[n:]
-		if field >= fieldLimit {
+		if int(field) >= len(f.numbers) {
 			continue
 		}
 		f.numbers[field], f.bytes[field] = number, value
@@ -244,7 +256,9 @@
 	m := Message{Report: Report{
 		Usages: make(map[string]Usage), Primaries: make(map[string]PrimaryHealth), ReleasedRevisions: make(map[string]int64),
 	}}
-	var f fields
+	var numbers [fieldLimit]uint64
+	var values [fieldLimit][]byte
+	f := fields{numbers: numbers[:], bytes: values[:]}
 	if err := f.parse(data, m.parseNested); err != nil {
 		return Message{}, err
 	}
@@ -271,10 +285,12 @@
 		m.Report.StoppingHosts = append(m.Report.StoppingHosts, string(value))
 		return nil
 	}
-	if field < fieldUsage || field > fieldRecord {
+	if (field < fieldUsage || field > fieldRecord) && field != fieldUnreachable {
 		return nil
 	}
-	var f fields
+	var numbers [nestedFieldLimit]uint64
+	var values [nestedFieldLimit][]byte
+	f := fields{numbers: numbers[:], bytes: values[:]}
 	if err := f.parse(value, nil); err != nil {
 		return err
 	}
@@ -292,6 +308,11 @@
 		}
 	case fieldReleased:
 		m.Report.ReleasedRevisions[name] = int64(f.numbers[fieldFirst])
+	case fieldUnreachable:
+		if m.Report.Unreachable == nil {
+			m.Report.Unreachable = make(map[string][]string)
+		}
+		m.Report.Unreachable[name] = append(m.Report.Unreachable[name], f.text(fieldFirst))
 	case fieldRecord:
 		value, err := recordValue(&f)
 		if err != nil {
--- a/overseer/decide.go
+++ b/overseer/decide.go
@@ -69,6 +69,16 @@
 	return o.SinceSuccess >= 0 && o.SinceSuccess < noResponseThreshold
 }
 
+// After returns the part of the observation that was made after the primary was assigned,
+// sinceAssigned ago.
+func (o Observation) After(sinceAssigned time.Duration) Observation {
+	o.SinceFailure = max(0, min(o.SinceFailure, sinceAssigned))
+	return o
+}
+
+// Failing reports whether the primary fails for the host.
+func (o Observation) Failing() bool { return o.SinceFailure > 0 && !o.responds() }
+
 // IsRelevant reports whether Evaluate takes the observation into account. One of a
 // healthy primary that the host has not used recently shows nothing.
 func (o Observation) IsRelevant() bool {
@@ -86,6 +96,9 @@
 	Evacuated bool
 	// Observations are those of all hosts that use the primary.
 	Observations []Observation
+	// UnreachableFrom is, by the ID of a database, for how many of the hosts whose primary
+	// fails that database fails too.
+	UnreachableFrom map[string]int
 	// Hosts is the number of hosts in the fleet.
 	Hosts int
 	// Candidates is the number of databases eligible for promotion.
@@ -112,7 +125,7 @@
 		if o.RefusesWrites {
 			return ReasonReadOnly
 		}
-		if o.SinceFailure > 0 && !o.responds() {
+		if o.Failing() {
 			if o.SinceFailure >= failingThreshold {
 				failing++
 			}
@@ -134,6 +147,18 @@
 	return ReasonNone
 }
 
+// Improves reports whether the hosts reach the database with the given ID better than the
+// primary that fails for them. What they do not report about it counts as reachable.
+func (s ServiceState) Improves(id string) bool {
+	failing := 0
+	for _, o := range s.Observations {
+		if o.Failing() {
+			failing++
+		}
+	}
+	return s.UnreachableFrom[id] == 0 || s.UnreachableFrom[id] < failing
+}
+
 // A Candidate is a database eligible for promotion, with the replication state that
 // it reports.
 type Candidate struct {
@@ -141,6 +166,8 @@
 	// Term and Offset are the last log position that it received.
 	Term   uint64
 	Offset uint64
+	// DatabaseTerm is the highest term known to the database: its own if it is a primary.
+	DatabaseTerm uint64
 	// Reachable is set if it responded to this host, Busy if it runs and refused to say more.
 	Reachable, Busy bool
 	// IsPrimary is set if it reports itself as the primary.
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -59,6 +59,11 @@
 type HostObservation struct {
 	ID              string
 	StartedAtMillis int64
+	// Age is how long ago the host reported it.
+	Age time.Duration
+	// Unreachable are the IDs of the other databases of the service that fail for the host,
+	// if the primary does.
+	Unreachable []string
 	Observation
 }
 
@@ -94,6 +99,8 @@
 	ViewCompleteAsOf func() time.Time
 	// MaxViewAge is the age of a host's view at which it stops using primaries.
 	MaxViewAge time.Duration
+	// CountEvent increments the metric with the given name. It may be nil.
+	CountEvent func(name string)
 	// Now returns a monotonic time that includes the time the machine is suspended.
 	Now    func() time.Time
 	Logger *slog.Logger
@@ -126,13 +133,17 @@
 	probeRespondedAt map[string]time.Time
 	// partitionedSince holds since when, in the current leadership, a primary has been
 	// unreachable from many hosts, by service.
-	partitionedSince map[string]time.Time
+	partitionedSince map[string]observedPartition
 	// primaryMissingSince holds since when, in the current leadership, no database of
 	// a service without an assignment has registered as primary, by service.
 	primaryMissingSince map[string]time.Time
 	// unreachableAt holds when last no database eligible for promotion responded, by
 	// service.
 	unreachableAt map[string]time.Time
+	// notBegun holds why a change was not begun when that was last logged, by service.
+	notBegun map[string]notBegun
+	// observed holds what this host has seen of the primary assignments, by service.
+	observed map[string]observedAssignment
 	// voters is the list of voters that this host wrote last as the leader.
 	voters voterList
 	// campaignAfter is the time before which this host does not campaign.
@@ -155,9 +166,10 @@
 // Run registers the host, renews its lease and acts as the leader while this host is
 // elected, until ctx ends.
 func (o *Overseer) Run(ctx context.Context) error {
-	o.changing, o.probeRespondedAt, o.partitionedSince = make(map[string]bool), make(map[string]time.Time), make(map[string]time.Time)
+	o.changing, o.probeRespondedAt, o.partitionedSince = make(map[string]bool), make(map[string]time.Time), make(map[string]observedPartition)
 	o.deferred, o.unreachableAt = make(map[string]bool), make(map[string]time.Time)
-	o.primaryMissingSince = make(map[string]time.Time)
+	o.primaryMissingSince, o.observed = make(map[string]time.Time), make(map[string]observedAssignment)
+	o.notBegun = make(map[string]notBegun)
 	o.startedAt = o.Now()
 	o.keyMissing = make(chan struct{}, 1)
 	go o.evaluateLoop(ctx)
@@ -184,6 +196,9 @@
 			return
 		}
 		o.checkRegistration()
+		if catalog := o.Catalog(); catalog != nil {
+			o.observeAssignments(catalog)
+		}
 		if o.campaign(ctx) {
 			o.evaluateServices(ctx)
 		}
@@ -237,9 +252,9 @@
 		o.confirmPrimary(ctx, catalog, assignment)
 		return
 	}
-	state := serviceStateOf(catalog, assignment, members)
+	state := serviceStateOf(catalog, assignment, members, o.sinceAssigned(service))
 	reason := Evaluate(state)
-	persistent := o.partitionPersists(service, reason)
+	persistent := o.partitionPersists(assignment, reason)
 	switch {
 	case reason == ReasonNone:
 		return
@@ -251,7 +266,7 @@
 	if reason.Planned() && !o.quorumReachable(service, reason, members) {
 		return
 	}
-	change := &primaryChange{overseer: o, service: service, assignment: assignment, former: state.Primary, registered: state.Registered, reason: reason}
+	change := &primaryChange{overseer: o, service: service, assignment: assignment, former: state.Primary, registered: state.Registered, reason: reason, state: state}
 	change.run(ctx)
 }
 
@@ -267,37 +282,27 @@
 	defer o.mu.Unlock()
 	if !quorum && !o.deferred[service] {
 		o.Logger.Info("primary_change_deferred", "service", service, "reason", string(reason), "hosts", len(members))
+		o.countEvent("primary_changes_not_begun.hosts_missing")
 	}
 	o.deferred[service] = !quorum
 	return quorum
 }
 
-// partitionPersists reports whether a primary has been unreachable from many hosts
-// without interruption for long enough. Hosts that were partitioned themselves
-// report failures that are already over when they return.
-func (o *Overseer) partitionPersists(service string, reason Reason) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if reason != ReasonPartitioned {
-		delete(o.partitionedSince, service)
-		return false
-	}
-	if _, ok := o.partitionedSince[service]; !ok {
-		o.partitionedSince[service] = o.Now()
-	}
-	return o.Now().Sub(o.partitionedSince[service]) >= partitionPersistence
-}
-
-// serviceStateOf collects the state of a service from the catalog and the members.
-func serviceStateOf(catalog *cataloger.Catalog, assignment cataloger.PrimaryAssignment, members []Member) ServiceState {
-	s := ServiceState{Assignment: assignment, Hosts: len(members)}
+// serviceStateOf collects the state of a service from the catalog and the members. What they
+// observed before the primary was assigned does not count.
+func serviceStateOf(catalog *cataloger.Catalog, assignment cataloger.PrimaryAssignment, members []Member, sinceAssigned time.Duration) ServiceState {
+	s := ServiceState{Assignment: assignment, Hosts: len(members), UnreachableFrom: make(map[string]int)}
 	s.Primary, s.Registered = catalog.Endpoint(assignment.Service, assignment.ID)
 	s.Registered = s.Registered && s.Primary.StartedAtMillis == assignment.StartedAtMillis
 	s.Evacuated = s.Registered && catalog.Evacuated[s.Primary.DataCentre]
 	s.Candidates = len(eligible(catalog, assignment))
 	for _, member := range members {
-		if o, ok := member.Observations[assignment.Service]; ok && o.ID == assignment.ID && o.StartedAtMillis == assignment.StartedAtMillis {
-			s.Observations = append(s.Observations, o.Observation)
+		o, ok := member.Observations[assignment.Service]
+		if ok && o.ID == assignment.ID && o.StartedAtMillis == assignment.StartedAtMillis && o.Age < sinceAssigned {
+			s.Observations = append(s.Observations, o.After(sinceAssigned))
+			for _, id := range o.Unreachable {
+				s.UnreachableFrom[id]++
+			}
 		}
 	}
 	return s
@@ -344,6 +349,9 @@
 	}
 	assignment.Revision = revision
 	o.Mirror.ApplyWrite(informer.Record{Key: put.Key, Value: put.Value, Revision: revision})
+	o.mu.Lock()
+	o.observeAssignment(assignment)
+	o.mu.Unlock()
 	o.TriggerExchanges()
 	return assignment, nil
 }
