--- a/hoster/fleet_model_test.go
+++ b/hoster/fleet_model_test.go
@@ -75,9 +75,11 @@
 	// at fencedAt and acknowledged by enough hosts at quorumAt.
 	fencing            int64
 	fencedAt, quorumAt time.Time
-	// requested is set if the host has requested the pending promotion in this leadership, and
-	// pendingSince is when it did, or when it became the leader.
+	// requested is set if the host has requested the pending promotion in this leadership,
+	// repeated if that was not the first request, and pendingSince is when it did, or when it
+	// became the leader.
 	requested    bool
+	repeated     bool
 	pendingSince time.Time
 }
 
@@ -337,7 +339,7 @@
 		m.store.revision++
 		m.store.leaderToken, m.store.leader, m.renewedAt = m.store.revision, h.name, m.now
 		h.token, h.fencing = m.store.leaderToken, 0
-		h.requested, h.pendingSince = false, m.now
+		h.requested, h.repeated, h.pendingSince = false, false, m.now
 		clear(h.absentSince)
 		return
 	default:
--- a/hoster/promotion_model_test.go
+++ b/hoster/promotion_model_test.go
@@ -115,8 +115,8 @@
 }
 
 // promote continues a change once the former primary is fenced: it waits for the promotion that
-// the store records as pending, records and requests one, or waits for its evidence. done is set
-// when the change has completed.
+// the store records as pending or requests it again, records and requests one, or waits for its
+// evidence. done is set when the change has completed.
 func (m *fleetModel) promote(h *modelHost) (done bool) {
 	g := &m.group
 	pending := g.record.Pending
@@ -127,7 +127,19 @@
 	case evidence == overseer.EvidenceHigherTerm, h.requested && evidence != overseer.EvidenceNone:
 		return m.completeChange(h, pending, evidence)
 	case m.now.Sub(h.pendingSince) >= modelEffectTimeout:
-		g.record.Pending, h.requested = cataloger.PendingPromotion{}, false
+		g.record.Pending, h.requested, h.repeated = cataloger.PendingPromotion{}, false, false
+	case m.random.IntN(20) == 0 && g.responds(pending.ID):
+		h.requested, h.repeated, h.pendingSince = true, true, m.now
+		m.send(pending.ID)
+	}
+	return false
+}
+
+func (g *modelGroup) responds(id string) bool {
+	for _, r := range g.responses() {
+		if r.Endpoint.ID == id {
+			return r.Reachable
+		}
 	}
 	return false
 }
@@ -149,18 +161,24 @@
 	}
 	id := candidates[m.random.IntN(len(candidates))]
 	g.record.Pending = cataloger.PendingPromotion{ID: id, FormerTerm: highest}
-	h.requested, h.pendingSince = true, m.now
+	h.requested, h.repeated, h.pendingSince = true, false, m.now
 	if m.random.IntN(10) == 0 {
 		m.start(h.name)
 		return false
 	}
+	m.send(id)
+	return false
+}
+
+// send requests a promotion, which takes effect later.
+func (m *fleetModel) send(id string) {
+	g := &m.group
 	for _, p := range g.promotions {
 		if p.database != id && g.fault == "" {
 			g.fault = fmt.Sprintf("promotion of %s is requested while that of %s may take effect", id, p.database)
 		}
 	}
 	g.promotions = append(g.promotions, modelRequest{database: id, at: m.now.Add(time.Duration(m.random.Int64N(int64(maxModelEffect))))})
-	return false
 }
 
 func (m *fleetModel) completeChange(h *modelHost, pending cataloger.PendingPromotion, evidence overseer.Evidence) (done bool) {
@@ -171,12 +189,12 @@
 	for _, d := range g.databases {
 		if d.id == pending.ID {
 			g.record = cataloger.PrimaryAssignment{ID: d.id, Term: d.term}
-			if evidence == overseer.EvidenceOnlyPrimary {
+			if evidence == overseer.EvidenceOnlyPrimary || !h.requested || h.repeated {
 				g.record.Pending = cataloger.PendingPromotion{ID: d.id, FormerTerm: d.term}
 			}
 		}
 	}
-	h.requested = false
+	h.requested, h.repeated = false, false
 	if current := g.current(); current.id != pending.ID && g.fault == "" {
 		g.fault = fmt.Sprintf("the change to %s completes while %s is the primary", pending.ID, current.id)
 	}
--- a/overseer/evidence.go
+++ b/overseer/evidence.go
@@ -68,9 +68,6 @@
 	// pendingSince is when this host first saw the pending promotion, or when it last
 	// requested it.
 	pendingSince time.Time
-	// requestToken is the fencing token with which this host requested the pending promotion,
-	// 0 if it did not.
-	requestToken int64
 }
 
 // observeAssignments records when the assignments of a catalog were first seen. Every host
@@ -95,7 +92,7 @@
 		seen.assignedAt = now
 	}
 	if !ok || assignment.Pending != seen.assignment.Pending {
-		seen.pendingSince, seen.requestToken = now, 0
+		seen.pendingSince = now
 	}
 	seen.assignment = assignment
 	o.observed[assignment.Service] = seen
@@ -109,11 +106,11 @@
 }
 
 // recordRequest records that this host requests the pending promotion of a service.
-func (o *Overseer) recordRequest(service string, token int64) {
+func (o *Overseer) recordRequest(service string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	seen := o.observed[service]
-	seen.pendingSince, seen.requestToken = o.Now(), token
+	seen.pendingSince = o.Now()
 	o.observed[service] = seen
 }
 
@@ -129,14 +126,6 @@
 	return o.Now().Sub(since) >= promotionEffectTimeout
 }
 
-// requestedIn reports whether this host has requested the pending promotion of a service in the
-// leadership with the given token.
-func (o *Overseer) requestedIn(service string, token int64) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return token > 0 && o.observed[service].requestToken == token
-}
-
 // An observedPartition is since when the primary of one assignment has been unreachable from
 // many hosts.
 type observedPartition struct {
--- a/overseer/leadership_test.go
+++ b/overseer/leadership_test.go
@@ -96,8 +96,9 @@
 				return catalog
 			}
 			env.overseer.Host.Capacity = 1
+			began := time.Now()
 			env.start()
-			time.Sleep(largerHostsLead - 100*time.Millisecond)
+			time.Sleep(largerHostsLead - time.Since(began))
 			if _, ok := env.overseer.leaderToken(); ok {
 				t.Error("a small host leads the fleet though a big one could")
 			}
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -108,7 +108,7 @@
 		return err
 	}
 	candidate, err := c.selectAfterFence(ctx, expected)
-	if c.awaitsPending(candidate, err) {
+	for c.awaitsPending(candidate, err) {
 		if completed, err := c.settlePending(ctx); err != nil || completed {
 			return err
 		}
@@ -255,7 +255,23 @@
 	for _, endpoint := range c.candidates(c.overseer.Catalog()) {
 		eligible[endpoint.ID] = true
 	}
-	return s.choose(func(a Candidate) bool { return eligible[a.Endpoint.ID] }, excluded, c.reason.Planned())
+	chosen, err := s.choose(func(a Candidate) bool { return eligible[a.Endpoint.ID] }, excluded, c.reason.Planned())
+	if err != nil {
+		return chosen, err
+	}
+	return c.preferPending(chosen, s.answers, eligible), nil
+}
+
+// preferPending returns the database of the pending promotion if it has everything that the
+// chosen one has: its promotion can be requested again at once, another one only once the
+// pending one can take effect no more.
+func (c *primaryChange) preferPending(chosen Candidate, answers []Candidate, eligible map[string]bool) Candidate {
+	for _, answer := range answers {
+		if eligible[answer.Endpoint.ID] && c.repeats(answer.Endpoint) && !ahead(chosen, answer) {
+			return answer
+		}
+	}
+	return chosen
 }
 
 // candidates returns the databases that may be promoted. If it is not known which database
--- a/overseer/promotion.go
+++ b/overseer/promotion.go
@@ -14,6 +14,9 @@
 	// promotionEffectTimeout bounds how long a database may take to become the primary after a
 	// promotion. The platform needs up to about a second.
 	promotionEffectTimeout = 5 * time.Second
+	// pendingSurveyInterval is how often all databases are queried while a pending promotion is
+	// awaited.
+	pendingSurveyInterval = 200 * time.Millisecond
 	// promoteTimeout bounds one promotion request.
 	promoteTimeout = 1500 * time.Millisecond
 )
@@ -85,24 +88,26 @@
 	}
 }
 
-// repeats reports whether the promotion of the endpoint is the pending one, which this host has
-// requested in this leadership and may request again: that changes nothing once it has taken
-// effect.
+// repeats reports whether the promotion of the endpoint is the pending one, which may be
+// requested again, also by another leader: whichever request takes effect later changes
+// nothing, since the database is the primary then.
 func (c *primaryChange) repeats(endpoint cataloger.Endpoint) bool {
 	p := c.assignment.Pending
-	return p.ID == endpoint.ID && p.StartedAtMillis == endpoint.StartedAtMillis && c.overseer.requestedIn(c.service, c.token)
+	return p.ID == endpoint.ID && p.StartedAtMillis == endpoint.StartedAtMillis
 }
 
-// settlePending waits until the pending promotion can take effect no more. If it has taken
-// effect, and a change was interrupted by it, that change is complete.
+// settlePending waits until the pending promotion can take effect no more, or until it can be
+// requested again. If it has taken effect, and a change was interrupted by it, that change is
+// complete.
 func (c *primaryChange) settlePending(ctx context.Context) (completed bool, err error) {
 	o, pending := c.overseer, c.assignment.Pending
 	began := o.Now()
 	settled := func(evidence string) {
-		c.assignment.Pending = cataloger.PendingPromotion{}
+		c.assignment.Pending, c.fencedPending = cataloger.PendingPromotion{}, cataloger.PendingPromotion{}
 		o.Logger.Info("promotion_settled", "service", c.service, "database", pending.ID, "evidence", evidence,
 			"former_term", pending.FormerTerm, "took", o.Now().Sub(began))
 	}
+	surveyAt := began.Add(pendingSurveyInterval)
 	for {
 		if current, ok := o.leaderToken(); !ok || current != c.token {
 			return false, errLeadershipLost
@@ -125,6 +130,12 @@
 				c.assignment.Pending = remainingPromotion(answer)
 				return true, c.complete(ctx, answer)
 			}
+			if answer.Reachable && !expired && o.Now().After(surveyAt) {
+				surveyAt = o.Now().Add(pendingSurveyInterval)
+				if candidate, err := c.selectCandidate(ctx, nil); err == nil && c.repeats(candidate.Endpoint) {
+					return false, nil
+				}
+			}
 		}
 		if expired {
 			settled("expired")
@@ -230,10 +241,10 @@
 	ctx, cancel := context.WithTimeout(ctx, min(promoteTimeout, validUntil.Sub(o.Now())))
 	defer cancel()
 	c.requests++
-	o.recordRequest(c.service, token)
+	o.recordRequest(c.service)
 	err := o.Promote(ctx, Promotion{Service: c.service, ID: endpoint.ID, Token: token, ValidUntil: validUntil})
 	// One that had no response may have arrived at any time until now.
-	o.recordRequest(c.service, token)
+	o.recordRequest(c.service)
 	o.Logger.Info("promotion_asked", "service", c.service, "database", endpoint.ID, "token", token,
 		"former_term", c.assignment.Pending.FormerTerm, "error", errorText(err))
 	return err
--- a/overseer/promotion_test.go
+++ b/overseer/promotion_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,7 +80,7 @@
 		// wantPromotions are the databases whose promotion is requested.
 		wantPromotions []string
 	}{
-		{name: "another leader", newLeader: true, wantPromotions: []string{"b"}},
+		{name: "another leader, same database", newLeader: true, wantPromotions: []string{"b", "b"}},
 		{name: "another leader, database unreachable", newLeader: true, unreachable: true, wantPromotions: []string{"b"}},
 		{name: "leadership regained, database unreachable", newLeadership: true, unreachable: true, wantPromotions: []string{"b"}},
 		{name: "response lost, another leader", newLeader: true, lostResponse: true, unreachable: true, wantPromotions: []string{"b"}},
@@ -121,7 +122,7 @@
 				for _, p := range env.promotions() {
 					got = append(got, p.id)
 				}
-				if len(got) != len(test.wantPromotions) || got[0] != test.wantPromotions[0] {
+				if !slices.Equal(got, test.wantPromotions) {
 					t.Errorf("got promotions %v, want %v", got, test.wantPromotions)
 				}
 				if got := env.assignment(); got.Changing || got.ID != "b" || got.Term != 2 {
@@ -155,6 +156,44 @@
 	})
 }
 
+// TestPendingPromotionIsRequestedAgain guards against a service without a primary for as long
+// as a promotion may take effect, after a leader recorded one and was lost.
+func TestPendingPromotionIsRequestedAgain(t *testing.T) {
+	tests := []struct {
+		name string
+		// silentFor is for how long the recorded database does not respond.
+		silentFor time.Duration
+	}{
+		{name: "database responds"},
+		{name: "database responds later", silentFor: 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t)
+				env.assign(cataloger.PrimaryAssignment{
+					Service: service, ID: "p", Term: 1, Changing: true, Pending: cataloger.PendingPromotion{ID: "b", FormerTerm: 1},
+				})
+				delete(env.statuses, "p")
+				env.hidden["b"] = test.silentFor > 0
+				began := time.Now()
+				env.start()
+				time.Sleep(test.silentFor)
+				env.update(func() { delete(env.hidden, "b") })
+				time.Sleep(10*time.Second - test.silentFor)
+				synctest.Wait()
+				got := env.promotions()
+				if len(got) != 1 || got[0].id != "b" || got[0].at.Sub(began) >= promotionEffectTimeout {
+					t.Errorf("got promotions %+v, want one of b before %v", got, promotionEffectTimeout)
+				}
+				if got := env.assignment(); got.Changing || got.ID != "b" || got.Term != 2 {
+					t.Errorf("got assignment %+v, want b in term 2", got)
+				}
+			})
+		})
+	}
+}
+
 // TestPromotionIsRecordedFirst guards against a promotion that the next leader does not know of
 // because the store did not have its record when it was requested.
 func TestPromotionIsRecordedFirst(t *testing.T) {
