--- /dev/null
+++ b/flooder/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build uncontrolled && race
+
+package flooder
+
+const raceEnabled = true
