--- a/connector/variables.go
+++ b/connector/variables.go
@@ -69,5 +69,17 @@
 	return "", false
 }
 
+// variableOverhead is the memory in bytes that a variable takes besides its texts.
+const variableOverhead = 128
+
+// Size returns the memory in bytes that the variables take.
+func (v Variables) Size() int {
+	size := 0
+	for _, variable := range v.list {
+		size += len(variable.Name) + len(variable.Value) + variableOverhead
+	}
+	return size
+}
+
 // Len returns the number of variables.
 func (v Variables) Len() int { return len(v.list) }
--- a/director/client.go
+++ b/director/client.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/executor"
 )
 
@@ -14,6 +15,8 @@
 	Key string
 	// Address is the remote address of the client, for the log.
 	Address string
+	// Account pays for what the session keeps; nil sets no limit.
+	Account *budgeter.Account
 }
 
 // A Client is a client connection that decodes and encodes the protocol.
--- a/director/session.go
+++ b/director/session.go
@@ -39,10 +39,14 @@
 	startup   Startup
 	number    uint64
 	variables connector.Variables
-	prepared  map[string]prepared
-	// floors hold the position of the session's last commit by service.
+	// prepared is nil before the first statement is prepared.
+	prepared map[string]prepared
+	// floors hold the position of the session's last commit by service. It is nil before
+	// the first one.
 	floors map[string]executor.Position
 	state  byte
+	// kept is the number of bytes of variables and prepared statements.
+	kept int
 	// tx is the open or failed transaction, nil in StateIdle.
 	tx *transaction
 }
@@ -54,10 +58,7 @@
 	if err != nil {
 		return
 	}
-	s := &Session{
-		director: d, client: client, startup: startup, number: d.Metrics.nextSessionNumber(),
-		prepared: make(map[string]prepared), floors: make(map[string]executor.Position), state: executor.StateIdle,
-	}
+	s := &Session{director: d, client: client, startup: startup, number: d.Metrics.nextSessionNumber(), state: executor.StateIdle}
 	if code, text := d.admitSession(startup); code != executor.CodeNone {
 		d.Logger.Info("session_refused", "database", startup.Database, "client", startup.Address, "code", code.String(),
 			"reason", text, "version", configurationVersion(d.Catalog()))
@@ -65,6 +66,10 @@
 		_ = client.Refuse(code, text)
 		return
 	}
+	if response := s.keep(len(startup.Database) + len(startup.Key)); response.Code != executor.CodeNone {
+		_ = client.Refuse(response.Code, response.Text)
+		return
+	}
 	if err := client.SendReady(); err != nil {
 		return
 	}
@@ -86,9 +91,13 @@
 	if !ok {
 		return executor.CodeNoSuchDatabase, "no such database"
 	}
-	if _, ok := catalog.Configuration.CustomerOfKey(startup.Key); !ok && !route.Public {
+	customer, ok := catalog.Configuration.CustomerOfKey(startup.Key)
+	if !ok && !route.Public {
 		return executor.CodeUnauthenticated, "unknown key"
 	}
+	if err := startup.Account.SetCustomer(customer); err != nil {
+		return executor.CodeBusy, err.Error() + ", retry in 1s"
+	}
 	return executor.CodeNone, ""
 }
 
@@ -176,8 +185,11 @@
 	if next.Len() > maxVariables {
 		return s.errorResponse(executor.CodeMalformed, "too many session values")
 	}
-	s.variables = next
-	return s.successResponse()
+	response := s.keep(next.Size() - s.variables.Size())
+	if response.Code == executor.CodeNone {
+		s.variables = next
+	}
+	return response
 }
 
 func (s *Session) prepare(statement executor.Request) executor.Response {
@@ -187,19 +199,31 @@
 	if len(s.prepared) >= maxPrepared {
 		return s.errorResponse(executor.CodeMalformed, "too many prepared statements")
 	}
-	s.prepared[statement.Name] = newPrepared(statement.Arguments, statement.Writes)
-	return s.successResponse()
+	next := newPrepared(statement.Arguments, statement.Writes)
+	change := next.size(statement.Name)
+	if former, ok := s.prepared[statement.Name]; ok {
+		change -= former.size(statement.Name)
+	}
+	response := s.keep(change)
+	if response.Code == executor.CodeNone {
+		if s.prepared == nil {
+			s.prepared = make(map[string]prepared)
+		}
+		s.prepared[statement.Name] = next
+	}
+	return response
 }
 
 func (s *Session) deallocate(statement executor.Request) executor.Response {
 	if s.state == executor.StateFailed {
 		return s.errorResponse(executor.CodeMalformed, "transaction has failed")
 	}
-	if _, ok := s.prepared[statement.Name]; !ok {
+	p, ok := s.prepared[statement.Name]
+	if !ok {
 		return s.errorResponse(executor.CodeNoSuchStatement, "no such prepared statement")
 	}
 	delete(s.prepared, statement.Name)
-	return s.successResponse()
+	return s.keep(-p.size(statement.Name))
 }
 
 // newPrepared derives the name of a prepared statement from its text and
--- a/director/single.go
+++ b/director/single.go
@@ -51,6 +51,9 @@
 // raiseFloor raises the session's read floor to the position of its commit.
 func (s *Session) raiseFloor(service string, position executor.Position) {
 	if s.floors[service].Before(position) {
+		if s.floors == nil {
+			s.floors = make(map[string]executor.Position)
+		}
 		s.floors[service] = position
 	}
 }
--- a/executor/statement.go
+++ b/executor/statement.go
@@ -1,6 +1,10 @@
 package executor
 
-import "time"
+import (
+	"time"
+
+	"github.com/endiveturn/endiveturn/budgeter"
+)
 
 // Verb is the kind of a statement.
 type Verb uint8
@@ -51,6 +55,9 @@
 	Floor Position
 	// Term is the term argument of VerbDemote.
 	Term uint64
+	// Account is that of the client's connection, from which the response takes its
+	// memory; nil sets no limit.
+	Account *budgeter.Account
 }
 
 // Code is the reason for the failure of a statement.
@@ -76,11 +83,15 @@
 	CodeUnauthenticated
 	// CodeOther stands for a code that the proxy does not recognize.
 	CodeOther
+	// CodeResultTooLarge means that the statement ran and that its result was dropped,
+	// since there was no memory for it. The statement must not be repeated.
+	CodeResultTooLarge
 )
 
 var codeNames = [...]string{
 	"none", "busy", "aborted", "lagging", "read_only", "misrouted", "too_many", "in_doubt", "timed_out", "run_failed",
 	"malformed", "no_such_statement", "no_such_database", "unauthenticated", "other",
+	"result_too_large",
 }
 
 // String returns the name of the code for logs and metrics.
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/exchanger"
@@ -37,8 +38,8 @@
 	IsExternalKey func(key string) bool
 	// ReadinessPath is the path of the load balancer's health check.
 	ReadinessPath string
-	// Client wraps an accepted connection.
-	Client func(conn net.Conn) director.Client
+	// Client wraps an accepted connection, which takes its memory from the account.
+	Client func(conn net.Conn, account *budgeter.Account) director.Client
 	// Databases opens connections to databases and queries their state.
 	Databases Databases
 	// Promote requests a promotion on behalf of the host.
@@ -66,6 +67,7 @@
 	overseer    *overseer.Overseer
 	changed     chan struct{}
 	relays      relays
+	budget      *budgeter.Budget
 	// fallbackHub is the name of the fallback hub that this host contacts first, nil if
 	// it contacts none.
 	fallbackHub atomic.Pointer[string]
@@ -104,13 +106,19 @@
 	add(func(ctx context.Context) error { return h.triggerRelists(ctx, watcher) })
 	add(h.buildCatalogs)
 	add(h.exchanger.Run)
-	add(func(ctx context.Context) error { return h.exchanger.Serve(ctx, listeners.peers) })
+	add(func(ctx context.Context) error {
+		return h.exchanger.Serve(ctx, h.counted(listeners.peers, budgeter.Peers))
+	})
 	add(h.overseer.Run)
 	add(h.maintain)
 	add(func(ctx context.Context) error { return h.accept(ctx, listeners.clients) })
-	add(func(ctx context.Context) error { return serveHTTP(ctx, listeners.readiness, h.readiness()) })
+	add(func(ctx context.Context) error {
+		return serveHTTP(ctx, h.counted(listeners.readiness, budgeter.HTTP), h.readiness())
+	})
 	if listeners.metrics != nil {
-		add(func(ctx context.Context) error { return serveHTTP(ctx, listeners.metrics, h.metrics()) })
+		add(func(ctx context.Context) error {
+			return serveHTTP(ctx, h.counted(listeners.metrics, budgeter.HTTP), h.metrics())
+		})
 	}
 	group.Add(func() error { return h.awaitStop(ctx, workCtx) }, func(error) { cancel() })
 	logCtx, cancelLogs := context.WithCancel(context.WithoutCancel(ctx))
@@ -137,6 +145,7 @@
 	h.started = timekeeper.Now()
 	h.Platform.Store = countCalls(h.Platform.Store, h.Registry)
 	h.changed = make(chan struct{}, 1)
+	h.budget = h.newBudget()
 	h.mirror = &informer.Mirror{
 		Now: timekeeper.Now, OnChange: h.notifyChange, InDigest: h.Platform.IsExternalKey,
 		WrittenIn: overseer.WrittenIn, OnConflict: h.reportConflict,
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/reporter"
 	"github.com/endiveturn/endiveturn/timekeeper"
@@ -20,6 +21,13 @@
 	// idleConnectionTimeout is how long a connection to a database stays idle before
 	// it is closed.
 	idleConnectionTimeout = 20 * time.Second
+	// httpTimeout bounds the time for a request and for its response, httpIdleTimeout
+	// that between two requests of a connection.
+	httpTimeout     = 5 * time.Second
+	httpIdleTimeout = time.Minute
+	// maxHTTPHeader bounds the header of a request in bytes. Health checks and monitoring
+	// systems send some hundred bytes.
+	maxHTTPHeader = 8 << 10
 	// isolationTolerance is how long a host may be without a current view before it
 	// reports that it is not ready.
 	isolationTolerance = 500 * time.Millisecond
@@ -39,7 +47,12 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		go h.director.Serve(ctx, h.Platform.Client(conn))
+		account, err := h.budget.Open(budgeter.Clients, budgeter.Address(conn), func() { _ = conn.Close() })
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		go h.director.Serve(ctx, h.Platform.Client(conn, account))
 	}
 }
 
@@ -69,6 +82,7 @@
 	set("view_age_ms", timekeeper.Now().Sub(h.viewCompleteAsOf()).Milliseconds())
 	set("store_revision", h.mirror.Revision())
 	set("store_era", h.Platform.Store.Era())
+	h.updateBudgetGauges(set)
 	set("primaries_unconfirmed", boolGauge(h.awaitsConfirmation()))
 	if catalog := h.latestCatalog(); catalog != nil {
 		set("hosts", int64(len(catalog.Hosts)))
@@ -90,7 +104,10 @@
 }
 
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: httpTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout,
+		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHTTPHeader,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	return errors.Wrap(server.Serve(listener), listener.Addr().String())
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -40,6 +40,9 @@
 	StopTimeout time.Duration
 	// MemoryMegabytes bounds the memory of the process.
 	MemoryMegabytes int64
+	// MaxDescriptors is the number of file descriptors that the process may have. If the
+	// settings have none, it is the limit of the process.
+	MaxDescriptors int
 	// CPUShare is the fraction of a CPU core available to the process, 0 if
 	// unknown.
 	CPUShare float64
@@ -70,6 +73,7 @@
 		PromotionAddress: decodeAddress(d, "promotion_address"),
 		StopTimeout:      decodeSeconds(d, "stop_timeout_s"),
 		MemoryMegabytes:  NonNegative[int64](d, "memory_mb"),
+		MaxDescriptors:   NonNegative[int](d, "max_descriptors"),
 		CPUShare:         NonNegative[float64](d, "processor_share"),
 		LinkMegabits:     NonNegative[float64](d, "link_megabits"),
 	}
@@ -77,6 +81,9 @@
 		checkAddress(d, "metrics_address", s.MetricsAddress)
 	}
 	d.Optional("seeds", &s.Seeds)
+	if s.MaxDescriptors == 0 {
+		s.MaxDescriptors = processDescriptors()
+	}
 	return s, NewValidationError(ErrInvalidSettings, violations)
 }
 
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -111,5 +112,17 @@
 
 // NewLogger returns a logger that writes one line of key=value pairs per event.
 func NewLogger(w *Writer, level slog.Level) *slog.Logger {
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: cutText}))
+}
+
+// maxTextLength is the length in bytes from which the text of a pair is cut. Names and
+// request ids come from clients, and many lines may wait to be written.
+const maxTextLength = 512
+
+// cutText shortens the text of a pair.
+func cutText(_ []string, pair slog.Attr) slog.Attr {
+	if pair.Value.Kind() != slog.KindString || len(pair.Value.String()) <= maxTextLength {
+		return pair
+	}
+	return slog.String(pair.Key, strings.ToValidUTF8(pair.Value.String()[:maxTextLength], "")+"...")
 }
