--- a/director/attempt.go
+++ b/director/attempt.go
@@ -379,9 +379,17 @@
 	}
 }
 
+// maxPooledVariables bounds the session variables in bytes with which a connection stays
+// open for other sessions. It keeps them after their session, whose account no longer pays.
+const maxPooledVariables = 64 << 10
+
 // returnConn returns the connection to its pool. No transaction may be open on
 // it.
 func (a *attempt) returnConn() {
+	if a.conn.Variables.Size() > maxPooledVariables {
+		a.discardConn()
+		return
+	}
 	a.database.pool.Put(a.conn)
 	a.release()
 }
--- a/director/session_memory_test.go
+++ b/director/session_memory_test.go
@@ -49,3 +49,27 @@
 		t.Errorf("memory at the end: got %d, want 0", got)
 	}
 }
+
+// TestLargeVariablesLeavePool guards against connections to databases that keep the large
+// variables of sessions which have ended.
+func TestLargeVariablesLeavePool(t *testing.T) {
+	tests := []struct {
+		name   string
+		size   int
+		closed bool
+	}{
+		{name: "small", size: 100},
+		{name: "large", size: maxPooledVariables, closed: true},
+	}
+	for _, test := range tests {
+		f := newFixture(cataloger.Primary)
+		s := f.newSession()
+		runVerb(s, executor.VerbSet, "v", strings.Repeat("x", test.size))
+		if got := runVerb(s, executor.VerbRead, "key").Code; got != executor.CodeNone {
+			t.Fatalf("%s: read: got %v, want success", test.name, got)
+		}
+		if got := f.lastTransport.isClosed(); got != test.closed {
+			t.Errorf("%s: connection closed: got %v, want %v", test.name, got, test.closed)
+		}
+	}
+}
