--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -73,6 +73,9 @@
 	// request may be closed for a new one. A client needs far less to send its first
 	// message.
 	minUnprovenAge = time.Second
+	// searchPause is the time for which no connection to replace is searched for after a
+	// search found none: a search looks at all accounts, and a crowd connects often.
+	searchPause = 100 * time.Millisecond
 	// closingShare is the part of the memory, as a divisor, up to which connections
 	// that have been closed but have not ended yet may exceed it together.
 	closingShare = 4
@@ -125,6 +128,8 @@
 	connections   [classes]int
 	addresses     map[string]int
 	customers     map[string]int
+	// nextSearch is the time before which no connection to replace is searched for.
+	nextSearch [classes]time.Time
 }
 
 // An Account is the share of one connection. A nil account has no limits.
@@ -210,6 +215,9 @@
 // The caller holds mu.
 func (b *Budget) replaceable(class Class) *Account {
 	now := b.Now()
+	if now.Before(b.nextSearch[class]) {
+		return nil
+	}
 	var unproven, idle *Account
 	for a := range b.accounts {
 		switch {
@@ -224,8 +232,11 @@
 			}
 		}
 	}
-	if unproven != nil {
+	switch {
+	case unproven != nil:
 		return unproven
+	case idle == nil:
+		b.nextSearch[class] = now.Add(searchPause)
 	}
 	return idle
 }
