--- a/check_test.go
+++ b/check_test.go
@@ -81,7 +81,7 @@
 		"{{listen.client_addr|json}}", `"127.0.0.1:1"`, "{{listen.readiness_addr|json}}", `"127.0.0.1:2"`,
 		"{{listen.admin|json}}", `"127.0.0.1:3"`, "{{ip}}", "127.0.0.1", "{{internal_ports.0}}", "4",
 		"{{platform.address|json}}", `"127.0.0.1:5"`, "{{cloud_api.address|json}}", `"127.0.0.1:6"`,
-		"{{seeds|json}}", `["127.0.0.1:3"]`, "{{bounds.grace_s|json}}", "6", "{{limits.memory_mb|json}}", "284",
+		"{{seeds|json}}", `["127.0.0.1:3"]`, "{{bounds.grace_s|json}}", "6", "{{limits.memory_mb|json}}", "284", "{{limits.max_fds|json}}", "4200",
 		"{{limits.cpu_share|json}}", "0.4", "{{limits.link_mbps|json}}", "1000",
 		"{{#bounds.report_window_s}}", "", "{{/bounds.report_window_s}}", "", "{{bounds.report_window_s|json}}", "5",
 		"{{bounds.usage_late_s|json}}", "10", "{{bounds.usage_off|json}}", "0.05",
