--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -100,6 +100,8 @@
 	lastSync time.Time
 	// isolated is set while most hosts do not report.
 	isolated bool
+	// hasHub is set if another host, the hub, reports on behalf of all others.
+	hasHub bool
 }
 
 // NewFleetLimiter returns a FleetLimiter without customers.
@@ -158,9 +160,15 @@
 	}
 	previous, known := f.reports[host]
 	sameProcess := known && previous.Incarnation == report.Incarnation
-	if sameProcess && report.Hosts > 0 {
-		for _, b := range f.buckets {
-			b.restoreWithheld()
+	if report.Hosts > 0 {
+		f.hasHub = true
+		for name, b := range f.buckets {
+			b.taken = 0
+			b.demandAtReport, b.lastDemand = b.lastDemand, b.demand
+			_, b.listed = report.Usage[name]
+			if sameProcess {
+				b.restoreWithheld()
+			}
 		}
 	}
 	for name, usage := range report.Usage {
@@ -255,11 +263,14 @@
 func (f *FleetLimiter) RetainReports(keep map[string]bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.hasHub = false
 	for host, report := range f.reports {
 		if !keep[host] {
 			f.addDemand(report, -1)
 			delete(f.reports, host)
+			continue
 		}
+		f.hasHub = f.hasHub || report.Hosts > 0
 	}
 }
 
@@ -281,6 +292,7 @@
 	if b.budget >= 1 {
 		b.budget--
 		b.level--
+		b.taken++
 		return true, 0
 	}
 	wait := syncInterval
@@ -308,6 +320,7 @@
 	if b, ok := f.buckets[customer]; ok && b.limit.Rate > 0 {
 		b.budget++
 		b.level++
+		b.taken--
 	}
 }
 
@@ -343,13 +356,23 @@
 			continue
 		}
 		b.lastShare, b.withheld = share, 0
+		if !f.hasHub {
+			b.taken = 0
+		}
 		b.level += b.limit.Rate * elapsed * (1 - unreported)
 		b.level = min(b.level, b.limit.Burst)
-		b.allocateBudget(share, elapsed, f.hosts)
+		b.allocateBudget(share, elapsed, f.evenFactor(), f.hosts)
 	}
 	f.isolated = isolated
 }
 
+func (f *FleetLimiter) evenFactor() float64 {
+	if f.hasHub {
+		return hubEvenShareFactor
+	}
+	return evenShareFactor
+}
+
 // endIsolation recalculates the budgets once most hosts report again.
 func (f *FleetLimiter) endIsolation(now time.Time) {
 	missing := f.missingHosts(now)
@@ -360,7 +383,7 @@
 	for _, b := range f.buckets {
 		share, _ := f.shares(b, missing)
 		b.lastShare, b.withheld = share, 0
-		b.allocateBudget(share, 0, f.hosts)
+		b.allocateBudget(share, 0, f.evenFactor(), f.hosts)
 	}
 }
 
@@ -390,11 +413,17 @@
 func (f *FleetLimiter) shares(b *fleetBucket, missingHosts int) (own, unreported float64) {
 	evenShare := 1 / float64(f.hosts)
 	missingShare := float64(missingHosts) * evenShare
-	total := b.demand + b.demandOfOthers
-	if total < minTotalDemand {
+	demand := b.demand
+	if f.hasHub {
+		// Compared with what the hub last reported of the others, the present demand would
+		// give all hosts together more than the whole while an overload begins.
+		demand = b.demandAtReport
+	}
+	total := demand + b.demandOfOthers
+	if total < minTotalDemand || !b.listed && f.hasHub {
 		return evenShare, missingShare
 	}
-	own = evenShareWeight*evenShare + (1-evenShareWeight)*b.demand/total
+	own = evenShareWeight*evenShare + (1-evenShareWeight)*demand/total
 	unreported = evenShareWeight*missingShare + (1-evenShareWeight)*b.staleDemand/total
 	return min(1, own), min(1, unreported)
 }
--- a/limiter/fleet_bucket.go
+++ b/limiter/fleet_bucket.go
@@ -13,6 +13,9 @@
 	// has no measured demand.
 	scarceLevel     = 0.35
 	evenShareFactor = 1.5
+	// hubEvenShareFactor replaces evenShareFactor where a hub reports. A host may take its
+	// share once between two reports, in which operations don't arrive evenly.
+	hubEvenShareFactor = 2.0
 	// levelGain is the fraction of the level by which the refill is corrected while
 	// tokens are scarce: in each syncInterval, and in debt at each sync.
 	levelGain = 0.1
@@ -22,6 +25,9 @@
 	// maxDebt limits how long a customer waits after more operations were
 	// admitted than the bucket had tokens.
 	maxDebt = 2 * time.Second
+	// isolatedEvenWeight is the fraction of the rate that is split evenly among the hosts while
+	// most hosts do not report: clients move between hosts, and shares stay as they are.
+	isolatedEvenWeight = 0.5
 	// isolatedAllowance is how many operations beyond its share a host may admit at once
 	// while most hosts do not report: operations don't arrive evenly, and the share of a
 	// customer with a low rate is below one operation.
@@ -58,6 +64,17 @@
 	// withheld counts the tokens that others are assumed to have used while most hosts did
 	// not report.
 	withheld float64
+	// taken counts the operations that this host has admitted since the hub last reported
+	// what the others have used; it is 0 without a hub. Until the next report the host may
+	// take its share of the level once, not in each interval.
+	taken float64
+	// lastDemand is demand as of the last report of the hub, and demandAtReport as of the one
+	// before, which is about as old as what the hub reports of the others.
+	lastDemand     float64
+	demandAtReport float64
+	// listed is set if the last report of the hub had the demand of the others. The hub
+	// leaves a customer out until this host has reported demand for it.
+	listed bool
 	// arrivals counts the operations requested on this host since the last sync.
 	arrivals float64
 }
@@ -77,16 +94,17 @@
 // other hosts admit in the meantime matter, so the budget is this host's share of
 // the refill, with a slow correction by the level. A budget below one operation
 // accumulates over the intervals unless the bucket is in debt, or a host with a
-// small share could never admit any.
-func (b *fleetBucket) allocateBudget(share, elapsed float64, hosts int) {
+// small share could never admit any. evenFactor is by how much its share may exceed an
+// even one while tokens are not scarce.
+func (b *fleetBucket) allocateBudget(share, elapsed, evenFactor float64, hosts int) {
 	unused := b.budget
 	if !b.scarce || b.level < 0 {
 		unused = 0
 	}
 	b.scarce = b.level < b.limit.Burst*scarceLevel
 	if !b.scarce {
-		share = max(share, evenShareFactor/float64(hosts))
-		b.budget = max(minBudget, b.level*share)
+		share = max(share, evenFactor/float64(hosts))
+		b.budget = max(0, max(minBudget, (b.level+b.taken)*share)-b.taken)
 		return
 	}
 	gain := levelGain
@@ -108,12 +126,12 @@
 	if b.lastShare == 0 {
 		b.lastShare = 1 / float64(hosts)
 	}
-	share = min(share, b.lastShare)
+	share = (1-isolatedEvenWeight)*min(share, b.lastShare) + isolatedEvenWeight/float64(hosts)
 	if begins {
 		assumed := min(b.limit.Rate, b.demandOfOthers) * HubReportTimeout.Seconds()
 		b.level -= assumed
 		b.withheld = assumed
-		b.budget = min(b.budget, max(0, b.level)*share+isolatedAllowance)
+		b.budget = max(0, min(b.budget, max(0, b.level+b.taken)*share+isolatedAllowance-b.taken))
 	}
 	refill := b.limit.Rate * elapsed
 	b.level = min(b.level+refill*share, b.limit.Burst)
--- a/limiter/hub_test.go
+++ b/limiter/hub_test.go
@@ -92,6 +92,8 @@
 		{name: "overload without a hub", overload: 3.3, overloadAt: 9 * time.Second, lostAt: 8 * time.Second, replacedAt: 12 * time.Second, maxRefused: 1},
 		{name: "overload as the hub is lost", overload: 3.3, overloadAt: 8 * time.Second, lostAt: 8 * time.Second, replacedAt: 12 * time.Second, maxRefused: 1},
 		{name: "hub replaced soon", overload: 7.5, overloadAt: 6 * time.Second, lostAt: 8 * time.Second, replacedAt: 10 * time.Second, maxRefused: 1},
+		{name: "hub lost soon after an overload began", overload: 7.5, overloadAt: 6 * time.Second, lostAt: 6500 * time.Millisecond, replacedAt: 9500 * time.Millisecond, maxRefused: 1},
+		{name: "hub lost later in an overload", overload: 7.5, overloadAt: 6 * time.Second, lostAt: 7 * time.Second, replacedAt: 10 * time.Second, maxRefused: 1},
 		{name: "usual rate", overload: 1, lostAt: 8 * time.Second, replacedAt: 12 * time.Second, maxRefused: 0.1},
 	}
 	for _, test := range tests {
