--- a/director/admission.go
+++ b/director/admission.go
@@ -17,15 +17,19 @@
 
 // The modes. The zero value stands for BalanceAuto.
 const (
-	// BalanceAuto balances in large fleets.
+	// BalanceAuto balances in large fleets, except for services with a pool host: that
+	// one sees the whole load of the service and orders it by priority.
 	BalanceAuto BalanceMode = iota + 1
 	BalanceOn
 	BalanceOff
 )
 
-// applies reports whether the host balances in the given fleet.
-func (m BalanceMode) applies(catalog *cataloger.Catalog) bool {
-	return m == BalanceOn || m != BalanceOff && catalog.IsLargeFleet()
+// applies reports whether the host balances the given service.
+func (m BalanceMode) applies(catalog *cataloger.Catalog, service string) bool {
+	if m != BalanceAuto && m != 0 {
+		return m == BalanceOn
+	}
+	return catalog.IsLargeFleet() && !hasScarceConnections(catalog, service)
 }
 
 // maxHoldShare is the fraction of its latency objective that an operation may wait
--- a/director/admission_test.go
+++ b/director/admission_test.go
@@ -193,25 +193,33 @@
 	})
 }
 
-// TestSmallFleetsAreNotBalanced guards against a change of behaviour in deployments
-// that do not ask for balancing.
-func TestSmallFleetsAreNotBalanced(t *testing.T) {
+// TestBalanceModes guards against a change of behaviour in deployments that do not ask
+// for balancing, and for services that have a pool host.
+func TestBalanceModes(t *testing.T) {
+	const ample, scarce = 100, 30
 	tests := []struct {
-		mode  BalanceMode
-		hosts int
-		want  bool
+		mode        BalanceMode
+		hosts       int
+		connections int
+		want        bool
 	}{
-		{mode: BalanceAuto, hosts: cataloger.MaxSmallFleetSize},
-		{mode: BalanceAuto, hosts: cataloger.MaxSmallFleetSize + 1, want: true},
-		{mode: BalanceOff, hosts: cataloger.MaxSmallFleetSize + 1},
-		{mode: BalanceOn, hosts: 1, want: true},
+		{mode: BalanceAuto, hosts: cataloger.MaxSmallFleetSize, connections: ample},
+		{mode: BalanceAuto, hosts: cataloger.MaxSmallFleetSize + 1, connections: ample, want: true},
+		{mode: BalanceAuto, hosts: cataloger.MaxSmallFleetSize + 1, connections: scarce},
+		{mode: BalanceOff, hosts: cataloger.MaxSmallFleetSize + 1, connections: ample},
+		{mode: BalanceOn, hosts: cataloger.MaxSmallFleetSize + 1, connections: scarce, want: true},
+		{mode: BalanceOn, hosts: 1, connections: ample, want: true},
 	}
 	for _, test := range tests {
 		f := newFixture(cataloger.Primary)
 		f.director.Balance = test.mode
-		f.updateCatalog(func(c *cataloger.Catalog) { c.RecentHosts = newHosts(test.hosts, 1) })
+		f.updateCatalog(func(c *cataloger.Catalog) {
+			configuration := *c.Configuration
+			configuration.Services = map[string]cataloger.Service{"s": {Name: "s", MaxConnections: test.connections}}
+			c.Configuration, c.RecentHosts = &configuration, newHosts(test.hosts, 1)
+		})
 		if got := f.director.service("s").isBalanced(); got != test.want {
-			t.Errorf("mode %d with %d hosts: got balanced %v, want %v", test.mode, test.hosts, got, test.want)
+			t.Errorf("mode %d with %d hosts and %d connections: got balanced %v, want %v", test.mode, test.hosts, test.connections, got, test.want)
 		}
 	}
 }
--- a/director/service.go
+++ b/director/service.go
@@ -77,7 +77,7 @@
 	defer s.mu.Unlock()
 	s.catalog = catalog
 	s.setMeanRate(catalog.Configuration)
-	s.setBalanced(s.director.Balance.applies(catalog))
+	s.setBalanced(s.director.Balance.applies(catalog, s.name))
 	present := make(map[endpointKey]bool)
 	for _, endpoint := range catalog.Endpoints[s.name] {
 		present[endpointKeyOf(endpoint)] = true
