--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -355,22 +355,30 @@
 			b.allocateIsolated(share, elapsed, f.hosts, !f.isolated)
 			continue
 		}
-		b.lastShare, b.withheld = share, 0
+		b.lastShare, b.withheld = f.shareToKeep(b, share), 0
 		if !f.hasHub {
 			b.taken = 0
 		}
 		b.level += b.limit.Rate * elapsed * (1 - unreported)
 		b.level = min(b.level, b.limit.Burst)
-		b.allocateBudget(share, elapsed, f.evenFactor(), f.hosts)
+		b.allocateBudget(share, elapsed, f.hosts, f.hasHub)
 	}
 	f.isolated = isolated
 }
 
-func (f *FleetLimiter) evenFactor() float64 {
-	if f.hasHub {
-		return hubEvenShareFactor
+// shareToKeep returns the share that this host keeps if it becomes isolated. Where a hub
+// reports, the present demand of this host is not compared with the older demand of the
+// others: while an overload begins, that would give all hosts together up to twice the rate.
+func (f *FleetLimiter) shareToKeep(b *fleetBucket, share float64) float64 {
+	evenShare := 1 / float64(f.hosts)
+	total := b.demandAtReport + b.demandOfOthers
+	switch {
+	case !f.hasHub:
+		return share
+	case !b.listed || total < minTotalDemand:
+		return evenShare
 	}
-	return evenShareFactor
+	return min(1, evenShareWeight*evenShare+(1-evenShareWeight)*b.demandAtReport/total)
 }
 
 // endIsolation recalculates the budgets once most hosts report again.
@@ -382,8 +390,8 @@
 	f.isolated = false
 	for _, b := range f.buckets {
 		share, _ := f.shares(b, missing)
-		b.lastShare, b.withheld = share, 0
-		b.allocateBudget(share, 0, f.evenFactor(), f.hosts)
+		b.lastShare, b.withheld = f.shareToKeep(b, share), 0
+		b.allocateBudget(share, 0, f.hosts, f.hasHub)
 	}
 }
 
@@ -413,17 +421,11 @@
 func (f *FleetLimiter) shares(b *fleetBucket, missingHosts int) (own, unreported float64) {
 	evenShare := 1 / float64(f.hosts)
 	missingShare := float64(missingHosts) * evenShare
-	demand := b.demand
-	if f.hasHub {
-		// Compared with what the hub last reported of the others, the present demand would
-		// give all hosts together more than the whole while an overload begins.
-		demand = b.demandAtReport
-	}
-	total := demand + b.demandOfOthers
-	if total < minTotalDemand || !b.listed && f.hasHub {
+	total := b.demand + b.demandOfOthers
+	if total < minTotalDemand {
 		return evenShare, missingShare
 	}
-	own = evenShareWeight*evenShare + (1-evenShareWeight)*demand/total
+	own = evenShareWeight*evenShare + (1-evenShareWeight)*b.demand/total
 	unreported = evenShareWeight*missingShare + (1-evenShareWeight)*b.staleDemand/total
 	return min(1, own), min(1, unreported)
 }
--- a/limiter/fleet_bucket.go
+++ b/limiter/fleet_bucket.go
@@ -16,6 +16,9 @@
 	// hubEvenShareFactor replaces evenShareFactor where a hub reports. A host may take its
 	// share once between two reports, in which operations don't arrive evenly.
 	hubEvenShareFactor = 2.0
+	// hubMinBudget replaces minBudget between two reports of a hub, so that a session can
+	// send its next operation at once.
+	hubMinBudget = 2
 	// levelGain is the fraction of the level by which the refill is corrected while
 	// tokens are scarce: in each syncInterval, and in debt at each sync.
 	levelGain = 0.1
@@ -94,17 +97,20 @@
 // other hosts admit in the meantime matter, so the budget is this host's share of
 // the refill, with a slow correction by the level. A budget below one operation
 // accumulates over the intervals unless the bucket is in debt, or a host with a
-// small share could never admit any. evenFactor is by how much its share may exceed an
-// even one while tokens are not scarce.
-func (b *fleetBucket) allocateBudget(share, elapsed, evenFactor float64, hosts int) {
+// small share could never admit any. hasHub is set if a hub reports what all others have used.
+func (b *fleetBucket) allocateBudget(share, elapsed float64, hosts int, hasHub bool) {
 	unused := b.budget
 	if !b.scarce || b.level < 0 {
 		unused = 0
 	}
 	b.scarce = b.level < b.limit.Burst*scarceLevel
 	if !b.scarce {
-		share = max(share, evenFactor/float64(hosts))
-		b.budget = max(0, max(minBudget, (b.level+b.taken)*share)-b.taken)
+		factor, minimum := evenShareFactor, float64(minBudget)
+		if hasHub {
+			factor, minimum = hubEvenShareFactor, hubMinBudget
+		}
+		share = max(share, factor/float64(hosts))
+		b.budget = max(0, max(minimum, (b.level+b.taken)*share)-b.taken)
 		return
 	}
 	gain := levelGain
