--- a/director/forward.go
+++ b/director/forward.go
@@ -227,7 +227,9 @@
 func (t *transaction) commitForwarded(statement executor.Request, deadline time.Time) executor.Response {
 	op := t.operation
 	sent := op.session.director.SinceBoot()
-	reply, err := t.remote.Run(op.newStatementRequest(statement, nil), deadline.Add(forwardedReplyMargin), false)
+	// A COMMIT uses no session variables, which might be too large to be forwarded.
+	request := &forwarder.Request{Statement: statement}
+	reply, err := t.remote.Run(request, deadline.Add(forwardedReplyMargin), false)
 	t.closeRemote()
 	if err != nil {
 		response := t.forwardedCommitLost(err)
--- a/director/forward_test.go
+++ b/director/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -325,3 +326,54 @@
 		}
 	}
 }
+
+// TestForwardedTransactionNeedsRecentView guards against a withdrawn key that keeps working
+// in a transaction on the pool host while the entry host, cut off from all others, does not
+// learn that it was withdrawn.
+func TestForwardedTransactionNeedsRecentView(t *testing.T) {
+	for _, verb := range []executor.Verb{executor.VerbWrite, executor.VerbRead, executor.VerbCommit} {
+		t.Run(fmt.Sprint(verb), func(t *testing.T) {
+			f := newPoolFixture(t, cataloger.Primary)
+			s := f.entry.newSession()
+			runVerb(s, executor.VerbBegin)
+			if got := runVerb(s, executor.VerbWrite, "first"); got.Code != executor.CodeNone {
+				t.Fatalf("first write: got %+v", got)
+			}
+			f.entry.viewConfirmedAt = f.entry.now.Add(-maxForwardingViewAge - time.Millisecond)
+			if got := runVerb(s, verb, "x"); got.Code != executor.CodeAborted {
+				t.Errorf("got %v %q, want %v", got.Code, got.Text, executor.CodeAborted)
+			}
+			if got := f.executedTimes(verb, "x"); got != 0 {
+				t.Errorf("databases ran the statement %d times, want 0", got)
+			}
+			f.awaitNoOperation(t)
+		})
+	}
+}
+
+// awaitNoOperation fails the test if the pool host does not end its operations.
+func (f *poolFixture) awaitNoOperation(t *testing.T) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for f.server.Active() > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	if got := f.server.Active(); got != 0 {
+		t.Errorf("operations open on the pool host: got %d, want 0", got)
+	}
+}
+
+// TestCommitWithLargeVariables guards against a COMMIT that is reported as in doubt, or not
+// sent, because of session variables that no longer fit into a forwarded statement.
+func TestCommitWithLargeVariables(t *testing.T) {
+	f := newPoolFixture(t, cataloger.Primary)
+	s := f.entry.newSession()
+	runVerb(s, executor.VerbBegin)
+	if got := runVerb(s, executor.VerbWrite, "x"); got.Code != executor.CodeNone {
+		t.Fatalf("write: got %+v", got)
+	}
+	runVerb(s, executor.VerbSet, "v", strings.Repeat("v", 3<<20))
+	if got := runVerb(s, executor.VerbCommit); got.Code != executor.CodeNone {
+		t.Errorf("commit: got %v %q, want %v", got.Code, got.Text, executor.CodeNone)
+	}
+}
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -112,7 +112,7 @@
 		return nil, ""
 	}
 	d := s.director
-	if d.SinceBoot().Sub(d.ViewCompleteAsOf()) > maxForwardingViewAge {
+	if d.viewForbidsForwarding() {
 		return nil, localOutdatedView
 	}
 	for _, target := range pools {
@@ -128,6 +128,12 @@
 	return targets, localNoPoolHost
 }
 
+// viewForbidsForwarding reports whether this host's view is too old to check keys for
+// statements that run on other hosts.
+func (d *Director) viewForbidsForwarding() bool {
+	return d.SinceBoot().Sub(d.ViewCompleteAsOf()) > maxForwardingViewAge
+}
+
 // verifyPoolHosts checks the pool hosts before this one in the list: another host has
 // forwarded an operation here, so that it may not reach them. If this host does not reach
 // them either, it becomes the acting pool host.
--- a/director/transaction.go
+++ b/director/transaction.go
@@ -80,6 +80,10 @@
 		databaseID := t.discardConn()
 		return t.fail(executor.Response{Code: executor.CodeAborted, Text: "key was withdrawn"}, databaseID, "key withdrawn")
 	}
+	if t.keyUnconfirmed() {
+		t.closeRemote()
+		return t.fail(executor.Response{Code: executor.CodeAborted, Text: keyUnconfirmedText}, "", localOutdatedView)
+	}
 	deadline := s.director.Now().Add(t.operation.route.StatementTimeout)
 	if t.remote != nil {
 		return t.executeForwarded(statement, writes, p, deadline)
@@ -103,6 +107,16 @@
 	return !ok || customer != op.customer
 }
 
+// keyUnconfirmedText is the text of the response to a statement of a transaction that is
+// rolled back because this host can't confirm its key.
+const keyUnconfirmedText = "key could not be confirmed, the transaction is rolled back"
+
+// keyUnconfirmed reports whether the transaction runs on a pool host while this host's
+// view is too old to know whether the key was withdrawn. The pool host does not check keys.
+func (t *transaction) keyUnconfirmed() bool {
+	return t.remote != nil && t.operation.session.director.viewForbidsForwarding()
+}
+
 // executeFirst takes a connection, begins the transaction on it and runs the
 // first statement. Until the transaction has begun, other databases may be
 // tried.
@@ -298,6 +312,12 @@
 		t.operation.finish(databaseID, "key withdrawn", response)
 		return response
 	}
+	if t.keyUnconfirmed() {
+		t.closeRemote()
+		response := s.errorResponse(executor.CodeAborted, keyUnconfirmedText)
+		t.operation.finish("", localOutdatedView, response)
+		return response
+	}
 	deadline := s.director.Now().Add(t.operation.route.StatementTimeout)
 	if t.remote != nil {
 		return t.commitForwarded(statement, deadline)
