--- a/director/forward_test.go
+++ b/director/forward_test.go
@@ -377,3 +377,19 @@
 		t.Errorf("commit: got %v %q, want %v", got.Code, got.Text, executor.CodeNone)
 	}
 }
+
+// TestForwardedWithoutConfiguration guards against a host that crashes because another one
+// forwards an operation to it before it has its first configuration.
+func TestForwardedWithoutConfiguration(t *testing.T) {
+	f := newPoolFixture(t, cataloger.Primary)
+	next := f.pool.catalog
+	next.Configuration = nil
+	f.pool.director.catalog.Store(nil)
+	f.pool.director.SetCatalog(&next)
+	if got := runVerb(f.entry.newSession(), executor.VerbWrite, "x"); got.Code != executor.CodeNone {
+		t.Errorf("got %v %q, want %v", got.Code, got.Text, executor.CodeNone)
+	}
+	if f.entry.dials() == 0 {
+		t.Error("the write did not run on the entry host")
+	}
+}
--- a/director/forwarded.go
+++ b/director/forwarded.go
@@ -69,6 +69,9 @@
 	if service == nil {
 		return "service is unknown here"
 	}
+	if !service.isConfigured() {
+		return "configuration is not loaded yet"
+	}
 	service.verifyPoolHosts()
 	needsPrimary := o.Begin == executor.VerbBegin || o.Begin == executor.VerbUnknown && forwardedWrites(request)
 	if needsPrimary && service.primaryOutOfReach() {
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -166,6 +166,14 @@
 	}
 }
 
+// isConfigured reports whether a configuration is in force for the service. The hosts that
+// forward operations may have theirs earlier than this one.
+func (s *service) isConfigured() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.catalog != nil && s.catalog.Configuration != nil
+}
+
 // primaryOutOfReach reports whether this host can't use the primary although another one
 // may.
 func (s *service) primaryOutOfReach() bool {
