--- a/director/forward.go
+++ b/director/forward.go
@@ -216,7 +216,7 @@
 		t.closeRemote()
 		return t.fail(reply.Response, reply.Database, reply.Reason)
 	}
-	if reply.Response.Code == executor.CodeNone && writes {
+	if writes && !reply.Response.Code.NotRun() {
 		t.wrote = true
 	}
 	t.operation.finish(reply.Database, reply.Reason, reply.Response)
--- a/director/transaction.go
+++ b/director/transaction.go
@@ -24,7 +24,8 @@
 	attempt *attempt
 	// remote is the stream to the pool host that runs the transaction, or nil.
 	remote *forwarder.Stream
-	// wrote is set once a statement that writes has succeeded.
+	// wrote is set once a statement that writes may have run. One whose response is an
+	// error may have: its result may only have been dropped.
 	wrote bool
 	// failureCode is the reason for which the proxy or the database ended the
 	// transaction, or CodeNone.
@@ -215,7 +216,7 @@
 		a.returnOrDiscardConn(response.State)
 		return t.fail(response, databaseID, "answered")
 	}
-	if response.Code == executor.CodeNone && writes {
+	if writes && !response.Code.NotRun() {
 		t.wrote = true
 	}
 	t.operation.finish(databaseID, "answered", response)
--- a/director/transaction_test.go
+++ b/director/transaction_test.go
@@ -239,3 +239,29 @@
 		}
 	})
 }
+
+// TestCommitAfterWriteWithoutResult guards against a lost COMMIT that is reported as one
+// that wrote nothing although a write of the transaction ran and only its result was
+// dropped.
+func TestCommitAfterWriteWithoutResult(t *testing.T) {
+	for _, code := range []executor.Code{executor.CodeResultTooLarge, executor.CodeOther} {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprint(code, " forwarded ", forwarded), func(t *testing.T) {
+				f := newPoolFixture(t, cataloger.Primary)
+				f.unreachable = !forwarded
+				lose := f.loseReplies()
+				f.entry.primary.refuse[executor.VerbWrite] = code
+				s := f.entry.newSession()
+				runVerb(s, executor.VerbBegin)
+				if got := runVerb(s, executor.VerbWrite, "x"); got.Code != code || got.State != executor.StateTransaction {
+					t.Fatalf("write: got %v in state %c, want %v in an open transaction", got.Code, got.State, code)
+				}
+				lose.Store(true)
+				f.entry.primary.setLoseResponseAfter(executor.VerbCommit)
+				if got := runVerb(s, executor.VerbCommit); got.Code != executor.CodeInDoubt {
+					t.Errorf("commit: got %v %q, want %v", got.Code, got.Text, executor.CodeInDoubt)
+				}
+			})
+		}
+	}
+}
