--- a/budgeter/listener.go
+++ b/budgeter/listener.go
@@ -73,6 +73,9 @@
 	proven bool
 }
 
+// Account returns the account of the connection.
+func (c *countedConn) Account() *Account { return c.account }
+
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/budgeter/listener_test.go
+++ b/budgeter/listener_test.go
@@ -91,3 +91,26 @@
 		}
 	})
 }
+
+// TestAcceptedConnectionsHaveAccounts guards against connections whose users find no
+// account to count what they take besides the bytes received.
+func TestAcceptedConnectionsHaveAccounts(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	accepted, err := (&Listener{Listener: listener, Budget: &Budget{Now: time.Now}, Class: Peers}).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	if counted, ok := accepted.(interface{ Account() *Account }); !ok || counted.Account() == nil {
+		t.Error("the connection has no account")
+	}
+}
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -135,9 +135,10 @@
 		}
 		return Reply{}, c.lost(err)
 	}
-	var rows []byte
+	rows := rowCollector{account: request.Statement.Account}
 	for {
 		if err := c.stream.MsgRecv(&c.reply, encoding{}); err != nil {
+			rows.release()
 			c.discard()
 			return Reply{}, c.lost(err)
 		}
@@ -146,17 +147,14 @@
 		case c.reply.heartbeat:
 			continue
 		case c.reply.number != request.number:
+			rows.release()
 			c.discard()
 			return Reply{}, errors.Wrapf(ErrLost, "reply %d to request %d", c.reply.number, request.number)
 		}
-		if rows == nil {
-			rows = c.reply.Response.Rows
-		} else {
-			rows = append(rows, c.reply.Response.Rows...)
-		}
+		rows.add(c.reply.Response.Rows)
 		if !c.reply.more {
 			reply := c.reply
-			reply.Response.Rows = rows
+			rows.finish(&reply.Response)
 			c.reply = Reply{}
 			return reply, nil
 		}
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -75,6 +75,8 @@
 	conns []*hangingConn
 	// unreachable is set if no connection can be opened, hangs if opened ones hang.
 	unreachable, hangs bool
+	// wrapServer, if not nil, wraps the server's side of new connections.
+	wrapServer func(net.Conn) net.Conn
 	// closed counts operations that were closed.
 	closed    int
 	suspected []error
@@ -118,6 +120,9 @@
 			return nil, errors.New("connection refused")
 		}
 		here, there := net.Pipe()
+		if f.wrapServer != nil {
+			there = f.wrapServer(there)
+		}
 		conn := &hangingConn{Conn: here, closed: make(chan struct{}), hung: f.hangs}
 		f.conns = append(f.conns, conn)
 		go func() { _ = drpcserver.New(mux).ServeOne(ctx, there) }()
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcctx"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/executor"
 )
 
@@ -79,7 +80,7 @@
 
 // serve runs the operations of one stream, one after the other, until it ends.
 func (s *Server) serve(stream drpc.Stream) error {
-	h := &handler{server: s, stream: stream}
+	h := &handler{server: s, stream: stream, account: accountOf(stream)}
 	h.heartbeat = time.AfterFunc(time.Hour, h.sendHeartbeat)
 	h.heartbeat.Stop()
 	h.guard = time.AfterFunc(time.Hour, h.closeTransport)
@@ -99,10 +100,25 @@
 	}
 }
 
+// accountOf returns the account of the stream's connection, or nil.
+func accountOf(stream drpc.Stream) *budgeter.Account {
+	transport, ok := drpcctx.Transport(stream.Context())
+	if !ok {
+		return nil
+	}
+	counted, ok := transport.(interface{ Account() *budgeter.Account })
+	if !ok {
+		return nil
+	}
+	return counted.Account()
+}
+
 // A handler serves one stream.
 type handler struct {
 	server *Server
 	stream drpc.Stream
+	// account pays for the responses; nil sets no limit.
+	account *budgeter.Account
 	// execution is the open operation, nil if there is none.
 	execution *Execution
 	// guard closes the transport of a peer that does not read its reply, or leaves a
@@ -130,6 +146,8 @@
 			return h.send(reply)
 		}
 	}
+	request.Statement.Account = h.account
+	defer func() { _ = h.account.Resize(budgeter.Response, 0) }() // less is never refused
 	reply := h.run(request)
 	reply.number, reply.Stopping = request.number, h.server.stopping.Load()
 	if reply.EndsOperation() {
