--- a/director/forward_test.go
+++ b/director/forward_test.go
@@ -393,3 +393,30 @@
 		t.Error("the write did not run on the entry host")
 	}
 }
+
+// TestReadsNeedRecentViewOfPoolHost guards against reads that a pool host, cut off from the
+// hub, sends to databases that have left or whose data centre was evacuated, and against
+// reads that it answers with busy although a host that may use the primary can run them.
+func TestReadsNeedRecentViewOfPoolHost(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		consistency cataloger.Consistency
+		age         time.Duration
+	}{
+		{"any read", cataloger.BoundedStaleness, maxForwardingViewAge + time.Millisecond},
+		{"read of the primary", cataloger.Primary, MaxViewAge},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newPoolFixture(t, test.consistency)
+			// The pool host knows a position, so that it reads from the replica.
+			f.pool.director.service("s").recordPosition(f.pool.now, executor.Position{Term: 1, Offset: 10})
+			f.pool.viewConfirmedAt = f.pool.now.Add(-test.age)
+			if got := runVerb(f.entry.newSession(), executor.VerbRead, "x"); got.Code != executor.CodeNone {
+				t.Errorf("got %v %q, want %v", got.Code, got.Text, executor.CodeNone)
+			}
+			if f.pool.dials() > 0 || f.entry.dials() == 0 {
+				t.Errorf("connections: %d of the pool host, %d of the entry host", f.pool.dials(), f.entry.dials())
+			}
+		})
+	}
+}
--- a/director/forwarded.go
+++ b/director/forwarded.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/forwarder"
 )
@@ -72,8 +73,13 @@
 	if !service.isConfigured() {
 		return "configuration is not loaded yet"
 	}
+	if s.director.viewForbidsForwarding() {
+		// It may lack that a database is leaving or that a data centre was evacuated.
+		return "view of the pool host is outdated"
+	}
 	service.verifyPoolHosts()
-	needsPrimary := o.Begin == executor.VerbBegin || o.Begin == executor.VerbUnknown && forwardedWrites(request)
+	needsPrimary := o.Begin == executor.VerbBegin || o.Begin == executor.VerbUnknown && forwardedWrites(request) ||
+		o.Route.Consistency == cataloger.Primary
 	if needsPrimary && service.primaryOutOfReach() {
 		return "primary is out of reach of the pool host"
 	}
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -16,7 +16,8 @@
 
 // maxForwardingViewAge is the age of this host's view above which it forwards nothing, so
 // that a withdrawn key stops working within 3 s on a host that is isolated from all but
-// the pool host.
+// the pool host, and above which a pool host takes no operations, so that databases that
+// leave get no new work after 3 s.
 const maxForwardingViewAge = 2 * time.Second
 
 // hasScarceConnections reports whether the hosts of the fleet forward operations on a
@@ -129,7 +130,7 @@
 }
 
 // viewForbidsForwarding reports whether this host's view is too old to check keys for
-// statements that run on other hosts.
+// statements that run on other hosts, and to run operations of others.
 func (d *Director) viewForbidsForwarding() bool {
 	return d.SinceBoot().Sub(d.ViewCompleteAsOf()) > maxForwardingViewAge
 }
