--- a/accountant/book.go
+++ b/accountant/book.go
@@ -81,7 +81,9 @@
 	// oldest is the first window that is kept. Of other sources, windows below settled
 	// are not needed any more.
 	oldest, settled int64
-	collector       string
+	// reportedFinal is the last own window that was reported as final.
+	reportedFinal int64
+	collector     string
 }
 
 // Begin counts a request that is sent now, and returns its window.
@@ -89,6 +91,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	window = b.Schedule.Number(b.Clock.Time())
+	if window == b.reportedFinal {
+		// The fleet's time has gone back a little, and the window may be closed already.
+		window++
+	}
 	b.prune(window)
 	w := b.source(b.Self).window(window)
 	w.running++
@@ -174,6 +180,13 @@
 	return final
 }
 
+// reportFinal returns ownFinal for a report, after which nothing is added to that window.
+func (b *Book) reportFinal(now time.Time) int64 {
+	final := b.ownFinal(now)
+	b.reportedFinal = max(b.reportedFinal, final)
+	return final
+}
+
 // SetCollector sets the host that collects the counts, "" if there is none. When it
 // changes, the counts of the former one and of hosts that have stopped reporting are
 // passed on to the next one.
@@ -214,7 +227,7 @@
 	// Version 0 stands for changes without counts.
 	b.version = max(b.version, 1)
 	changes := b.acknowledgement(receiver)
-	changes.Base, changes.Version, changes.Final = b.acknowledged[receiver], b.version, b.ownFinal(now)
+	changes.Base, changes.Version, changes.Final = b.acknowledged[receiver], b.version, b.reportFinal(now)
 	for id, s := range b.sources {
 		if id != b.Self && (!s.relayed || id.Host == receiver) {
 			continue
@@ -349,7 +362,7 @@
 		final := int64(0)
 		switch s, ok := b.sources[id]; {
 		case id == b.Self:
-			final = b.ownFinal(b.Clock.Time())
+			final = b.reportFinal(b.Clock.Time())
 		case ok:
 			final = s.final
 		}
--- a/accountant/book_test.go
+++ b/accountant/book_test.go
@@ -298,3 +298,31 @@
 		})
 	}
 }
+
+// TestNothingIsAddedToFinalWindows guards against requests that are counted in a window that
+// this process has reported as final, which the collector may have closed, after the fleet's
+// time has gone back across the window's end.
+func TestNothingIsAddedToFinalWindows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBook("a", "1")
+		wallOffset := time.Duration(0)
+		b.Clock.WallClock = func() time.Time { return time.Now().Add(wallOffset) }
+		present := testSchedule.Number(time.Now())
+		// The clock is checked 5 ms after the window is reported.
+		time.Sleep(testSchedule.End(present).Sub(time.Now()) + 15*time.Millisecond - clockCheckInterval)
+		b.Clock.Time()
+		time.Sleep(clockCheckInterval - 5*time.Millisecond)
+		final := b.Changes("collector").Final
+		if final != present {
+			t.Fatalf("final window: got %d, want %d", final, present)
+		}
+		wallOffset = -50 * time.Millisecond
+		time.Sleep(5 * time.Millisecond)
+		if got := testSchedule.Number(b.Clock.Time()); got != final {
+			t.Fatalf("window after the time has gone back: got %d, want %d", got, final)
+		}
+		if window := b.Begin("c"); window <= final {
+			t.Errorf("counted in window %d, which is final", window)
+		}
+	})
+}
