--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -341,3 +341,45 @@
 		t.Error("want a stopping process to be unusable until its next process")
 	}
 }
+
+// TestStatementsAfterStopTime guards against a COMMIT that a stopping host runs while its
+// process exits, which leaves its outcome unknown, and against transactions that keep the
+// host from stopping.
+func TestStatementsAfterStopTime(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		ran := 0
+		f.run = func(context.Context, *Request) Reply {
+			ran++
+			return Reply{Response: executor.Response{State: executor.StateTransaction}}
+		}
+		stream, err := f.client.Open(context.Background(), testTarget)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer stream.Close()
+		f.server.StopAt(time.Now().Add(time.Second))
+		steps := []struct {
+			name string
+			wait time.Duration
+			want executor.Code
+		}{
+			{name: "before the stop time", want: executor.CodeNone},
+			{name: "after the stop time", wait: 2 * time.Second, want: executor.CodeAborted},
+		}
+		for _, step := range steps {
+			time.Sleep(step.wait)
+			request := first(executor.VerbWrite, "x")
+			if step.wait > 0 {
+				request = &Request{Statement: executor.Request{ID: "id", Verb: executor.VerbCommit}}
+			}
+			reply, err := stream.Run(request, time.Now().Add(time.Second), false)
+			if err != nil || reply.Response.Code != step.want {
+				t.Errorf("%s: got %v, %v, want %v", step.name, reply.Response.Code, err, step.want)
+			}
+		}
+		if ran != 1 || f.server.Active() != 0 {
+			t.Errorf("ran %d statements, %d operations open, want 1, 0", ran, f.server.Active())
+		}
+	})
+}
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -45,8 +45,10 @@
 	MaxBytes      int64
 
 	stopping atomic.Bool
-	active   atomic.Int64
-	bytes    atomic.Int64
+	// stopAt is when open operations take no further statements, nil for never.
+	stopAt atomic.Pointer[time.Time]
+	active atomic.Int64
+	bytes  atomic.Int64
 }
 
 // Register registers the server's method.
@@ -58,6 +60,10 @@
 // continue.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// StopAt sets when open transactions take no further statements: these are answered with
+// aborted, so that the process does not exit while it runs them.
+func (s *Server) StopAt(deadline time.Time) { s.stopAt.Store(&deadline) }
+
 // Active returns the number of open operations.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
@@ -140,6 +146,12 @@
 	size := int64(requestSize(request))
 	h.server.bytes.Add(size)
 	defer h.server.bytes.Add(-size)
+	if stopAt := h.server.stopAt.Load(); h.execution != nil && stopAt != nil && time.Now().After(*stopAt) {
+		h.closeExecution()
+		return h.send(&Reply{number: request.number, Stopping: true, Response: executor.Response{
+			Code: executor.CodeAborted, Text: "pool host is stopping, transaction is rolled back", State: executor.StateFailed,
+		}, Reason: "pool host is stopping"})
+	}
 	if h.execution == nil {
 		if reply := h.begin(request); reply != nil {
 			reply.number = request.number
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -42,6 +42,7 @@
 	// served as usual.
 	time.Sleep(min(balancerDrainDelay, stopTimeout/2))
 	h.director.Stop(began.Add(stopTimeout / 2))
+	h.forwarder.StopAt(began.Add(stopTimeout / 2))
 	deadline := began.Add(stopTimeout - exitReserve)
 	for time.Now().Before(deadline) {
 		if h.director.Sessions() == 0 && h.forwarder.Active() == 0 {
