--- a/accountant/book_test.go
+++ b/accountant/book_test.go
@@ -309,7 +309,7 @@
 		b.Clock.WallClock = func() time.Time { return time.Now().Add(wallOffset) }
 		present := testSchedule.Number(time.Now())
 		// The clock is checked 5 ms after the window is reported.
-		time.Sleep(testSchedule.End(present).Sub(time.Now()) + 15*time.Millisecond - clockCheckInterval)
+		time.Sleep(time.Until(testSchedule.End(present)) + 15*time.Millisecond - clockCheckInterval)
 		b.Clock.Time()
 		time.Sleep(clockCheckInterval - 5*time.Millisecond)
 		final := b.Changes("collector").Final
--- a/budgeter/listener_test.go
+++ b/budgeter/listener_test.go
@@ -95,17 +95,11 @@
 // TestAcceptedConnectionsHaveAccounts guards against connections whose users find no
 // account to count what they take besides the bytes received.
 func TestAcceptedConnectionsHaveAccounts(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	client, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	client, server := net.Pipe()
 	defer client.Close()
-	accepted, err := (&Listener{Listener: listener, Budget: &Budget{Now: time.Now}, Class: Peers}).Accept()
+	conns := make(chan net.Conn, 1)
+	conns <- server
+	accepted, err := (&Listener{Listener: pipeListener{conns: conns}, Budget: &Budget{Now: time.Now}, Class: Peers}).Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
