--- a/director/early_retry.go
+++ b/director/early_retry.go
@@ -9,6 +9,8 @@
 	// earlyRetryLatencies is the number of mean response times that a database has in
 	// any case.
 	earlyRetryLatencies = 4
+	// unknownLatency is the assumed response time of a database before its first response.
+	unknownLatency = 20 * time.Millisecond
 	// earlyRetryRatio is the number of early retries per response, and maxEarlyRetries
 	// how many may follow each other. Without a bound, a database that is slow for all
 	// would get each read twice.
@@ -36,6 +38,9 @@
 func (s *service) recentLatency(db *database) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if db.meanLatency == 0 {
+		return unknownLatency
+	}
 	return db.meanLatency
 }
 
--- a/director/early_retry_test.go
+++ b/director/early_retry_test.go
@@ -36,3 +36,19 @@
 		t.Errorf("%d reads in a row may be retried early, want 1 to %v", retries, maxEarlyRetries)
 	}
 }
+
+// TestEarlyRetryLeavesTimeWithoutLatency guards against a read that waited for its slot and
+// then times out at once on a database whose response time is not known yet, which counts
+// as a failure of that database.
+func TestEarlyRetryLeavesTimeWithoutLatency(t *testing.T) {
+	f := newBalancedFixture(cataloger.BoundedStaleness)
+	s := f.director.service("s")
+	for range 1000 {
+		s.recordLatency(f.database("p"), 10*time.Millisecond)
+	}
+	op := &operation{session: f.newSession(), service: s, route: f.catalog.Configuration.Routes["db"], began: time.Now().Add(-300 * time.Millisecond)}
+	deadline, ok := (&attempt{operation: op, database: f.database("r")}).earlyDeadline()
+	if left := time.Until(deadline); !ok || left < 10*time.Millisecond {
+		t.Errorf("early retry %v, %v left for the response, want at least 10ms", ok, left)
+	}
+}
