--- a/director/service.go
+++ b/director/service.go
@@ -152,6 +152,7 @@
 			return db
 		}
 		db.pool.Close()
+		s.detector.Forget(db.detectorID())
 	}
 	db := &database{id: endpoint.ID, endpoint: endpoint, semaphore: &prioritySemaphore{now: s.director.Now}, gate: &admitter.Gate{Now: s.director.Now}}
 	if endpoint.WarmupRemaining > 0 {
--- a/director/service_test.go
+++ b/director/service_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/endiveturn/endiveturn/balancer"
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
 	"github.com/endiveturn/endiveturn/executor"
@@ -104,3 +105,21 @@
 	}
 	group.Wait()
 }
+
+// TestAddressChangeForgetsEjection guards against an ejection at a former address of a
+// database that is counted for ever, so that no other database can be ejected.
+func TestAddressChangeForgetsEjection(t *testing.T) {
+	f := newBalancedFixture(cataloger.BoundedStaleness)
+	s := f.director.service("s")
+	for range 100 {
+		s.recordOutcome(f.database("p"), balancer.Read, balancer.Outcome{Class: "route", Latency: time.Millisecond})
+		s.recordOutcome(f.database("r"), balancer.Read, balancer.Outcome{Class: "route", Failed: true})
+	}
+	if got := s.detector.EjectedCount(); got != 1 {
+		t.Fatalf("ejected: got %d, want 1", got)
+	}
+	f.setReplicaAddress("new")
+	if got := s.detector.EjectedCount(); got != 0 {
+		t.Errorf("ejected after the change of address: got %d, want 0", got)
+	}
+}
