--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"sync"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 
 	"github.com/endiveturn/endiveturn/executor"
 )
@@ -383,3 +386,26 @@
 		}
 	})
 }
+
+// TestHostOfFormerVersion guards against operations that wait for, or are reported as sent
+// to, a host that does not know the protocol, as during a rolling update.
+func TestHostOfFormerVersion(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		f.client.Dial = func(context.Context, string) (net.Conn, error) {
+			here, there := net.Pipe()
+			go func() { _ = drpcserver.New(drpcmux.New()).ServeOne(context.Background(), there) }()
+			return here, nil
+		}
+		began := time.Now()
+		_, err := f.client.Open(context.Background(), testTarget)
+		if !errors.Is(err, ErrNotSent) {
+			t.Errorf("got %v, want %v", err, ErrNotSent)
+		}
+		if took := time.Since(began); took >= dialTimeout {
+			t.Errorf("took %v, want less than %v", took, dialTimeout)
+		}
+		if f.client.Judge.Usable(testTarget.Name, testTarget.Incarnation) {
+			t.Error("the host is still used")
+		}
+	})
+}
