--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"sync"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
