--- a/budgeter/listener_test.go
+++ b/budgeter/listener_test.go
@@ -91,3 +91,20 @@
 		}
 	})
 }
+
+// TestAcceptedConnectionsHaveAccounts guards against connections whose users find no
+// account to count what they take besides the bytes received.
+func TestAcceptedConnectionsHaveAccounts(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	conns := make(chan net.Conn, 1)
+	conns <- server
+	accepted, err := (&Listener{Listener: pipeListener{conns: conns}, Budget: &Budget{Now: time.Now}, Class: Peers}).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	if counted, ok := accepted.(interface{ Account() *Account }); !ok || counted.Account() == nil {
+		t.Error("the connection has no account")
+	}
+}
--- a/director/forward_test.go
+++ b/director/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -325,3 +326,97 @@
 		}
 	}
 }
+
+// TestForwardedTransactionNeedsRecentView guards against a withdrawn key that keeps working
+// in a transaction on the pool host while the entry host, cut off from all others, does not
+// learn that it was withdrawn.
+func TestForwardedTransactionNeedsRecentView(t *testing.T) {
+	for _, verb := range []executor.Verb{executor.VerbWrite, executor.VerbRead, executor.VerbCommit} {
+		t.Run(fmt.Sprint(verb), func(t *testing.T) {
+			f := newPoolFixture(t, cataloger.Primary)
+			s := f.entry.newSession()
+			runVerb(s, executor.VerbBegin)
+			if got := runVerb(s, executor.VerbWrite, "first"); got.Code != executor.CodeNone {
+				t.Fatalf("first write: got %+v", got)
+			}
+			f.entry.viewConfirmedAt = f.entry.now.Add(-maxForwardingViewAge - time.Millisecond)
+			if got := runVerb(s, verb, "x"); got.Code != executor.CodeAborted {
+				t.Errorf("got %v %q, want %v", got.Code, got.Text, executor.CodeAborted)
+			}
+			if got := f.executedTimes(verb, "x"); got != 0 {
+				t.Errorf("databases ran the statement %d times, want 0", got)
+			}
+			f.awaitNoOperation(t)
+		})
+	}
+}
+
+// awaitNoOperation fails the test if the pool host does not end its operations.
+func (f *poolFixture) awaitNoOperation(t *testing.T) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for f.server.Active() > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	if got := f.server.Active(); got != 0 {
+		t.Errorf("operations open on the pool host: got %d, want 0", got)
+	}
+}
+
+// TestCommitWithLargeVariables guards against a COMMIT that is reported as in doubt, or not
+// sent, because of session variables that no longer fit into a forwarded statement.
+func TestCommitWithLargeVariables(t *testing.T) {
+	f := newPoolFixture(t, cataloger.Primary)
+	s := f.entry.newSession()
+	runVerb(s, executor.VerbBegin)
+	if got := runVerb(s, executor.VerbWrite, "x"); got.Code != executor.CodeNone {
+		t.Fatalf("write: got %+v", got)
+	}
+	runVerb(s, executor.VerbSet, "v", strings.Repeat("v", 3<<20))
+	if got := runVerb(s, executor.VerbCommit); got.Code != executor.CodeNone {
+		t.Errorf("commit: got %v %q, want %v", got.Code, got.Text, executor.CodeNone)
+	}
+}
+
+// TestForwardedWithoutConfiguration guards against a host that crashes because another one
+// forwards an operation to it before it has its first configuration.
+func TestForwardedWithoutConfiguration(t *testing.T) {
+	f := newPoolFixture(t, cataloger.Primary)
+	next := f.pool.catalog
+	next.Configuration = nil
+	f.pool.director.catalog.Store(nil)
+	f.pool.director.SetCatalog(&next)
+	if got := runVerb(f.entry.newSession(), executor.VerbWrite, "x"); got.Code != executor.CodeNone {
+		t.Errorf("got %v %q, want %v", got.Code, got.Text, executor.CodeNone)
+	}
+	if f.entry.dials() == 0 {
+		t.Error("the write did not run on the entry host")
+	}
+}
+
+// TestReadsNeedRecentViewOfPoolHost guards against reads that a pool host, cut off from the
+// hub, sends to databases that have left or whose data centre was evacuated, and against
+// reads that it answers with busy although a host that may use the primary can run them.
+func TestReadsNeedRecentViewOfPoolHost(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		consistency cataloger.Consistency
+		age         time.Duration
+	}{
+		{"any read", cataloger.BoundedStaleness, maxForwardingViewAge + time.Millisecond},
+		{"read of the primary", cataloger.Primary, MaxViewAge},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newPoolFixture(t, test.consistency)
+			// The pool host knows a position, so that it reads from the replica.
+			f.pool.director.service("s").recordPosition(f.pool.now, executor.Position{Term: 1, Offset: 10})
+			f.pool.viewConfirmedAt = f.pool.now.Add(-test.age)
+			if got := runVerb(f.entry.newSession(), executor.VerbRead, "x"); got.Code != executor.CodeNone {
+				t.Errorf("got %v %q, want %v", got.Code, got.Text, executor.CodeNone)
+			}
+			if f.pool.dials() > 0 || f.entry.dials() == 0 {
+				t.Errorf("connections: %d of the pool host, %d of the entry host", f.pool.dials(), f.entry.dials())
+			}
+		})
+	}
+}
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -16,7 +16,8 @@
 
 // maxForwardingViewAge is the age of this host's view above which it forwards nothing, so
 // that a withdrawn key stops working within 3 s on a host that is isolated from all but
-// the pool host.
+// the pool host, and above which a pool host takes no operations, so that databases that
+// leave get no new work after 3 s.
 const maxForwardingViewAge = 2 * time.Second
 
 // hasScarceConnections reports whether the hosts of the fleet forward operations on a
@@ -112,7 +113,7 @@
 		return nil, ""
 	}
 	d := s.director
-	if d.SinceBoot().Sub(d.ViewCompleteAsOf()) > maxForwardingViewAge {
+	if d.viewForbidsForwarding() {
 		return nil, localOutdatedView
 	}
 	for _, target := range pools {
@@ -128,6 +129,12 @@
 	return targets, localNoPoolHost
 }
 
+// viewForbidsForwarding reports whether this host's view is too old to check keys for
+// statements that run on other hosts, and to run operations of others.
+func (d *Director) viewForbidsForwarding() bool {
+	return d.SinceBoot().Sub(d.ViewCompleteAsOf()) > maxForwardingViewAge
+}
+
 // verifyPoolHosts checks the pool hosts before this one in the list: another host has
 // forwarded an operation here, so that it may not reach them. If this host does not reach
 // them either, it becomes the acting pool host.
@@ -160,6 +167,14 @@
 	}
 }
 
+// isConfigured reports whether a configuration is in force for the service. The hosts that
+// forward operations may have theirs earlier than this one.
+func (s *service) isConfigured() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.catalog != nil && s.catalog.Configuration != nil
+}
+
 // primaryOutOfReach reports whether this host can't use the primary although another one
 // may.
 func (s *service) primaryOutOfReach() bool {
--- a/director/transaction.go
+++ b/director/transaction.go
@@ -24,7 +24,8 @@
 	attempt *attempt
 	// remote is the stream to the pool host that runs the transaction, or nil.
 	remote *forwarder.Stream
-	// wrote is set once a statement that writes has succeeded.
+	// wrote is set once a statement that writes may have run. One whose response is an
+	// error may have: its result may only have been dropped.
 	wrote bool
 	// failureCode is the reason for which the proxy or the database ended the
 	// transaction, or CodeNone.
@@ -80,6 +81,10 @@
 		databaseID := t.discardConn()
 		return t.fail(executor.Response{Code: executor.CodeAborted, Text: "key was withdrawn"}, databaseID, "key withdrawn")
 	}
+	if t.keyUnconfirmed() {
+		t.closeRemote()
+		return t.fail(executor.Response{Code: executor.CodeAborted, Text: keyUnconfirmedText}, "", localOutdatedView)
+	}
 	deadline := s.director.Now().Add(t.operation.route.StatementTimeout)
 	if t.remote != nil {
 		return t.executeForwarded(statement, writes, p, deadline)
@@ -103,6 +108,16 @@
 	return !ok || customer != op.customer
 }
 
+// keyUnconfirmedText is the text of the response to a statement of a transaction that is
+// rolled back because this host can't confirm its key.
+const keyUnconfirmedText = "key could not be confirmed, the transaction is rolled back"
+
+// keyUnconfirmed reports whether the transaction runs on a pool host while this host's
+// view is too old to know whether the key was withdrawn. The pool host does not check keys.
+func (t *transaction) keyUnconfirmed() bool {
+	return t.remote != nil && t.operation.session.director.viewForbidsForwarding()
+}
+
 // executeFirst takes a connection, begins the transaction on it and runs the
 // first statement. Until the transaction has begun, other databases may be
 // tried.
@@ -201,7 +216,7 @@
 		a.returnOrDiscardConn(response.State)
 		return t.fail(response, databaseID, "answered")
 	}
-	if response.Code == executor.CodeNone && writes {
+	if writes && !response.Code.NotRun() {
 		t.wrote = true
 	}
 	t.operation.finish(databaseID, "answered", response)
@@ -298,6 +313,12 @@
 		t.operation.finish(databaseID, "key withdrawn", response)
 		return response
 	}
+	if t.keyUnconfirmed() {
+		t.closeRemote()
+		response := s.errorResponse(executor.CodeAborted, keyUnconfirmedText)
+		t.operation.finish("", localOutdatedView, response)
+		return response
+	}
 	deadline := s.director.Now().Add(t.operation.route.StatementTimeout)
 	if t.remote != nil {
 		return t.commitForwarded(statement, deadline)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 
 	"github.com/endiveturn/endiveturn/executor"
 )
@@ -341,3 +344,68 @@
 		t.Error("want a stopping process to be unusable until its next process")
 	}
 }
+
+// TestStatementsAfterStopTime guards against a COMMIT that a stopping host runs while its
+// process exits, which leaves its outcome unknown, and against transactions that keep the
+// host from stopping.
+func TestStatementsAfterStopTime(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		ran := 0
+		f.run = func(context.Context, *Request) Reply {
+			ran++
+			return Reply{Response: executor.Response{State: executor.StateTransaction}}
+		}
+		stream, err := f.client.Open(context.Background(), testTarget)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer stream.Close()
+		f.server.StopAt(time.Now().Add(time.Second))
+		steps := []struct {
+			name string
+			wait time.Duration
+			want executor.Code
+		}{
+			{name: "before the stop time", want: executor.CodeNone},
+			{name: "after the stop time", wait: 2 * time.Second, want: executor.CodeAborted},
+		}
+		for _, step := range steps {
+			time.Sleep(step.wait)
+			request := first(executor.VerbWrite, "x")
+			if step.wait > 0 {
+				request = &Request{Statement: executor.Request{ID: "id", Verb: executor.VerbCommit}}
+			}
+			reply, err := stream.Run(request, time.Now().Add(time.Second), false)
+			if err != nil || reply.Response.Code != step.want {
+				t.Errorf("%s: got %v, %v, want %v", step.name, reply.Response.Code, err, step.want)
+			}
+		}
+		if ran != 1 || f.server.Active() != 0 {
+			t.Errorf("ran %d statements, %d operations open, want 1, 0", ran, f.server.Active())
+		}
+	})
+}
+
+// TestHostOfFormerVersion guards against operations that wait for, or are reported as sent
+// to, a host that does not know the protocol, as during a rolling update.
+func TestHostOfFormerVersion(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		f.client.Dial = func(context.Context, string) (net.Conn, error) {
+			here, there := net.Pipe()
+			go func() { _ = drpcserver.New(drpcmux.New()).ServeOne(context.Background(), there) }()
+			return here, nil
+		}
+		began := time.Now()
+		_, err := f.client.Open(context.Background(), testTarget)
+		if !errors.Is(err, ErrNotSent) {
+			t.Errorf("got %v, want %v", err, ErrNotSent)
+		}
+		if took := time.Since(began); took >= dialTimeout {
+			t.Errorf("took %v, want less than %v", took, dialTimeout)
+		}
+		if f.client.Judge.Usable(testTarget.Name, testTarget.Incarnation) {
+			t.Error("the host is still used")
+		}
+	})
+}
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcctx"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/executor"
 )
 
@@ -44,8 +45,10 @@
 	MaxBytes      int64
 
 	stopping atomic.Bool
-	active   atomic.Int64
-	bytes    atomic.Int64
+	// stopAt is when open operations take no further statements, nil for never.
+	stopAt atomic.Pointer[time.Time]
+	active atomic.Int64
+	bytes  atomic.Int64
 }
 
 // Register registers the server's method.
@@ -57,6 +60,10 @@
 // continue.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// StopAt sets when open transactions take no further statements: these are answered with
+// aborted, so that the process does not exit while it runs them.
+func (s *Server) StopAt(deadline time.Time) { s.stopAt.Store(&deadline) }
+
 // Active returns the number of open operations.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
@@ -79,7 +86,7 @@
 
 // serve runs the operations of one stream, one after the other, until it ends.
 func (s *Server) serve(stream drpc.Stream) error {
-	h := &handler{server: s, stream: stream}
+	h := &handler{server: s, stream: stream, account: accountOf(stream)}
 	h.heartbeat = time.AfterFunc(time.Hour, h.sendHeartbeat)
 	h.heartbeat.Stop()
 	h.guard = time.AfterFunc(time.Hour, h.closeTransport)
@@ -99,10 +106,25 @@
 	}
 }
 
+// accountOf returns the account of the stream's connection, or nil.
+func accountOf(stream drpc.Stream) *budgeter.Account {
+	transport, ok := drpcctx.Transport(stream.Context())
+	if !ok {
+		return nil
+	}
+	counted, ok := transport.(interface{ Account() *budgeter.Account })
+	if !ok {
+		return nil
+	}
+	return counted.Account()
+}
+
 // A handler serves one stream.
 type handler struct {
 	server *Server
 	stream drpc.Stream
+	// account pays for the responses; nil sets no limit.
+	account *budgeter.Account
 	// execution is the open operation, nil if there is none.
 	execution *Execution
 	// guard closes the transport of a peer that does not read its reply, or leaves a
@@ -124,12 +146,20 @@
 	size := int64(requestSize(request))
 	h.server.bytes.Add(size)
 	defer h.server.bytes.Add(-size)
+	if stopAt := h.server.stopAt.Load(); h.execution != nil && stopAt != nil && time.Now().After(*stopAt) {
+		h.closeExecution()
+		return h.send(&Reply{number: request.number, Stopping: true, Response: executor.Response{
+			Code: executor.CodeAborted, Text: "pool host is stopping, transaction is rolled back", State: executor.StateFailed,
+		}, Reason: "pool host is stopping"})
+	}
 	if h.execution == nil {
 		if reply := h.begin(request); reply != nil {
 			reply.number = request.number
 			return h.send(reply)
 		}
 	}
+	request.Statement.Account = h.account
+	defer func() { _ = h.account.Resize(budgeter.Response, 0) }() // less is never refused
 	reply := h.run(request)
 	reply.number, reply.Stopping = request.number, h.server.stopping.Load()
 	if reply.EndsOperation() {
