--- a/director/session.go
+++ b/director/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,9 @@
 	// statements of a session.
 	maxVariables = 256
 	maxPrepared  = 1024
+	// maxLoggedName bounds what a log line has of a name in bytes: names of unknown
+	// databases are up to 1 MiB long, and lines wait in memory until they are written.
+	maxLoggedName = 128
 )
 
 // A prepared is a prepared statement of a session.
@@ -63,7 +67,7 @@
 	}
 	s := &Session{director: d, client: client, startup: startup, number: d.Metrics.nextSessionNumber(), state: executor.StateIdle}
 	if code, text := d.admitSession(startup); code != executor.CodeNone {
-		d.Logger.Info("session_refused", "database", startup.Database, "client", startup.Address, "code", code.String(),
+		d.Logger.Info("session_refused", "database", shortenName(startup.Database), "client", startup.Address, "code", code.String(),
 			"reason", text, "version", configurationVersion(d.Catalog()))
 		d.Metrics.recordSessionRefusal(code)
 		_ = client.Refuse(code, text)
@@ -84,6 +88,14 @@
 	}
 }
 
+// shortenName returns what a log line has of a name that a client sent.
+func shortenName(name string) string {
+	if len(name) <= maxLoggedName {
+		return name
+	}
+	return strings.ToValidUTF8(name[:maxLoggedName], "") + "..."
+}
+
 // admitSession checks the requested database and the key of a new session.
 func (d *Director) admitSession(startup Startup) (executor.Code, string) {
 	catalog := d.Catalog()
--- a/director/session_memory_test.go
+++ b/director/session_memory_test.go
@@ -73,3 +73,14 @@
 		}
 	}
 }
+
+// TestLoggedNamesAreShort guards against names of up to 1 MiB in log lines, which wait in
+// memory until they are written.
+func TestLoggedNamesAreShort(t *testing.T) {
+	if got := len(shortenName(strings.Repeat("n", 1<<20))); got > maxLoggedName+len("...") {
+		t.Errorf("got %d bytes, want at most %d", got, maxLoggedName)
+	}
+	if got := shortenName("pay"); got != "pay" {
+		t.Errorf("got %q, want pay", got)
+	}
+}
--- a/flooder/platform_test.go
+++ b/flooder/platform_test.go
@@ -3,10 +3,13 @@
 package flooder
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
+	"time"
 )
 
 // maxMessage is the size in bytes up to which the platform's protocol allows
@@ -174,7 +177,8 @@
 }
 
 // TestUncontrolledClientsHostCalm guards against limits that refuse what a client may do
-// under calm conditions: a message of the greatest size, sent in small pieces.
+// under calm conditions: a message of the greatest size, sent in small pieces, and a
+// startup message of that size, which is answered although no such key exists.
 func TestUncontrolledClientsHostCalm(t *testing.T) {
 	h := startPlatformHost(t)
 	client, err := dialPlatform(h.client, "key-1")
@@ -188,6 +192,19 @@
 	if err := client.exchange(""); err != nil {
 		t.Errorf("message of %d bytes: %v", maxMessage, err)
 	}
+	conn, err := net.Dial("tcp", h.client) //nolint:noctx // loopback
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	if err := writeAll(conn, append(platformMessage("STARTUP pay ", maxMessage-2), "\r\n"...), maxMessage); err != nil {
+		t.Fatal(err)
+	}
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "ERROR NOAUTH") {
+		t.Errorf("startup message of %d bytes: got %q, %v, want ERROR NOAUTH", maxMessage, line, err)
+	}
 	h.check(t)
 }
 
