--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/configurer"
 	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/timekeeper"
@@ -26,6 +27,7 @@
 	DefaultMaxBatchBytes          = 1 << 20
 	DefaultStartupTimeout         = 10 * time.Second
 	DefaultWriteTimeout           = time.Minute
+	DefaultMessageTimeout         = 15 * time.Second
 	DefaultDeadline               = 30 * time.Second
 	DefaultIdleTransactionTimeout = 30 * time.Second
 	DefaultMaxStatements          = 1024
@@ -86,6 +88,11 @@
 	// open without a request; after that the connection is closed with FATAL
 	// 25P03.
 	IdleTransactionTimeout time.Duration
+	// MessageTimeout limits the time from the first part of a request to its end. A second
+	// is added for each 8 KB that arrive.
+	MessageTimeout time.Duration
+	// Budget bounds what clients can cause the process to use; nil sets no limit.
+	Budget *budgeter.Budget
 	// Logger receives one line for each connection opened, closed or refused.
 	Logger *slog.Logger
 	// Now returns the current time; time.Now by default.
@@ -139,6 +146,7 @@
 		setIfZero(&a.MockIterations, DefaultMockIterations)
 		setIfZero(&a.StartupTimeout, DefaultStartupTimeout)
 		setIfZero(&a.WriteTimeout, DefaultWriteTimeout)
+		setIfZero(&a.MessageTimeout, DefaultMessageTimeout)
 		setIfZero(&a.IdleTransactionTimeout, DefaultIdleTransactionTimeout)
 		if a.Rand == nil {
 			a.Rand = rand.Reader
@@ -216,7 +224,15 @@
 // startConnection starts serving nc, or closes it if the acceptor is draining.
 func (a *Acceptor) startConnection(ctx context.Context, nc net.Conn) {
 	c := &connection{acceptor: a, conn: nc, status: statusIdle, startedAt: a.Now()}
-	c.reader.source = c.read
+	c.reader.source, c.reader.pay = c.read, c.payFor
+	if a.Budget != nil {
+		account, err := a.Budget.Open(budgeter.Clients, budgeter.Address(nc), func() { _ = nc.Close() })
+		if err != nil {
+			_ = nc.Close()
+			return
+		}
+		c.account = account
+	}
 	a.mu.Lock()
 	draining := a.draining.Load()
 	if !draining {
@@ -224,6 +240,7 @@
 	}
 	a.mu.Unlock()
 	if draining {
+		c.account.End()
 		nc.Close()
 		return
 	}
--- /dev/null
+++ b/acceptor/budget.go
@@ -0,0 +1,119 @@
+package acceptor
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/budgeter"
+	"github.com/endiveturn/endiveturn/executor"
+)
+
+const (
+	// messageCopies is how often a request is in memory while it is served: as it was
+	// received, with the space by which its buffer grows, as texts of statements, and as
+	// it is sent to a database or to another host.
+	messageCopies = 4
+	// uncountedRequest is the size of a request in bytes up to which it costs no account,
+	// so that ordinary requests take no lock.
+	uncountedRequest = 8 << 10
+	// uncountedKept is the size in bytes up to which what a session keeps costs no account.
+	uncountedKept = 1 << 10
+	// keptOverhead is the memory in bytes that a prepared statement takes besides its
+	// texts.
+	keptOverhead = 256
+	// messageWriteRate is the number of bytes a second that add to MessageTimeout, so that
+	// clients that send slowly but steadily are served.
+	messageWriteRate = 8 << 10
+)
+
+// errSlowMessage means that the end of a request has not arrived in time.
+var errSlowMessage = errors.New("request was not completed in time")
+
+// MessageMemory returns the memory in bytes that one connection needs for a request of
+// the given size.
+func MessageMemory(size int) int64 { return messageCopies * int64(size) }
+
+// payFor takes the memory for a request of which size bytes have arrived or are about to
+// be received. The amount doubles, so that it seldom changes.
+func (c *connection) payFor(size int) error {
+	if size <= max(uncountedRequest, c.paid) {
+		return nil
+	}
+	paid := max(size, min(2*max(uncountedRequest, c.paid), c.acceptor.MaxBatchBytes))
+	if err := c.account.Resize(budgeter.Message, MessageMemory(paid)); err != nil {
+		c.account.Refuse(err)
+		return executor.RefuseNotRun(executor.CodeOutOfMemory, "no memory for the request: "+err.Error())
+	}
+	c.paid = paid
+	return nil
+}
+
+// endRequest returns the memory of a request.
+func (c *connection) endRequest() {
+	if c.paid > 0 {
+		c.paid = 0
+		_ = c.account.Resize(budgeter.Message, 0) // less is never refused
+	}
+}
+
+// keep takes the memory for the prepared statements of the session.
+func (c *connection) keep(statements, bytes int) error {
+	kept := int64(bytes + statements*keptOverhead)
+	if kept <= uncountedKept {
+		kept = 0
+	}
+	if kept == c.kept {
+		return nil
+	}
+	if err := c.account.Resize(budgeter.Session, kept); err != nil {
+		return err
+	}
+	c.kept = kept
+	return nil
+}
+
+// keepPlanned takes the memory for the prepared statements after a plan. It refuses the
+// plan if there is none.
+func (c *connection) keepPlanned(p *plan) {
+	if p.refusal != nil || p.addedBytes <= 0 && p.addedStatements <= 0 {
+		return
+	}
+	if err := c.keep(len(c.statements.byName)+p.addedStatements, c.statements.totalBytes+p.addedBytes); err != nil {
+		p.refusal = executor.RefuseNotRun(executor.CodeOutOfMemory, "no memory for prepared statements: "+err.Error())
+	}
+}
+
+// keepCurrent returns the memory of statements that were closed or not prepared.
+func (c *connection) keepCurrent() {
+	_ = c.keep(len(c.statements.byName), c.statements.totalBytes) // at most what keepPlanned took
+}
+
+// limitMessage limits the wait for the rest of a request of which a part has arrived.
+func (c *connection) limitMessage() error {
+	now := time.Now()
+	if c.messageBegan.IsZero() {
+		c.messageBegan = now
+	}
+	limit := c.messageBegan.Add(c.acceptor.MessageTimeout + time.Duration(c.messageBytes)*time.Second/messageWriteRate)
+	if now.After(limit) {
+		c.account.Refuse(errSlowMessage)
+		return errSlowMessage
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.terminated {
+		return nil
+	}
+	return c.conn.SetReadDeadline(limit)
+}
+
+// endMessage removes the limit after the end of a request. An interrupt that it removes as
+// well is made up for by the check between requests.
+func (c *connection) endMessage() {
+	if c.messageBegan.IsZero() {
+		return
+	}
+	c.messageBegan, c.messageBytes = time.Time{}, 0
+	c.clearInterrupt()
+}
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/executor"
 )
 
@@ -64,6 +65,16 @@
 	awaitingRequest bool
 	batchCount      int
 	reader          reader
+	// account pays for what the client causes the process to keep; nil sets no limit.
+	// paid is the size of the request that it pays for, and kept what it pays for
+	// prepared statements.
+	account *budgeter.Account
+	paid    int
+	kept    int64
+	// messageBegan is when the process first had to wait for the rest of a request, zero
+	// while it has not; messageBytes is what has arrived since.
+	messageBegan time.Time
+	messageBytes int
 	// idleSince is the time since which the client has left an open transaction
 	// idle, in ns of Unix time; 0 if it has not.
 	idleSince atomic.Int64
@@ -86,7 +97,16 @@
 // middle of a request the interrupt is ignored.
 func (c *connection) read(p []byte) (int, error) {
 	for {
+		limited := c.registered && !c.awaitingRequest
+		if limited {
+			if err := c.limitMessage(); err != nil {
+				return 0, err
+			}
+		}
 		n, err := c.conn.Read(p)
+		if limited {
+			c.messageBytes += n
+		}
 		if n > 0 || !c.registered || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -210,9 +230,11 @@
 		return err
 	}
 	for {
+		c.account.Complete()
 		if err := c.waitForRequest(ctx); err != nil {
 			return err
 		}
+		c.account.Begin()
 		if err := c.serveRequest(ctx); err != nil {
 			return err
 		}
--- a/acceptor/reader.go
+++ b/acceptor/reader.go
@@ -28,6 +28,9 @@
 type reader struct {
 	// source reads from the client, like io.Reader.
 	source func(p []byte) (int, error)
+	// pay, if not nil, is called before a request grows to a size in bytes. It returns the
+	// reason to refuse it.
+	pay func(size int) error
 	// large is nil while the small buffer is sufficient.
 	large      *[largeBufferSize]byte
 	start, end int
@@ -86,6 +89,11 @@
 			}
 		}
 		m := min(n, r.end-r.start)
+		if len(dst)+m > uncountedRequest && r.pay != nil {
+			if err := r.pay(len(dst) + m); err != nil {
+				return dst, err
+			}
+		}
 		dst = append(dst, r.buffer()[r.start:r.start+m]...)
 		r.start += m
 		n -= m
--- a/acceptor/registry.go
+++ b/acceptor/registry.go
@@ -56,6 +56,7 @@
 
 // unregister removes a connection that is being closed.
 func (a *Acceptor) unregister(c *connection) {
+	c.account.End()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.conns, c)
--- a/acceptor/request.go
+++ b/acceptor/request.go
@@ -8,8 +8,9 @@
 )
 
 // maxPooledRequestSize is the maximum total size of the buffers of a request
-// that goes back to the pool.
-const maxPooledRequestSize = 64 << 10
+// that goes back to the pool. A connection that waits for the rest of a request holds
+// such buffers without a count.
+const maxPooledRequestSize = 32 << 10
 
 var requestPool = sync.Pool{New: func() any { return new(request) }}
 
@@ -54,6 +55,7 @@
 		}
 		r.ends = append(r.ends, len(raw))
 		if kind == 'Q' || kind == 'S' || kind == 'H' || kind == 'F' {
+			c.endMessage()
 			return r, nil
 		}
 	}
--- a/acceptor/serve.go
+++ b/acceptor/serve.go
@@ -17,6 +17,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.endRequest()
 	defer r.release()
 	if c.skippingToSync {
 		if r.lastType() != 'S' {
@@ -34,6 +35,8 @@
 	if err != nil {
 		return err
 	}
+	c.keepPlanned(p)
+	defer c.keepCurrent()
 	return c.respond(ctx, p, granted)
 }
 
--- a/acceptor/startup.go
+++ b/acceptor/startup.go
@@ -205,6 +205,9 @@
 	if refusal != nil {
 		return access{}, refusal
 	}
+	if err := c.account.SetCustomer(granted.customer); err != nil {
+		return access{}, executor.RefuseNotRun(executor.CodeTooManyQueued, err.Error())
+	}
 	c.customer, c.verifier, c.service = granted.customer, granted.verifier, granted.service
 	return granted, nil
 }
--- a/executor/refusal.go
+++ b/executor/refusal.go
@@ -42,6 +42,7 @@
 	CodeStatementUnknown     = "40003" // statement_completion_unknown
 	CodeRolledBack           = "40000" // transaction_rollback
 	CodeTooManyQueued        = "53300" // too_many_connections: queue full or deadline exceeded
+	CodeOutOfMemory          = "53200" // out_of_memory: the memory for clients is used up
 	CodeRateExceeded         = "53400" // configuration_limit_exceeded
 	CodeCannotServe          = "57P03" // cannot_connect_now
 	CodeStopping             = "57P01" // admin_shutdown
--- a/flooder/postgres_host_test.go
+++ b/flooder/postgres_host_test.go
@@ -64,9 +64,12 @@
 	return h
 }
 
-// postgresSettings adds the settings of the machine's limits, of which this version
-// has none: it takes as much memory as clients cause.
-func postgresSettings(settings map[string]any) map[string]any { return settings }
+// postgresSettings adds the settings of the machine's limits. That of descriptors is the
+// process's own.
+func postgresSettings(settings map[string]any) map[string]any {
+	settings["memory_mb"] = machineMemory
+	return settings
+}
 
 // writeJSON writes a file with a value and returns its path.
 func writeJSON(t *testing.T, name string, value any) string {
--- a/hoster/listen.go
+++ b/hoster/listen.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"net"
-	"syscall"
 
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/budgeter"
 )
 
 // listeners are the listeners of a host.
@@ -20,7 +21,7 @@
 func (h *Host) openListeners(ctx context.Context) (l listeners, err error) {
 	listen := h.Listen
 	if listen == nil {
-		listen = listenTCP
+		listen = budgeter.ListenTCP
 	}
 	var opened []net.Listener
 	for _, target := range []struct {
@@ -46,23 +47,3 @@
 	}
 	return l, nil
 }
-
-// receiveBufferSize is the size in bytes of the kernel's buffer for what a connection has
-// received and the host has not read, of which the kernel takes twice as much. The
-// platform counts it as memory of the process, and without a limit it grows to
-// megabytes. A client 3 ms away can still send about 10 MB/s.
-const receiveBufferSize = 16 << 10
-
-func listenTCP(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
-		var optionErr error
-		err := conn.Control(func(fd uintptr) {
-			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferSize)
-		})
-		if err != nil {
-			return err
-		}
-		return optionErr
-	}}
-	return config.Listen(ctx, "tcp", address)
-}
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/director"
 )
 
@@ -110,7 +111,7 @@
 	}
 	d.Optional("seeds", &s.Seeds)
 	if s.MaxDescriptors == 0 {
-		s.MaxDescriptors = processDescriptors()
+		s.MaxDescriptors = budgeter.ProcessDescriptors()
 	}
 	s.Balance = decodeBalance(d)
 	s.decodeUsage(d)
--- a/serve.go
+++ b/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"runtime/debug"
 
 	"github.com/endiveturn/endiveturn/server"
 	"github.com/endiveturn/endiveturn/storer"
@@ -31,6 +33,9 @@
 		fmt.Fprintf(c.env.stdout, "settings of host %s are valid\n", settings.Host)
 		return nil
 	}
+	if settings.MemoryMegabytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMegabytes<<20)))
+	}
 	logger := c.env.logger(settings.LogLevel)
 	store := &storer.Client{Addresses: settings.StoreAddresses, Timeout: settings.StoreTimeout, Logger: logger}
 	defer store.Close()
--- a/server/peers.go
+++ b/server/peers.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endiveturn/endiveturn/acceptor"
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/gossiper"
 	"github.com/endiveturn/endiveturn/limiter"
@@ -114,7 +115,7 @@
 
 func (s *Server) newPeerServer() *messenger.Server {
 	return &messenger.Server{
-		Listener: s.PeerListener,
+		Listener: s.counted(s.PeerListener, budgeter.Peers),
 		Opener:   localOpener{server: s},
 		Heartbeat: func(_ context.Context, h gossiper.Heartbeat) (gossiper.Heartbeat, error) {
 			return s.gossip.HandleHeartbeat(h), nil
--- a/server/server.go
+++ b/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/endiveturn/endiveturn/acceptor"
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/configurer"
 	"github.com/endiveturn/endiveturn/gossiper"
 	"github.com/endiveturn/endiveturn/holder"
@@ -86,7 +87,9 @@
 	placer     *placer
 	forwarder  *forwarder
 	budget     *retryBudget
-	started    time.Time
+	// clientBudget bounds what connections of clients, other hosts and HTTP use.
+	clientBudget *budgeter.Budget
+	started      time.Time
 	// runMu guards cancelRun and stopped.
 	runMu sync.Mutex
 	// cancelRun makes Run return; it is nil before Run.
@@ -220,7 +223,6 @@
 }
 
 func (s *Server) listen(ctx context.Context) error {
-	var config net.ListenConfig
 	for _, l := range []struct {
 		listener *net.Listener
 		address  string
@@ -228,7 +230,7 @@
 		if *l.listener != nil {
 			continue
 		}
-		listener, err := config.Listen(ctx, "tcp", l.address)
+		listener, err := budgeter.ListenTCP(ctx, l.address)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
@@ -244,6 +246,7 @@
 	}
 	s.peerClient = &messenger.Client{Dial: s.DialPeer, DialTimeout: adminTimeout, Logger: s.Logger}
 	s.budget = &retryBudget{now: s.Now}
+	s.clientBudget = s.newClientBudget()
 	s.limiter = &limiter.Limiter{Now: s.Now, MaxWait: s.Settings.RateWait, Donors: s.donors, Pull: s.pullTokens, OnTokensReceived: s.countTokens}
 	s.placer = &placer{
 		server: s, handOver: s.handOver, wakeups: make(chan struct{}, 1),
@@ -257,6 +260,7 @@
 	s.acceptor = &acceptor.Acceptor{
 		Listener: s.ClientListener, Opener: s.forwarder, Config: s.Config, Admit: s.admit, HostName: s.Settings.Host,
 		TLS: tlsConfig, RequireTLS: s.Settings.RequireTLS, AllowCleartext: s.Settings.AllowCleartext,
+		Budget:                 s.clientBudget,
 		MockSecret:             mockSecret(s.Settings.EndpointPassword),
 		IdleTransactionTimeout: s.Settings.IdleTransactionTimeout,
 		MaxBatchBytes:          s.Settings.MaxMessageBytes, Logger: s.Logger, Now: s.Now,
--- a/server/settings.go
+++ b/server/settings.go
@@ -16,6 +16,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/acceptor"
+	"github.com/endiveturn/endiveturn/budgeter"
 )
 
 // ErrInvalidSettings is the cause of all errors that concern the content of the
@@ -31,6 +34,9 @@
 	DefaultMaxMessageBytes        = 1 << 20
 )
 
+// maxMemoryMegabytes is the greatest valid memory of a process.
+const maxMemoryMegabytes = 1 << 24
+
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
 
 // Settings holds the settings of a single host. What all hosts share is part of
@@ -78,6 +84,11 @@
 	IdleTransactionTimeout time.Duration
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// MemoryMegabytes is the memory of the process, of which connections may take a part.
+	MemoryMegabytes int64
+	// MaxDescriptors is the number of file descriptors that the process may have; 0
+	// means that it is unknown, and that connections are not limited in number.
+	MaxDescriptors int
 	// LogLevel is the minimum level of log lines: debug, info, warn or error.
 	LogLevel slog.Level
 }
@@ -103,6 +114,8 @@
 	RateWait         string   `json:"rate_wait"`
 	IdleTransaction  string   `json:"idle_transaction_timeout"`
 	StopTimeout      string   `json:"stop_timeout"`
+	MemoryMegabytes  int64    `json:"memory_mb"`
+	MaxDescriptors   int      `json:"max_descriptors"`
 	LogLevel         string   `json:"log_level"`
 }
 
@@ -186,6 +199,13 @@
 	if s.MaxMessageBytes == 0 {
 		s.MaxMessageBytes = DefaultMaxMessageBytes
 	}
+	s.MemoryMegabytes, s.MaxDescriptors = w.MemoryMegabytes, w.MaxDescriptors
+	if s.MemoryMegabytes == 0 {
+		s.MemoryMegabytes = budgeter.MachineMemory() >> 20
+	}
+	if s.MaxDescriptors == 0 {
+		s.MaxDescriptors = budgeter.ProcessDescriptors()
+	}
 	if w.LogLevel != "" {
 		if err := s.LogLevel.UnmarshalText([]byte(w.LogLevel)); err != nil {
 			problems.add("log_level", "%q is not one of debug, info, warn, error", w.LogLevel)
@@ -227,6 +247,23 @@
 	if s.MaxMessageBytes < minBytes || s.MaxMessageBytes > maxBytes {
 		problems.add("max_message_bytes", "%d is not between %d and %d", s.MaxMessageBytes, minBytes, maxBytes)
 	}
+	s.validateLimits(problems)
+}
+
+// validateLimits checks the memory and the descriptors of the process.
+func (s *Settings) validateLimits(problems *problemList) {
+	if s.MemoryMegabytes < 0 || s.MemoryMegabytes > maxMemoryMegabytes {
+		problems.add("memory_mb", "%d is not between 0 and %d", s.MemoryMegabytes, maxMemoryMegabytes)
+		return
+	}
+	if s.MaxDescriptors < 0 {
+		problems.add("max_descriptors", "%d is negative", s.MaxDescriptors)
+	}
+	limits := budgeter.Plan(s.MemoryMegabytes<<20, s.MaxDescriptors)
+	if needed := acceptor.MessageMemory(s.MaxMessageBytes); limits.Memory > 0 && needed > limits.Memory {
+		problems.add("memory_mb", "%d MB leave %d bytes for clients, and a message of max_message_bytes takes %d",
+			s.MemoryMegabytes, limits.Memory, needed)
+	}
 }
 
 func checkAddress(problems *problemList, field, address string) {
--- a/server/status.go
+++ b/server/status.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/configurer"
 	"github.com/endiveturn/endiveturn/promoter"
 )
@@ -18,6 +18,10 @@
 	// httpTimeout bounds reading a request for metrics or status and writing its
 	// response.
 	httpTimeout = 5 * time.Second
+	// httpIdleTimeout bounds the time between two requests on a connection.
+	httpIdleTimeout = time.Minute
+	// maxHTTPHeader bounds the header of a request in bytes.
+	maxHTTPHeader = 8 << 10
 	// percentile99 is the quantile reported for timers.
 	percentile99 = 0.99
 )
@@ -185,6 +189,7 @@
 			values[name+"_p99_us"] = int64(m.Percentile(percentile99)) / int64(time.Microsecond)
 		}
 	})
+	s.addClientLoad(values)
 	return values
 }
 
@@ -199,17 +204,19 @@
 		<-ctx.Done()
 		return nil
 	}
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", s.Settings.HTTPAddress)
+	listener, err := budgeter.ListenTCP(ctx, s.Settings.HTTPAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for http")
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", s.handleStatus)
 	mux.HandleFunc("GET /metrics", s.handleMetrics)
-	httpServer := &http.Server{Handler: mux, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout}
+	httpServer := &http.Server{
+		Handler: mux, ReadHeaderTimeout: httpTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout,
+		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHTTPHeader,
+	}
 	context.AfterFunc(ctx, func() { httpServer.Close() })
-	if err := httpServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := httpServer.Serve(s.counted(listener, budgeter.HTTP)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve http")
 	}
 	return nil
