--- a/acceptor/budget.go
+++ b/acceptor/budget.go
@@ -11,8 +11,8 @@
 
 const (
 	// messageCopies is how often a request is in memory while it is served: as it was
-	// received, with the space by which its buffer grows, as texts of statements, and as
-	// it is sent to a database or to another host.
+	// received, as texts of statements, as a batch, and as it is sent to a database or to
+	// another host.
 	messageCopies = 4
 	// uncountedRequest is the size of a request in bytes up to which it costs no account,
 	// so that ordinary requests take no lock.
@@ -34,19 +34,19 @@
 // the given size.
 func MessageMemory(size int) int64 { return messageCopies * int64(size) }
 
-// payFor takes the memory for a request of which size bytes have arrived or are about to
-// be received. The amount doubles, so that it seldom changes.
-func (c *connection) payFor(size int) error {
+// payFor takes the memory for a request of which size bytes have arrived, and returns the
+// size that its buffer should have. That doubles, so that it seldom changes.
+func (c *connection) payFor(size int) (int, error) {
 	if size <= max(uncountedRequest, c.paid) {
-		return nil
+		return max(size, c.paid), nil
 	}
 	paid := max(size, min(2*max(uncountedRequest, c.paid), c.acceptor.MaxBatchBytes))
 	if err := c.account.Resize(budgeter.Message, MessageMemory(paid)); err != nil {
 		c.account.Refuse(err)
-		return executor.RefuseNotRun(executor.CodeOutOfMemory, "no memory for the request: "+err.Error())
+		return 0, executor.RefuseNotRun(executor.CodeOutOfMemory, "no memory for the request: "+err.Error())
 	}
 	c.paid = paid
-	return nil
+	return paid, nil
 }
 
 // endRequest returns the memory of a request.
--- a/acceptor/reader.go
+++ b/acceptor/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sync"
 
 	"github.com/endiveturn/endiveturn/executor"
@@ -29,8 +30,8 @@
 	// source reads from the client, like io.Reader.
 	source func(p []byte) (int, error)
 	// pay, if not nil, is called before a request grows to a size in bytes. It returns the
-	// reason to refuse it.
-	pay func(size int) error
+	// size that its buffer should have, or the reason to refuse it.
+	pay func(size int) (int, error)
 	// large is nil while the small buffer is sufficient.
 	large      *[largeBufferSize]byte
 	start, end int
@@ -90,9 +91,11 @@
 		}
 		m := min(n, r.end-r.start)
 		if len(dst)+m > uncountedRequest && r.pay != nil {
-			if err := r.pay(len(dst) + m); err != nil {
+			size, err := r.pay(len(dst) + m)
+			if err != nil {
 				return dst, err
 			}
+			dst = slices.Grow(dst, size-len(dst))
 		}
 		dst = append(dst, r.buffer()[r.start:r.start+m]...)
 		r.start += m
--- a/budgeter/report.go
+++ b/budgeter/report.go
@@ -23,15 +23,20 @@
 
 // Report logs and counts a connection that was refused or closed.
 func (r *Reporter) Report(e Event) {
-	name := "client_closed"
+	counter := "client_closed."
 	if e.Refused {
-		name = "client_refused"
+		counter = "client_refused."
 	}
-	metrics.GetOrRegisterCounter(name+"."+e.Class.String(), r.Registry).Inc(1)
-	if r.limit.allow(time.Now()) {
-		r.Logger.Warn(name, "class", e.Class.String(), "reason", e.Reason.Error(), "client", e.Address,
-			"customer", e.Customer, "bytes", e.Bytes)
+	metrics.GetOrRegisterCounter(counter+e.Class.String(), r.Registry).Inc(1)
+	if !r.limit.allow(time.Now()) {
+		return
 	}
+	fields := []any{"class", e.Class.String(), "reason", e.Reason.Error(), "client", e.Address, "customer", e.Customer, "bytes", e.Bytes}
+	if e.Refused {
+		r.Logger.Warn("client_refused", fields...)
+		return
+	}
+	r.Logger.Warn("client_closed", fields...)
 }
 
 // ReportLimits logs the limits in force.
--- a/events_test.go
+++ b/events_test.go
@@ -19,7 +19,7 @@
 	logged := make(map[string]bool)
 	// reporter.Writer writes this event itself, without a logger.
 	logged["log_lines_dropped"] = true
-	for _, folder := range []string{".", "accountant", "director", "exchanger", "hoster", "informer", "overseer"} {
+	for _, folder := range []string{".", "accountant", "budgeter", "director", "exchanger", "hoster", "informer", "overseer"} {
 		files, err := filepath.Glob(filepath.Join(folder, "*.go"))
 		if err != nil {
 			t.Fatal(err)
