--- a/acceptor/benchmark_test.go
+++ b/acceptor/benchmark_test.go
@@ -8,9 +8,11 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/configurer"
 )
 
@@ -84,7 +86,9 @@
 
 // BenchmarkBatch measures a simple query from a client to the opener and back.
 func BenchmarkBatch(b *testing.B) {
-	f := newFixture(b, nil)
+	f := newFixture(b, func(f *fixture) {
+		f.Budget = &budgeter.Budget{Limits: budgeter.Plan(1<<30, 100_000), Now: time.Now}
+	})
 	c := dialRaw(b, f)
 	c.startup(publicStartup)
 	response := make([]byte, 4096)
--- a/acceptor/budget.go
+++ b/acceptor/budget.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,12 +36,12 @@
 func MessageMemory(size int) int64 { return messageCopies * int64(size) }
 
 // payFor takes the memory for a request of which size bytes have arrived, and returns the
-// size that its buffer should have. That doubles, so that it seldom changes.
+// size that its buffer should have. That is a power of two, so that it seldom changes.
 func (c *connection) payFor(size int) (int, error) {
 	if size <= max(uncountedRequest, c.paid) {
 		return max(size, c.paid), nil
 	}
-	paid := max(size, min(2*max(uncountedRequest, c.paid), c.acceptor.MaxBatchBytes))
+	paid := max(size, min(1<<bits.Len(uint(size-1)), c.acceptor.MaxBatchBytes))
 	if err := c.account.Resize(budgeter.Message, MessageMemory(paid)); err != nil {
 		c.account.Refuse(err)
 		return 0, executor.RefuseNotRun(executor.CodeOutOfMemory, "no memory for the request: "+err.Error())
