--- a/acceptor/budget_test.go
+++ b/acceptor/budget_test.go
@@ -94,7 +94,7 @@
 	c := dialRaw(t, f)
 	c.startup(publicStartup)
 	for _, part := range [][]byte{selectOne[:3], selectOne[3:]} {
-		if _, err := c.Conn.Write(part); err != nil {
+		if _, err := c.Write(part); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(timeout / 10)
@@ -107,13 +107,13 @@
 	if got := firstError(c.read()); got != "" {
 		t.Errorf("request after a pause: got %s, want no error", got)
 	}
-	if _, err := c.Conn.Write(selectOne[:3]); err != nil {
+	if _, err := c.Write(selectOne[:3]); err != nil {
 		t.Fatal(err)
 	}
 	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
-	if n, err := c.Conn.Read(make([]byte, 1)); n != 0 || err == nil || strings.Contains(err.Error(), "timeout") {
+	if n, err := c.Read(make([]byte, 1)); n != 0 || err == nil || strings.Contains(err.Error(), "timeout") {
 		t.Errorf("half a request: read %d bytes, %v, want the end of the connection", n, err)
 	}
 }
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -175,7 +175,7 @@
 			}
 			sum += count
 		}
-		if got, most := sum, max(test.descriptors, minDescriptors)-fileDescriptors; got > most*3/4+1 {
+		if got, most := sum, max(test.descriptors, fileDescriptors+minConnections)-fileDescriptors; got > most*3/4+1 {
 			t.Errorf("%s: connections: got %d, want at most three quarters of %d", test.name, got, most)
 		}
 		if got := limits.Connections[Clients]; got < test.minClients {
--- a/budgeter/plan.go
+++ b/budgeter/plan.go
@@ -1,8 +1,6 @@
 package budgeter
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// clientMemoryShare is the part of a machine's memory that connections may take.
@@ -17,6 +15,9 @@
 	// connectionCost is what a connection takes without buffers, in bytes: its
 	// goroutine, its descriptor's state and its smallest buffer.
 	connectionCost = 12 << 10
+	// maxMemoryShare is the greatest part of a machine's memory that connections may
+	// take, that of the heap.
+	maxMemoryShare = 0.6
 	// fileDescriptors is the number of descriptors that the platform reserves for files.
 	fileDescriptors = 200
 	// databaseShare and peerShare are the parts, as divisors, of the other descriptors
@@ -24,25 +25,99 @@
 	databaseShare, peerShare = 4, 4
 	// httpShare is the same for HTTP connections, which are at most maxHTTP.
 	httpShare, maxHTTP = 16, 64
-	// minDescriptors is the least limit of descriptors that Plan divides up.
-	minDescriptors = fileDescriptors + 64
+	// minConnections is the least number of descriptors without those for files that Plan
+	// divides up.
+	minConnections = 64
 	// defaultIdleWhenShort is how long a session may be idle while connections are
 	// scarce.
 	defaultIdleWhenShort = time.Minute
+	// MinIdleWhenShort is the least valid setting of that time.
+	MinIdleWhenShort = time.Second
+	// MaxIdleWhenShort is the greatest one.
+	MaxIdleWhenShort = 24 * time.Hour
 )
 
+// Options are the limits that operators may set. Zero values mean the defaults.
+type Options struct {
+	// MemoryShare is the part of the machine's memory that connections may take.
+	MemoryShare float64
+	// ConnectionMegabytes is the memory that one connection of a client may take.
+	ConnectionMegabytes int64
+	// FileDescriptors is the number of descriptors that are not for connections.
+	FileDescriptors int
+	// MaxClients is the number of connections of clients; by default it follows from the
+	// descriptors.
+	MaxClients int
+	// PerAddress and PerCustomer are numbers of connections of clients; by default they
+	// are not limited.
+	PerAddress, PerCustomer int
+	// IdleWhenShort is the time for which a connection may be idle while connections are
+	// scarce.
+	IdleWhenShort time.Duration
+}
+
+// Validate calls reject for each invalid option, with the name of its setting.
+func (o Options) Validate(memory int64, descriptors int, reject func(setting, format string, arguments ...any)) {
+	if o.MemoryShare < 0 || o.MemoryShare > maxMemoryShare {
+		reject("client_memory_share", "%v is not between 0 and %v", o.MemoryShare, maxMemoryShare)
+	}
+	if least := int64(minConnectionMemory >> 20); o.ConnectionMegabytes != 0 && o.ConnectionMegabytes < least {
+		reject("connection_memory_mb", "%d is less than %d", o.ConnectionMegabytes, least)
+	}
+	if o.ConnectionMegabytes > max(memory, minConnectionMemory)>>20 && memory > 0 {
+		reject("connection_memory_mb", "%d is more than the machine has", o.ConnectionMegabytes)
+	}
+	if o.FileDescriptors < 0 || o.FileDescriptors > 0 && descriptors > 0 && o.FileDescriptors > descriptors-minConnections {
+		reject("file_descriptors", "%d of %d leave less than %d for connections", o.FileDescriptors, descriptors, minConnections)
+	}
+	if derived := o.clients(descriptors); o.MaxClients < 0 || derived > 0 && o.MaxClients > derived {
+		reject("max_clients", "%d is not between 0 and %d, what the descriptors allow", o.MaxClients, derived)
+	}
+	if o.PerAddress < 0 {
+		reject("max_connections_per_address", "%d is negative", o.PerAddress)
+	}
+	if o.PerCustomer < 0 {
+		reject("max_connections_per_customer", "%d is negative", o.PerCustomer)
+	}
+}
+
+// clients returns the number of connections of clients that follows from the descriptors.
+func (o Options) clients(descriptors int) int {
+	o.MaxClients = 0
+	return o.Plan(0, descriptors).Connections[Clients]
+}
+
 // Plan derives limits from the memory of a machine in bytes and the limit of
 // descriptors of the process. 0 means unknown: then the part is not limited.
-func Plan(memory int64, descriptors int) Limits {
-	limits := Limits{ConnectionCost: connectionCost, IdleWhenShort: defaultIdleWhenShort}
+func Plan(memory int64, descriptors int) Limits { return Options{}.Plan(memory, descriptors) }
+
+// Plan derives limits like the function of this name, with the options.
+func (o Options) Plan(memory int64, descriptors int) Limits {
+	limits := Limits{
+		ConnectionCost: connectionCost, IdleWhenShort: orDefault(o.IdleWhenShort, defaultIdleWhenShort),
+		PerAddress: o.PerAddress, PerCustomer: o.PerCustomer, ConnectionMemory: o.ConnectionMegabytes << 20,
+	}
 	if memory > 0 {
-		limits.Memory = int64(clientMemoryShare * float64(memory))
-		limits.ConnectionMemory = max(limits.Memory/connectionMemoryDivisor, minConnectionMemory)
+		limits.Memory = int64(orDefault(o.MemoryShare, clientMemoryShare) * float64(memory))
+		limits.ConnectionMemory = orDefault(limits.ConnectionMemory, max(limits.Memory/connectionMemoryDivisor, minConnectionMemory))
 	}
 	if descriptors > 0 {
-		usable := max(descriptors, minDescriptors) - fileDescriptors
+		files := orDefault(o.FileDescriptors, fileDescriptors)
+		usable := max(descriptors, files+minConnections) - files
 		peers, http := usable/peerShare, min(usable/httpShare, maxHTTP)
 		limits.Connections = [classes]int{Clients: usable - usable/databaseShare - peers - http, Peers: peers, HTTP: http}
 	}
+	if o.MaxClients > 0 {
+		limits.Connections[Clients] = o.MaxClients
+	}
 	return limits
 }
+
+// orDefault returns the value, or the default for 0.
+func orDefault[T comparable](value, byDefault T) T {
+	var zero T
+	if value == zero {
+		return byDefault
+	}
+	return value
+}
--- a/hoster/budget.go
+++ b/hoster/budget.go
@@ -9,7 +9,7 @@
 
 // newBudget returns the budget of the host's connections.
 func (h *Host) newBudget() *budgeter.Budget {
-	limits := budgeter.Plan(h.Settings.MemoryMegabytes<<20, h.Settings.MaxDescriptors)
+	limits := h.Settings.ClientLimits.Plan(h.Settings.MemoryMegabytes<<20, h.Settings.MaxDescriptors)
 	reporter := &budgeter.Reporter{Logger: h.Logger, Registry: h.Registry}
 	reporter.ReportLimits(limits)
 	return &budgeter.Budget{Limits: limits, Now: time.Now, OnEvent: reporter.Report}
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -46,6 +46,8 @@
 	// MaxDescriptors is the number of file descriptors that the process may have. If the
 	// settings have none, it is the limit of the process.
 	MaxDescriptors int
+	// ClientLimits are the limits of what clients can cause the process to use.
+	ClientLimits budgeter.Options
 	// CPUShare is the fraction of a CPU core available to the process, 0 if
 	// unknown.
 	CPUShare float64
@@ -113,11 +115,35 @@
 	if s.MaxDescriptors == 0 {
 		s.MaxDescriptors = budgeter.ProcessDescriptors()
 	}
+	s.ClientLimits = decodeClientLimits(d)
+	s.ClientLimits.Validate(s.MemoryMegabytes<<20, s.MaxDescriptors, d.Reject)
 	s.Balance = decodeBalance(d)
 	s.decodeUsage(d)
 	return s, NewValidationError(ErrInvalidSettings, violations)
 }
 
+// decodeClientLimits decodes the optional limits of what clients can cause the process to
+// use; 0 means the default.
+func decodeClientLimits(d *ObjectDecoder) budgeter.Options {
+	var o budgeter.Options
+	d.Optional("client_memory_share", &o.MemoryShare)
+	d.Optional("connection_memory_mb", &o.ConnectionMegabytes)
+	d.Optional("file_descriptors", &o.FileDescriptors)
+	d.Optional("max_clients", &o.MaxClients)
+	d.Optional("max_connections_per_address", &o.PerAddress)
+	d.Optional("max_connections_per_customer", &o.PerCustomer)
+	var idle float64
+	if !d.Optional("idle_when_short_s", &idle) || idle == 0 {
+		return o
+	}
+	if idle < budgeter.MinIdleWhenShort.Seconds() || idle > budgeter.MaxIdleWhenShort.Seconds() {
+		d.Reject("idle_when_short_s", "%v is not between %v and %v", idle, budgeter.MinIdleWhenShort.Seconds(), budgeter.MaxIdleWhenShort.Seconds())
+		return o
+	}
+	o.IdleWhenShort = time.Duration(idle * float64(time.Second))
+	return o
+}
+
 // decodeUsage decodes the settings of usage reports. The window and the time until a report
 // is due are required where there is an address.
 func (s *Settings) decodeUsage(d *ObjectDecoder) {
--- a/hoster/settings_test.go
+++ b/hoster/settings_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/budgeter"
 )
 
 const validSettings = `{
@@ -41,6 +43,10 @@
 		{name: "negative link", old: `1000`, new: `-1000`, want: "link_megabits"},
 		{name: "unknown balance mode", old: `"memory_mb"`, new: `"balance": "maybe", "memory_mb"`, want: "balance"},
 		{name: "negative memory", old: `284`, new: `-284`, want: "memory_mb"},
+		{name: "share above that of the heap", old: `"memory_mb"`, new: `"client_memory_share": 0.7, "memory_mb"`, want: "client_memory_share"},
+		{name: "connection below a message", old: `"memory_mb"`, new: `"connection_memory_mb": 1, "memory_mb"`, want: "connection_memory_mb"},
+		{name: "negative clients", old: `"memory_mb"`, new: `"max_clients": -1, "memory_mb"`, want: "max_clients"},
+		{name: "idle time too short", old: `"memory_mb"`, new: `"idle_when_short_s": 0.1, "memory_mb"`, want: "idle_when_short_s"},
 		{name: "no object", old: validSettings, new: `null`, want: "want an object"},
 		{name: "text after the object", old: validSettings, new: validSettings + "}", want: "line 6: invalid character"},
 		{name: "not JSON", old: `{`, new: `host: `, want: "invalid"},
@@ -54,6 +60,17 @@
 			}
 		})
 	}
+	limited := strings.Replace(validSettings, `"memory_mb"`, `"max_descriptors": 4300, "client_memory_share": 0.2, "connection_memory_mb": 8,
+		"file_descriptors": 300, "max_clients": 1000, "max_connections_per_address": 9, "max_connections_per_customer": 7,
+		"idle_when_short_s": 90, "memory_mb"`, 1)
+	settings, err = ParseSettings([]byte(limited))
+	want := budgeter.Options{
+		MemoryShare: 0.2, ConnectionMegabytes: 8, FileDescriptors: 300, MaxClients: 1000, PerAddress: 9, PerCustomer: 7,
+		IdleWhenShort: 90 * time.Second,
+	}
+	if err != nil || settings.ClientLimits != want {
+		t.Errorf("limits of clients: got %+v, %v, want %+v", settings.ClientLimits, err, want)
+	}
 	if _, err := ReadSettings("does/not/exist"); !errors.Is(err, ErrInvalidSettings) {
 		t.Errorf("got %v, want %v", err, ErrInvalidSettings)
 	}
--- a/server/clients.go
+++ b/server/clients.go
@@ -10,7 +10,7 @@
 // newClientBudget returns the budget of what connections of clients, other hosts and
 // HTTP can cause this host to use.
 func (s *Server) newClientBudget() *budgeter.Budget {
-	limits := budgeter.Plan(s.Settings.MemoryMegabytes<<20, s.Settings.MaxDescriptors)
+	limits := s.Settings.ClientLimits.Plan(s.Settings.MemoryMegabytes<<20, s.Settings.MaxDescriptors)
 	if limits.ConnectionMemory > 0 {
 		limits.ConnectionMemory = max(limits.ConnectionMemory, acceptor.MessageMemory(s.Settings.MaxMessageBytes))
 	}
--- a/server/settings.go
+++ b/server/settings.go
@@ -89,6 +89,12 @@
 	// MaxDescriptors is the number of file descriptors that the process may have; 0
 	// means that it is unknown, and that connections are not limited in number.
 	MaxDescriptors int
+	// ClientLimits are the limits of what clients can cause the process to use.
+	ClientLimits budgeter.Options
+	// StartupTimeout, MessageTimeout and WriteTimeout bound the startup of a client
+	// connection, the rest of a batch that has begun, to which a second is added for each
+	// 8 KB that arrive, and a write to a client that does not read.
+	StartupTimeout, MessageTimeout, WriteTimeout time.Duration
 	// LogLevel is the minimum level of log lines: debug, info, warn or error.
 	LogLevel slog.Level
 }
@@ -116,6 +122,16 @@
 	StopTimeout      string   `json:"stop_timeout"`
 	MemoryMegabytes  int64    `json:"memory_mb"`
 	MaxDescriptors   int      `json:"max_descriptors"`
+	MemoryShare      float64  `json:"client_memory_share"`
+	ConnectionMemory int64    `json:"connection_memory_mb"`
+	FileDescriptors  int      `json:"file_descriptors"`
+	MaxClients       int      `json:"max_clients"`
+	PerAddress       int      `json:"max_connections_per_address"`
+	PerCustomer      int      `json:"max_connections_per_customer"`
+	IdleWhenShort    string   `json:"idle_when_short"`
+	StartupTimeout   string   `json:"startup_timeout"`
+	MessageTimeout   string   `json:"message_timeout"`
+	WriteTimeout     string   `json:"write_timeout"`
 	LogLevel         string   `json:"log_level"`
 }
 
@@ -195,6 +211,14 @@
 		RateWait:               problems.duration("rate_wait", w.RateWait, DefaultRateWait),
 		IdleTransactionTimeout: problems.duration("idle_transaction_timeout", w.IdleTransaction, DefaultIdleTransactionTimeout),
 		StopTimeout:            problems.duration("stop_timeout", w.StopTimeout, DefaultStopTimeout),
+		StartupTimeout:         problems.duration("startup_timeout", w.StartupTimeout, acceptor.DefaultStartupTimeout),
+		MessageTimeout:         problems.duration("message_timeout", w.MessageTimeout, acceptor.DefaultMessageTimeout),
+		WriteTimeout:           problems.duration("write_timeout", w.WriteTimeout, acceptor.DefaultWriteTimeout),
+		ClientLimits: budgeter.Options{
+			MemoryShare: w.MemoryShare, ConnectionMegabytes: w.ConnectionMemory, FileDescriptors: w.FileDescriptors,
+			MaxClients: w.MaxClients, PerAddress: w.PerAddress, PerCustomer: w.PerCustomer,
+			IdleWhenShort: problems.duration("idle_when_short", w.IdleWhenShort, 0),
+		},
 	}
 	if s.MaxMessageBytes == 0 {
 		s.MaxMessageBytes = DefaultMaxMessageBytes
@@ -259,8 +283,17 @@
 	if s.MaxDescriptors < 0 {
 		problems.add("max_descriptors", "%d is negative", s.MaxDescriptors)
 	}
-	limits := budgeter.Plan(s.MemoryMegabytes<<20, s.MaxDescriptors)
-	if needed := acceptor.MessageMemory(s.MaxMessageBytes); limits.Memory > 0 && needed > limits.Memory {
+	s.ClientLimits.Validate(s.MemoryMegabytes<<20, s.MaxDescriptors, problems.add)
+	idle := s.ClientLimits.IdleWhenShort
+	if idle > 0 && idle < budgeter.MinIdleWhenShort || idle > budgeter.MaxIdleWhenShort {
+		problems.add("idle_when_short", "%v is not between %v and %v", idle, budgeter.MinIdleWhenShort, budgeter.MaxIdleWhenShort)
+	}
+	needed := acceptor.MessageMemory(s.MaxMessageBytes)
+	if s.ClientLimits.ConnectionMegabytes > 0 && s.ClientLimits.ConnectionMegabytes<<20 < needed {
+		problems.add("connection_memory_mb", "%d is less than a message of max_message_bytes takes, %d bytes",
+			s.ClientLimits.ConnectionMegabytes, needed)
+	}
+	if limits := s.ClientLimits.Plan(s.MemoryMegabytes<<20, s.MaxDescriptors); limits.Memory > 0 && needed > limits.Memory {
 		problems.add("memory_mb", "%d MB leave %d bytes for clients, and a message of max_message_bytes takes %d",
 			s.MemoryMegabytes, limits.Memory, needed)
 	}
--- a/server/settings_test.go
+++ b/server/settings_test.go
@@ -32,6 +32,16 @@
 		{"key without certificate", validSettings + `, "tls_key": "k.pem"}`, []string{"tls_certificate:"}},
 		{"tls required without certificate", validSettings + `, "require_tls": true}`, []string{"require_tls:"}},
 		{"message limit too large", validSettings + `, "max_message_bytes": 99999999}`, []string{"max_message_bytes:"}},
+		{"limits of clients", validSettings + `, "memory_mb": 184, "max_descriptors": 4300, "client_memory_share": 0.2, "connection_memory_mb": 8,
+			"file_descriptors": 300, "max_clients": 1000, "max_connections_per_address": 9, "max_connections_per_customer": 9,
+			"idle_when_short": "5m", "startup_timeout": "5s", "message_timeout": "20s", "write_timeout": "30s"}`, nil},
+		{"memory negative", validSettings + `, "memory_mb": -1}`, []string{"memory_mb:"}},
+		{"descriptors negative", validSettings + `, "max_descriptors": -1}`, []string{"max_descriptors:"}},
+		{"memory below that of a message", validSettings + `, "memory_mb": 64, "max_message_bytes": 16777216}`, []string{"memory_mb:"}},
+		{"connection below a message", validSettings + `, "connection_memory_mb": 8, "max_message_bytes": 16777216}`, []string{"connection_memory_mb:"}},
+		{"share above that of the heap", validSettings + `, "client_memory_share": 0.7}`, []string{"client_memory_share:"}},
+		{"idle time too short", validSettings + `, "idle_when_short": "1ms"}`, []string{"idle_when_short:"}},
+		{"message timeout", validSettings + `, "message_timeout": "0s"}`, []string{"message_timeout:"}},
 		{"unknown level", validSettings + `, "log_level": "loud"}`, []string{"log_level:"}},
 	}
 	for _, test := range tests {
