--- a/acceptor/budget.go
+++ b/acceptor/budget.go
@@ -31,9 +31,14 @@
 // errSlowMessage means that the end of a request has not arrived in time.
 var errSlowMessage = errors.New("request was not completed in time")
 
-// MessageMemory returns the memory in bytes that one connection needs for a request of
-// the given size.
-func MessageMemory(size int) int64 { return messageCopies * int64(size) }
+// messageMemory returns the memory in bytes that a request of the given size takes.
+func messageMemory(size int) int64 { return messageCopies * int64(size) }
+
+// RequiredMemory returns the memory in bytes that a connection needs so that a request of
+// the given size is served beside as many prepared statements as a session may keep.
+func RequiredMemory(size int) int64 {
+	return budgeter.ConnectionCost + DefaultMaxStatementBytes + DefaultMaxStatements*keptOverhead + messageMemory(size)
+}
 
 // payFor takes the memory for a request of which size bytes have arrived, and returns the
 // size that its buffer should have. That is a power of two, so that it seldom changes.
@@ -42,7 +47,7 @@
 		return max(size, c.paid), nil
 	}
 	paid := max(size, min(1<<bits.Len(uint(size-1)), c.acceptor.MaxBatchBytes))
-	if err := c.account.Resize(budgeter.Message, MessageMemory(paid)); err != nil {
+	if err := c.account.Resize(budgeter.Message, messageMemory(paid)); err != nil {
 		c.account.Refuse(err)
 		return 0, executor.RefuseNotRun(executor.CodeOutOfMemory, "no memory for the request: "+err.Error())
 	}
--- a/acceptor/budget_test.go
+++ b/acceptor/budget_test.go
@@ -35,7 +35,7 @@
 // TestRequestsTakeMemory guards against requests that are received without a count, and
 // against memory that stays counted after a request or after the end of its connection.
 func TestRequestsTakeMemory(t *testing.T) {
-	f := newBudgetFixture(t, MessageMemory(256<<10))
+	f := newBudgetFixture(t, messageMemory(256<<10))
 	c := dialRaw(t, f)
 	c.startup(publicStartup)
 	query := func(size int) string {
@@ -54,6 +54,29 @@
 	awaitMemory(t, f, "after the connection", 0)
 }
 
+// TestGreatestRequestIsServed guards against a memory of one connection in which a request
+// of the greatest size has no room beside the connection's other costs.
+func TestGreatestRequestIsServed(t *testing.T) {
+	const size = 512 << 10
+	f := newFixture(t, func(f *fixture) {
+		f.MaxBatchBytes = size
+		limits := budgeter.Limits{ConnectionMemory: RequiredMemory(size), ConnectionCost: budgeter.ConnectionCost}
+		f.Budget = &budgeter.Budget{Limits: limits, Now: time.Now}
+	})
+	c := dialRaw(t, f)
+	c.startup(publicStartup)
+	const kept = 200 << 10
+	c.Send(&pgproto3.Parse{Name: "a", Query: "SELECT '" + strings.Repeat("x", kept) + "'"})
+	c.Send(&pgproto3.Sync{})
+	if got := firstError(c.read()); got != "" {
+		t.Errorf("prepared statement: got %s, want no error", got)
+	}
+	c.Send(&pgproto3.Query{String: "SELECT '" + strings.Repeat("x", size-100) + "'"})
+	if got := firstError(c.read()); got != "" {
+		t.Errorf("request of the greatest size: got %s, want no error", got)
+	}
+}
+
 // TestPreparedStatementsTakeMemory guards against prepared statements that are kept without
 // a count, against refused ones that are kept, and against memory that stays counted after
 // they are closed.
--- a/budgeter/bench_test.go
+++ b/budgeter/bench_test.go
@@ -8,7 +8,7 @@
 // newFullBudget returns a budget with as many connections as it allows.
 func newFullBudget(b *testing.B, connections int) *Budget {
 	b.Helper()
-	limits := Limits{Memory: 1 << 40, ConnectionCost: connectionCost, IdleWhenShort: time.Hour}
+	limits := Limits{Memory: 1 << 40, ConnectionCost: ConnectionCost, IdleWhenShort: time.Hour}
 	limits.Connections[Clients] = connections
 	budget := &Budget{Limits: limits, Now: time.Now}
 	for range connections {
--- a/budgeter/plan.go
+++ b/budgeter/plan.go
@@ -12,9 +12,9 @@
 	// minConnectionMemory is what one connection may take in any case, in bytes:
 	// enough for a message of 1 MiB, its text and its copy for the database.
 	minConnectionMemory = 4 << 20
-	// connectionCost is what a connection takes without buffers, in bytes: its
+	// ConnectionCost is what a connection takes without buffers, in bytes: its
 	// goroutine, its descriptor's state and its smallest buffer.
-	connectionCost = 12 << 10
+	ConnectionCost = 12 << 10
 	// maxMemoryShare is the greatest part of a machine's memory that connections may
 	// take, that of the heap.
 	maxMemoryShare = 0.6
@@ -94,7 +94,7 @@
 // Plan derives limits like the function of this name, with the options.
 func (o Options) Plan(memory int64, descriptors int) Limits {
 	limits := Limits{
-		ConnectionCost: connectionCost, IdleWhenShort: orDefault(o.IdleWhenShort, defaultIdleWhenShort),
+		ConnectionCost: ConnectionCost, IdleWhenShort: orDefault(o.IdleWhenShort, defaultIdleWhenShort),
 		PerAddress: o.PerAddress, PerCustomer: o.PerCustomer, ConnectionMemory: o.ConnectionMegabytes << 20,
 	}
 	if memory > 0 {
--- a/budgeter/plan_test.go
+++ b/budgeter/plan_test.go
@@ -39,7 +39,7 @@
 	}
 	got := tests[1].options.Plan(memory, descriptors)
 	want := Limits{
-		Memory: memory / 5, ConnectionMemory: 8 << 20, ConnectionCost: connectionCost, PerAddress: 10, PerCustomer: 20,
+		Memory: memory / 5, ConnectionMemory: 8 << 20, ConnectionCost: ConnectionCost, PerAddress: 10, PerCustomer: 20,
 		IdleWhenShort: time.Hour, Connections: [classes]int{Clients: 1000, Peers: 1000, HTTP: 64},
 	}
 	if got != want {
--- a/server/clients.go
+++ b/server/clients.go
@@ -12,7 +12,7 @@
 func (s *Server) newClientBudget() *budgeter.Budget {
 	limits := s.Settings.ClientLimits.Plan(s.Settings.MemoryMegabytes<<20, s.Settings.MaxDescriptors)
 	if limits.ConnectionMemory > 0 {
-		limits.ConnectionMemory = max(limits.ConnectionMemory, acceptor.MessageMemory(s.Settings.MaxMessageBytes))
+		limits.ConnectionMemory = max(limits.ConnectionMemory, acceptor.RequiredMemory(s.Settings.MaxMessageBytes))
 	}
 	reporter := &budgeter.Reporter{Logger: s.Logger, Registry: s.Registry}
 	reporter.ReportLimits(limits)
--- a/server/settings.go
+++ b/server/settings.go
@@ -288,7 +288,7 @@
 	if idle > 0 && idle < budgeter.MinIdleWhenShort || idle > budgeter.MaxIdleWhenShort {
 		problems.add("idle_when_short", "%v is not between %v and %v", idle, budgeter.MinIdleWhenShort, budgeter.MaxIdleWhenShort)
 	}
-	needed := acceptor.MessageMemory(s.MaxMessageBytes)
+	needed := acceptor.RequiredMemory(s.MaxMessageBytes)
 	if s.ClientLimits.ConnectionMegabytes > 0 && s.ClientLimits.ConnectionMegabytes<<20 < needed {
 		problems.add("connection_memory_mb", "%d is less than a message of max_message_bytes takes, %d bytes",
 			s.ClientLimits.ConnectionMegabytes, needed)
