--- a/acceptor/benchmark_test.go
+++ b/acceptor/benchmark_test.go
@@ -22,6 +22,7 @@
 func BenchmarkIdleConnection(b *testing.B) {
 	f := newFixture(b, func(f *fixture) {
 		f.config = f.config.WithLimit(configurer.Limit{Name: "small", MaxConnections: 1 << 20})
+		f.Budget = &budgeter.Budget{Limits: budgeter.Plan(1<<30, 100_000), Now: time.Now}
 	})
 	startup, err := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: publicStartup}).Encode(nil)
 	if err != nil {
--- a/acceptor/reader.go
+++ b/acceptor/reader.go
@@ -11,9 +11,10 @@
 const (
 	// headerSize is the size of a message header: the type and the length.
 	headerSize = 5
-	// smallBufferSize is the size of the buffer that each connection keeps; it
-	// is enough for a typical batch.
-	smallBufferSize = 512
+	// smallBufferSize is the size of the buffer that each connection keeps; it is enough
+	// for a short batch. It was 512; the difference pays for the account of a connection,
+	// so that an idle one needs no more memory.
+	smallBufferSize = 256
 	// largeBufferSize is the size of the pooled buffer that is used while more
 	// than a small buffer arrives at once.
 	largeBufferSize = 16 << 10
