--- a/acceptor/benchmark_test.go
+++ b/acceptor/benchmark_test.go
@@ -8,9 +8,11 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/configurer"
 )
 
@@ -20,6 +22,7 @@
 func BenchmarkIdleConnection(b *testing.B) {
 	f := newFixture(b, func(f *fixture) {
 		f.config = f.config.WithLimit(configurer.Limit{Name: "small", MaxConnections: 1 << 20})
+		f.Budget = &budgeter.Budget{Limits: budgeter.Plan(1<<30, 100_000), Now: time.Now}
 	})
 	startup, err := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: publicStartup}).Encode(nil)
 	if err != nil {
@@ -84,7 +87,9 @@
 
 // BenchmarkBatch measures a simple query from a client to the opener and back.
 func BenchmarkBatch(b *testing.B) {
-	f := newFixture(b, nil)
+	f := newFixture(b, func(f *fixture) {
+		f.Budget = &budgeter.Budget{Limits: budgeter.Plan(1<<30, 100_000), Now: time.Now}
+	})
 	c := dialRaw(b, f)
 	c.startup(publicStartup)
 	response := make([]byte, 4096)
--- a/acceptor/reader.go
+++ b/acceptor/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sync"
 
 	"github.com/endiveturn/endiveturn/executor"
@@ -10,9 +11,10 @@
 const (
 	// headerSize is the size of a message header: the type and the length.
 	headerSize = 5
-	// smallBufferSize is the size of the buffer that each connection keeps; it
-	// is enough for a typical batch.
-	smallBufferSize = 512
+	// smallBufferSize is the size of the buffer that each connection keeps; it is enough
+	// for a short batch. It was 512; the difference pays for the account of a connection,
+	// so that an idle one needs no more memory.
+	smallBufferSize = 256
 	// largeBufferSize is the size of the pooled buffer that is used while more
 	// than a small buffer arrives at once.
 	largeBufferSize = 16 << 10
@@ -28,6 +30,9 @@
 type reader struct {
 	// source reads from the client, like io.Reader.
 	source func(p []byte) (int, error)
+	// pay, if not nil, is called before a request grows to a size in bytes. It returns the
+	// size that its buffer should have, or the reason to refuse it.
+	pay func(size int) (int, error)
 	// large is nil while the small buffer is sufficient.
 	large      *[largeBufferSize]byte
 	start, end int
@@ -86,6 +91,13 @@
 			}
 		}
 		m := min(n, r.end-r.start)
+		if len(dst)+m > uncountedRequest && r.pay != nil {
+			size, err := r.pay(len(dst) + m)
+			if err != nil {
+				return dst, err
+			}
+			dst = slices.Grow(dst, size-len(dst))
+		}
 		dst = append(dst, r.buffer()[r.start:r.start+m]...)
 		r.start += m
 		n -= m
--- a/server/settings.go
+++ b/server/settings.go
@@ -16,6 +16,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/endiveturn/endiveturn/acceptor"
+	"github.com/endiveturn/endiveturn/budgeter"
 )
 
 // ErrInvalidSettings is the cause of all errors that concern the content of the
@@ -31,6 +34,9 @@
 	DefaultMaxMessageBytes        = 1 << 20
 )
 
+// maxMemoryMegabytes is the greatest valid memory of a process.
+const maxMemoryMegabytes = 1 << 24
+
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
 
 // Settings holds the settings of a single host. What all hosts share is part of
@@ -78,6 +84,17 @@
 	IdleTransactionTimeout time.Duration
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// MemoryMegabytes is the memory of the process, of which connections may take a part.
+	MemoryMegabytes int64
+	// MaxDescriptors is the number of file descriptors that the process may have; 0
+	// means that it is unknown, and that connections are not limited in number.
+	MaxDescriptors int
+	// ClientLimits are the limits of what clients can cause the process to use.
+	ClientLimits budgeter.Options
+	// StartupTimeout, MessageTimeout and WriteTimeout bound the startup of a client
+	// connection, the rest of a batch that has begun, to which a second is added for each
+	// 8 KB that arrive, and a write to a client that does not read.
+	StartupTimeout, MessageTimeout, WriteTimeout time.Duration
 	// LogLevel is the minimum level of log lines: debug, info, warn or error.
 	LogLevel slog.Level
 }
@@ -103,6 +120,18 @@
 	RateWait         string   `json:"rate_wait"`
 	IdleTransaction  string   `json:"idle_transaction_timeout"`
 	StopTimeout      string   `json:"stop_timeout"`
+	MemoryMegabytes  int64    `json:"memory_mb"`
+	MaxDescriptors   int      `json:"max_descriptors"`
+	MemoryShare      float64  `json:"client_memory_share"`
+	ConnectionMemory int64    `json:"connection_memory_mb"`
+	FileDescriptors  int      `json:"file_descriptors"`
+	MaxClients       int      `json:"max_clients"`
+	PerAddress       int      `json:"max_connections_per_address"`
+	PerCustomer      int      `json:"max_connections_per_customer"`
+	IdleWhenShort    string   `json:"idle_when_short"`
+	StartupTimeout   string   `json:"startup_timeout"`
+	MessageTimeout   string   `json:"message_timeout"`
+	WriteTimeout     string   `json:"write_timeout"`
 	LogLevel         string   `json:"log_level"`
 }
 
@@ -182,10 +211,25 @@
 		RateWait:               problems.duration("rate_wait", w.RateWait, DefaultRateWait),
 		IdleTransactionTimeout: problems.duration("idle_transaction_timeout", w.IdleTransaction, DefaultIdleTransactionTimeout),
 		StopTimeout:            problems.duration("stop_timeout", w.StopTimeout, DefaultStopTimeout),
+		StartupTimeout:         problems.duration("startup_timeout", w.StartupTimeout, acceptor.DefaultStartupTimeout),
+		MessageTimeout:         problems.duration("message_timeout", w.MessageTimeout, acceptor.DefaultMessageTimeout),
+		WriteTimeout:           problems.duration("write_timeout", w.WriteTimeout, acceptor.DefaultWriteTimeout),
+		ClientLimits: budgeter.Options{
+			MemoryShare: w.MemoryShare, ConnectionMegabytes: w.ConnectionMemory, FileDescriptors: w.FileDescriptors,
+			MaxClients: w.MaxClients, PerAddress: w.PerAddress, PerCustomer: w.PerCustomer,
+			IdleWhenShort: problems.duration("idle_when_short", w.IdleWhenShort, 0),
+		},
 	}
 	if s.MaxMessageBytes == 0 {
 		s.MaxMessageBytes = DefaultMaxMessageBytes
 	}
+	s.MemoryMegabytes, s.MaxDescriptors = w.MemoryMegabytes, w.MaxDescriptors
+	if s.MemoryMegabytes == 0 {
+		s.MemoryMegabytes = budgeter.MachineMemory() >> 20
+	}
+	if s.MaxDescriptors == 0 {
+		s.MaxDescriptors = budgeter.ProcessDescriptors()
+	}
 	if w.LogLevel != "" {
 		if err := s.LogLevel.UnmarshalText([]byte(w.LogLevel)); err != nil {
 			problems.add("log_level", "%q is not one of debug, info, warn, error", w.LogLevel)
@@ -227,6 +271,32 @@
 	if s.MaxMessageBytes < minBytes || s.MaxMessageBytes > maxBytes {
 		problems.add("max_message_bytes", "%d is not between %d and %d", s.MaxMessageBytes, minBytes, maxBytes)
 	}
+	s.validateLimits(problems)
+}
+
+// validateLimits checks the memory and the descriptors of the process.
+func (s *Settings) validateLimits(problems *problemList) {
+	if s.MemoryMegabytes < 0 || s.MemoryMegabytes > maxMemoryMegabytes {
+		problems.add("memory_mb", "%d is not between 0 and %d", s.MemoryMegabytes, maxMemoryMegabytes)
+		return
+	}
+	if s.MaxDescriptors < 0 {
+		problems.add("max_descriptors", "%d is negative", s.MaxDescriptors)
+	}
+	s.ClientLimits.Validate(s.MemoryMegabytes<<20, s.MaxDescriptors, problems.add)
+	idle := s.ClientLimits.IdleWhenShort
+	if idle > 0 && idle < budgeter.MinIdleWhenShort || idle > budgeter.MaxIdleWhenShort {
+		problems.add("idle_when_short", "%v is not between %v and %v", idle, budgeter.MinIdleWhenShort, budgeter.MaxIdleWhenShort)
+	}
+	needed := acceptor.RequiredMemory(s.MaxMessageBytes)
+	if s.ClientLimits.ConnectionMegabytes > 0 && s.ClientLimits.ConnectionMegabytes<<20 < needed {
+		problems.add("connection_memory_mb", "%d is less than a message of max_message_bytes takes, %d bytes",
+			s.ClientLimits.ConnectionMegabytes, needed)
+	}
+	if limits := s.ClientLimits.Plan(s.MemoryMegabytes<<20, s.MaxDescriptors); limits.Memory > 0 && needed > limits.Memory {
+		problems.add("memory_mb", "%d MB leave %d bytes for clients, and a message of max_message_bytes takes %d",
+			s.MemoryMegabytes, limits.Memory, needed)
+	}
 }
 
 func checkAddress(problems *problemList, field, address string) {
