--- a/accountant/sender_test.go
+++ b/accountant/sender_test.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// other returns a host that is neither the leader nor a deputy.
+// other returns a host that is neither the leader nor a standby.
 func (m *model) other() *modelHost {
 	for _, h := range m.hosts[2:] {
 		if h != m.leader {
--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -98,7 +98,7 @@
 	IdleWhenShort time.Duration
 }
 
-// An Event tells that a connection was refused or closed.
+// An Event reports that a connection was refused or closed.
 type Event struct {
 	Class             Class
 	Address, Customer string
@@ -123,7 +123,7 @@
 	mu       sync.Mutex
 	accounts map[*Account]struct{}
 	// used is the memory of the accounts, without those being closed; closing is that
-	// of the accounts that were told to close and have not ended.
+	// of the accounts that were asked to close and have not ended.
 	used, closing int64
 	connections   [classes]int
 	addresses     map[string]int
--- a/budgeter/budget_test.go
+++ b/budgeter/budget_test.go
@@ -132,7 +132,7 @@
 		idle.Complete()
 		b.open(t, "unproven")
 		if err := b.try("early"); !errors.Is(err, ErrConnections) {
-			t.Errorf("while all are young: got %v, want %v", err, ErrConnections)
+			t.Errorf("while all were just opened: got %v, want %v", err, ErrConnections)
 		}
 		time.Sleep(2 * time.Second)
 		busy.Complete()
--- a/director/director.go
+++ b/director/director.go
@@ -94,7 +94,7 @@
 	var pools map[string][]forwarder.Target
 	if d.Forwarder != nil {
 		pools = placePools(catalog)
-		d.Forwarder.Judge.Retain(func(host string) bool {
+		d.Forwarder.Detector.Retain(func(host string) bool {
 			_, ok := catalog.Hosts[host]
 			return ok
 		})
--- a/director/forward_test.go
+++ b/director/forward_test.go
@@ -55,7 +55,7 @@
 		return here, nil
 	}
 	newClient := func() *forwarder.Client {
-		return &forwarder.Client{Dial: dial, Judge: &forwarder.Judge{Now: time.Now}, Now: time.Now}
+		return &forwarder.Client{Dial: dial, Detector: &forwarder.FailureDetector{Now: time.Now}, Now: time.Now}
 	}
 	f.entry.director.Forwarder, f.pool.director.Forwarder = newClient(), newClient()
 	f.entry.updateCatalog(addLargeFleet)
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -95,7 +95,7 @@
 		return ""
 	}
 	for _, target := range s.poolHosts {
-		if target.Name == s.director.Host || s.director.Forwarder.Judge.Usable(target.Name, target.Incarnation) {
+		if target.Name == s.director.Host || s.director.Forwarder.Detector.Usable(target.Name, target.Incarnation) {
 			return target.Name
 		}
 	}
@@ -120,7 +120,7 @@
 		if target.Name == d.Host {
 			return targets, localAsPoolHost
 		}
-		if d.Forwarder.Judge.Usable(target.Name, target.Incarnation) {
+		if d.Forwarder.Detector.Usable(target.Name, target.Incarnation) {
 			targets = append(targets, target)
 			continue
 		}
@@ -153,7 +153,7 @@
 	}
 }
 
-// UpdatePoolHosts puts a changed judgement of another host into force.
+// UpdatePoolHosts puts a changed state of another host into force.
 func (d *Director) UpdatePoolHosts() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/director/pool_hosts_test.go
+++ b/director/pool_hosts_test.go
@@ -128,7 +128,7 @@
 			},
 		}
 		if withPoolHosts {
-			d.Forwarder = &forwarder.Client{Judge: &forwarder.Judge{Now: time.Now}, Now: time.Now}
+			d.Forwarder = &forwarder.Client{Detector: &forwarder.FailureDetector{Now: time.Now}, Now: time.Now}
 		}
 		d.SetCatalog(&f.catalog)
 		f.hosts[name] = d
--- a/flooder/platform_host_test.go
+++ b/flooder/platform_host_test.go
@@ -120,7 +120,7 @@
 	if c.err != nil {
 		return c.err
 	}
-	_ = c.conn.SetDeadline(time.Now().Add(patience))
+	_ = c.conn.SetDeadline(time.Now().Add(maxWait))
 	if _, err := fmt.Fprint(c.conn, message, "\r\n"); err != nil {
 		c.err = err
 		return err
--- a/flooder/platform_test.go
+++ b/flooder/platform_test.go
@@ -197,7 +197,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(patience))
+	_ = conn.SetDeadline(time.Now().Add(maxWait))
 	if err := writeAll(conn, append(platformMessage("STARTUP pay ", maxMessage-2), "\r\n"...), maxMessage); err != nil {
 		t.Fatal(err)
 	}
--- a/flooder/postgres_host_test.go
+++ b/flooder/postgres_host_test.go
@@ -93,7 +93,7 @@
 func (h *postgresHost) awaitServing(t *testing.T) {
 	t.Helper()
 	eventually(t, "ordinary request on a new connection", func() error {
-		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		ctx, cancel := context.WithTimeout(t.Context(), maxWait)
 		defer cancel()
 		conn, err := pgx.Connect(ctx, h.url())
 		if err != nil {
@@ -105,7 +105,7 @@
 }
 
 func selectOne(ctx context.Context, conn *pgx.Conn) error {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
 	var one int
 	return conn.QueryRow(ctx, "SELECT 1").Scan(&one)
--- a/flooder/process_test.go
+++ b/flooder/process_test.go
@@ -28,9 +28,9 @@
 	// fileReserve the part of it that the platform reserves for files.
 	descriptorLimit = 600
 	fileReserve     = 200
-	// patience bounds each wait for the product. It only detects hangs, and is less
+	// maxWait bounds each wait for the product. It only detects hangs, and is less
 	// than the minute after which a host for PostgreSQL clients gives up a write.
-	patience = 40 * time.Second
+	maxWait = 40 * time.Second
 )
 
 // program is the path of the product's program, built once.
@@ -246,14 +246,14 @@
 // eventually repeats attempt until it returns no error.
 func eventually(t *testing.T, what string, attempt func() error) {
 	t.Helper()
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(maxWait)
 	for {
 		err := attempt()
 		if err == nil {
 			return
 		}
 		if time.Now().After(deadline) {
-			t.Fatalf("%s: no success within %v: %v", what, patience, err)
+			t.Fatalf("%s: no success within %v: %v", what, maxWait, err)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -58,7 +58,7 @@
 	defer cancel()
 	go func() { _ = drpcserver.New(mux).Serve(ctx, listener) }()
 	var bytes int64
-	client := &Client{Judge: &Judge{Now: time.Now}, Now: time.Now, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+	client := &Client{Detector: &FailureDetector{Now: time.Now}, Now: time.Now, Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := dialTCP(ctx, address)
 		return countingConn{Conn: conn, bytes: &bytes}, err
 	}}
--- a/forwarder/client.go
+++ b/forwarder/client.go
@@ -28,8 +28,8 @@
 type Client struct {
 	// Dial opens a connection that is reset when it is closed. If it is nil, TCP is used.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Judge decides which hosts are used.
-	Judge *Judge
+	// Detector decides which hosts are used.
+	Detector *FailureDetector
 	// Now returns the time with a monotonic reading.
 	Now func() time.Time
 	// OnSuspect is called when a host becomes suspected, with the reason.
@@ -111,13 +111,13 @@
 
 // ProbeIfDue tries a suspected host in the background if its backoff has passed.
 func (c *Client) ProbeIfDue(target Target) {
-	if !c.Judge.BeginProbe(target.Name) {
+	if !c.Detector.BeginProbe(target.Name) {
 		return
 	}
 	c.init()
 	go func() {
 		probe, err := c.open(context.Background(), target)
-		regained := c.Judge.EndProbe(target.Name, err == nil)
+		regained := c.Detector.EndProbe(target.Name, err == nil)
 		if err != nil {
 			return
 		}
@@ -131,7 +131,7 @@
 // VerifyIfDue checks in the background whether a host can be reached that other hosts seem
 // not to reach.
 func (c *Client) VerifyIfDue(target Target) {
-	if !c.Judge.BeginVerify(target.Name, target.Incarnation) {
+	if !c.Detector.BeginVerify(target.Name, target.Incarnation) {
 		return
 	}
 	c.init()
@@ -150,13 +150,13 @@
 	c.mu.Lock()
 	c.generations[target.Address]++
 	c.mu.Unlock()
-	if c.Judge.Suspect(target.Name, target.Incarnation) && c.OnSuspect != nil {
+	if c.Detector.Suspect(target.Name, target.Incarnation) && c.OnSuspect != nil {
 		c.OnSuspect(target, reason)
 	}
 }
 
 func (c *Client) recordStopping(target Target, reply *Reply) {
-	if reply.Stopping && c.Judge.MarkStopping(target.Name, target.Incarnation) && c.OnStopping != nil {
+	if reply.Stopping && c.Detector.MarkStopping(target.Name, target.Incarnation) && c.OnStopping != nil {
 		c.OnStopping(target)
 	}
 }
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -204,7 +204,7 @@
 // until its deadline, since its response is delivered even if it is late.
 func (c *conn) checkSilence() {
 	c.mu.Lock()
-	silent, abandon := c.judgeSilence()
+	silent, abandon := c.isSilent()
 	c.mu.Unlock()
 	if silent {
 		c.onSilent()
@@ -214,9 +214,9 @@
 	}
 }
 
-// judgeSilence reports whether the other host has become silent, and whether the request
+// isSilent reports whether the other host has become silent, and whether the request
 // is abandoned. Otherwise it sets the timer again.
-func (c *conn) judgeSilence() (silent, abandon bool) {
+func (c *conn) isSilent() (silent, abandon bool) {
 	if !c.awaiting || c.discarded {
 		return false, false
 	}
--- a/forwarder/fake_test.go
+++ b/forwarder/fake_test.go
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.client = &Client{
-		Judge: &Judge{Now: time.Now}, Now: time.Now,
+		Detector: &FailureDetector{Now: time.Now}, Now: time.Now,
 		OnSuspect:  func(_ Target, reason error) { f.record(func() { f.suspected = append(f.suspected, reason) }) },
 		OnRegain:   func(Target) { f.record(func() { f.regained++ }) },
 		OnStopping: func(Target) { f.record(func() { f.stopping++ }) },
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -1,6 +1,6 @@
 // Package forwarder lets a host run operations of its clients on another host, which
 // holds the connections to the databases: the protocol over drpc, the client side with
-// its judgement of the other hosts, and the server side.
+// its detection of failed hosts, and the server side.
 package forwarder
 
 import (
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -93,7 +93,7 @@
 				if took := time.Since(began); took < test.wantTook || took > test.wantTook+10*time.Millisecond {
 					t.Errorf("took %v, want %v", took, test.wantTook)
 				}
-				if f.client.Judge.Usable(testTarget.Name, testTarget.Incarnation) {
+				if f.client.Detector.Usable(testTarget.Name, testTarget.Incarnation) {
 					t.Error("a silent host is usable")
 				}
 			})
@@ -112,7 +112,7 @@
 			defer mu.Unlock()
 			return time.Now().Add(suspended)
 		}
-		f.client.Judge.Now = f.client.Now
+		f.client.Detector.Now = f.client.Now
 		f.run = func(context.Context, *Request) Reply {
 			time.Sleep(20 * time.Millisecond)
 			return Reply{Response: executor.Response{State: 'I'}}
@@ -214,7 +214,7 @@
 				time.Sleep(minProbeBackoff)
 				f.client.ProbeIfDue(testTarget)
 				synctest.Wait()
-				if _, _, regained, _ := f.counts(); regained != 1 || !f.client.Judge.Usable(testTarget.Name, testTarget.Incarnation) {
+				if _, _, regained, _ := f.counts(); regained != 1 || !f.client.Detector.Usable(testTarget.Name, testTarget.Incarnation) {
 					t.Errorf("host that returned: regained %d times, want 1", regained)
 				}
 			})
@@ -302,7 +302,7 @@
 		if reply, err := f.runSingle(first(executor.VerbWrite, "x"), time.Second, false); err != nil || !reply.Refused {
 			t.Errorf("operation on a stopping host: got %+v, %v, want a refusal", reply, err)
 		}
-		if f.client.Judge.Usable(testTarget.Name, testTarget.Incarnation) {
+		if f.client.Detector.Usable(testTarget.Name, testTarget.Incarnation) {
 			t.Error("a stopping host is usable")
 		}
 		if _, suspected, _, stopping := f.counts(); suspected != 0 || stopping != 1 {
@@ -317,7 +317,7 @@
 // that stay suspected or stopping after a restart.
 func TestJudge(t *testing.T) {
 	now := time.Unix(0, 0)
-	j := &Judge{Now: func() time.Time { return now }}
+	j := &FailureDetector{Now: func() time.Time { return now }}
 	if !j.Usable("a", "1") || j.BeginProbe("a") {
 		t.Error("a host that nothing is known of is not usable, or is tried")
 	}
@@ -404,7 +404,7 @@
 		if took := time.Since(began); took >= dialTimeout {
 			t.Errorf("took %v, want less than %v", took, dialTimeout)
 		}
-		if f.client.Judge.Usable(testTarget.Name, testTarget.Incarnation) {
+		if f.client.Detector.Usable(testTarget.Name, testTarget.Incarnation) {
 			t.Error("the host is still used")
 		}
 	})
--- a/hoster/accounting.go
+++ b/hoster/accounting.go
@@ -22,9 +22,9 @@
 	// accountingInterval is how often the leader checks whether a window can be closed or
 	// reported.
 	accountingInterval = 100 * time.Millisecond
-	// deputyCount is how many other hosts of a large fleet the hub sends its own counts to,
+	// standbyCount is how many other hosts of a large fleet the hub sends its own counts to,
 	// so that they are not lost with it.
-	deputyCount = 2
+	standbyCount = 2
 	// clockAgreementShare is the part of a window, times the tolerance, by which the clock
 	// of a host may differ from the fleet's. Both ends of a window move by it.
 	clockAgreementShare = 0.5
@@ -43,12 +43,12 @@
 	clock  *accountant.Clock
 	book   *accountant.Book
 	sender *accountant.Sender
-	// deputies are those of the last catalog.
-	deputies atomic.Pointer[deputies]
+	// standbys are those of the last catalog.
+	standbys atomic.Pointer[standbys]
 }
 
-// deputies are the hosts that the hub sends its own counts to.
-type deputies struct {
+// standbys are the hosts that the hub sends its own counts to.
+type standbys struct {
 	catalog *cataloger.Catalog
 	names   []string
 }
@@ -112,7 +112,7 @@
 }
 
 // receivesCounts reports whether a host gets the counts of this one: in a large fleet the
-// collector and, from the collector, its deputies.
+// collector and, from the collector, its standbys.
 func (a *accounting) receivesCounts(receiver, collector string) bool {
 	catalog := a.host.latestCatalog()
 	if catalog == nil {
@@ -124,12 +124,12 @@
 	if !catalog.IsLargeFleet() || receiver == collector {
 		return true
 	}
-	return collector == a.host.Settings.Host && slices.Contains(a.deputiesOf(catalog), receiver)
+	return collector == a.host.Settings.Host && slices.Contains(a.standbysOf(catalog), receiver)
 }
 
-// deputiesOf returns the other hosts of the largest capacity.
-func (a *accounting) deputiesOf(catalog *cataloger.Catalog) []string {
-	if known := a.deputies.Load(); known != nil && known.catalog == catalog {
+// standbysOf returns the other hosts of the largest capacity.
+func (a *accounting) standbysOf(catalog *cataloger.Catalog) []string {
+	if known := a.standbys.Load(); known != nil && known.catalog == catalog {
 		return known.names
 	}
 	hosts := make([]cataloger.Host, 0, len(catalog.Hosts))
@@ -141,11 +141,11 @@
 	slices.SortFunc(hosts, func(a, b cataloger.Host) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
 	})
-	names := make([]string, 0, deputyCount)
-	for _, host := range hosts[:min(deputyCount, len(hosts))] {
+	names := make([]string, 0, standbyCount)
+	for _, host := range hosts[:min(standbyCount, len(hosts))] {
 		names = append(names, host.Name)
 	}
-	a.deputies.Store(&deputies{catalog: catalog, names: names})
+	a.standbys.Store(&standbys{catalog: catalog, names: names})
 	return names
 }
 
@@ -167,7 +167,7 @@
 }
 
 // flush waits until the leader has all counts of this host, which stops, or, if this host is
-// the leader, until its deputies have them.
+// the leader, until its standbys have them.
 func (a *accounting) flush(ctx context.Context, deadline time.Time) {
 	if a == nil {
 		return
@@ -193,7 +193,7 @@
 	if catalog == nil {
 		return true
 	}
-	for _, name := range a.deputiesOf(catalog) {
+	for _, name := range a.standbysOf(catalog) {
 		if !a.book.AcknowledgedBy(name) {
 			return false
 		}
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -33,7 +33,7 @@
 	h.forwarder.Stop()
 	h.notifyChange()
 	if h.largeFleet() {
-		// The hub tells all hosts to use other pool hosts.
+		// The report of the hub makes all hosts use other pool hosts.
 		h.exchanger.TriggerExchanges()
 	}
 	h.overseer.StopCampaigning()
--- a/overseer/promotion.go
+++ b/overseer/promotion.go
@@ -211,7 +211,7 @@
 }
 
 // observePromotion queries the promoted database and, if it may have been the primary before,
-// all others. Primaries of lower terms are told to follow it.
+// all others. Primaries of lower terms are demoted.
 func (c *primaryChange) observePromotion(ctx context.Context, endpoint cataloger.Endpoint, formerTerm uint64, effective bool) (Candidate, Evidence) {
 	o := c.overseer
 	promoted := o.queryStatus(ctx, endpoint)
