--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -28,7 +28,7 @@
 	DefaultStartupTimeout = 10 * time.Second
 	// DefaultWriteTimeout is half of DefaultDeadline: a client that does not read keeps
 	// a slot of the database, for which others wait until their deadlines. With a minute,
-	// a crowd of such clients kept ordinary ones from being served for 40 s.
+	// many such clients kept ordinary ones from being served for 40 s.
 	DefaultWriteTimeout           = 15 * time.Second
 	DefaultMessageTimeout         = 15 * time.Second
 	DefaultDeadline               = 30 * time.Second
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -65,8 +65,8 @@
 	awaitingRequest bool
 	batchCount      int
 	reader          reader
-	// account pays for what the client causes the process to keep; nil sets no limit.
-	// paid is the size of the request that it pays for, and kept what it pays for
+	// account is charged for what the client causes the process to keep; nil sets no limit.
+	// paid is the size of the request that it is charged for, and kept that of its
 	// prepared statements.
 	account *budgeter.Account
 	paid    int
--- a/acceptor/reader.go
+++ b/acceptor/reader.go
@@ -12,8 +12,8 @@
 	// headerSize is the size of a message header: the type and the length.
 	headerSize = 5
 	// smallBufferSize is the size of the buffer that each connection keeps; it is enough
-	// for a short batch. It was 512; the difference pays for the account of a connection,
-	// so that an idle one needs no more memory.
+	// for a short batch, and small enough that an idle connection with its account needs
+	// no more memory than one without accounts and 512 bytes.
 	smallBufferSize = 256
 	// largeBufferSize is the size of the pooled buffer that is used while more
 	// than a small buffer arrives at once.
--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -36,7 +36,7 @@
 	ErrClosed = errors.New("connection is closed")
 )
 
-// A Class is a kind of connections with a limit of its own, so that a crowd at one
+// A Class is a kind of connections with a limit of its own, so that many at one
 // address of a process leaves room at the others.
 type Class uint8
 
@@ -74,7 +74,7 @@
 	// message.
 	minUnprovenAge = time.Second
 	// searchPause is the time for which no connection to replace is searched for after a
-	// search found none: a search looks at all accounts, and a crowd connects often.
+	// search found none: a search looks at all accounts, and many clients may connect at once.
 	searchPause = 100 * time.Millisecond
 	// closingShare is the part of the memory, as a divisor, up to which connections
 	// that have been closed but have not ended yet may exceed it together.
--- a/director/client.go
+++ b/director/client.go
@@ -15,7 +15,7 @@
 	Key string
 	// Address is the remote address of the client, for the log.
 	Address string
-	// Account pays for what the session keeps; nil sets no limit.
+	// Account is charged for what the session keeps; nil sets no limit.
 	Account *budgeter.Account
 }
 
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -123,7 +123,7 @@
 type handler struct {
 	server *Server
 	stream drpc.Stream
-	// account pays for the responses; nil sets no limit.
+	// account is charged for the responses; nil sets no limit.
 	account *budgeter.Account
 	// execution is the open operation, nil if there is none.
 	execution *Execution
