--- a/hoster/host.go
+++ b/hoster/host.go
@@ -73,9 +73,10 @@
 	overseer    *overseer.Overseer
 	// accounting counts requests for usage reports, nil where none are required.
 	accounting *accounting
-	changed    chan struct{}
-	relays     relays
-	budget     *budgeter.Budget
+	// changed and changedDeferrable signal a change of the mirror, see notifyChange.
+	changed, changedDeferrable chan struct{}
+	relays                     relays
+	budget                     *budgeter.Budget
 	// fallbackHub is the name of the fallback hub that this host contacts first, nil if
 	// it contacts none.
 	fallbackHub atomic.Pointer[string]
@@ -157,10 +158,10 @@
 	h.incarnation = strconv.FormatInt(timekeeper.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
 	h.started = timekeeper.Now()
 	h.Platform.Store = countCalls(h.Platform.Store, h.Registry)
-	h.changed = make(chan struct{}, 1)
+	h.changed, h.changedDeferrable = make(chan struct{}, 1), make(chan struct{}, 1)
 	h.budget = h.newBudget()
 	h.mirror = &informer.Mirror{
-		Now: timekeeper.Now, OnChange: h.notifyChange, InDigest: h.Platform.IsExternalKey,
+		Now: timekeeper.Now, OnChange: h.notifyChange, Deferrable: h.deferrable, InDigest: h.Platform.IsExternalKey,
 		WrittenIn: h.writtenIn, OnConflict: h.reportConflict,
 	}
 	h.recentHosts, h.newHosts = make(recentHosts), make(newHosts)
--- a/hoster/refresh.go
+++ b/hoster/refresh.go
@@ -21,9 +21,14 @@
 	quotaRetention = 20 * time.Second
 )
 
-func (h *Host) notifyChange() {
+// notifyChange has a catalog built, at once unless the change is deferrable.
+func (h *Host) notifyChange(deferrable bool) {
+	changed := h.changed
+	if deferrable {
+		changed = h.changedDeferrable
+	}
 	select {
-	case h.changed <- struct{}{}:
+	case changed <- struct{}{}:
 	default:
 	}
 }
@@ -53,22 +58,30 @@
 	return h.catalog
 }
 
-// buildCatalogs builds a catalog after each change of the mirror.
+// buildCatalogs builds a catalog after each change of the mirror, or after several that are
+// deferrable.
 func (h *Host) buildCatalogs(ctx context.Context) error {
 	builder := &catalogBuilder{decoder: h.Platform.Decoder, now: timekeeper.Now, onReject: func(key string, revision int64, err error) {
 		gometrics.GetOrRegisterCounter("records_rejected", h.Registry).Inc(1)
 		h.Logger.Warn("record_rejected", "key", key, "revision", revision, "error", shorten(err.Error()))
 	}}
 	lastRevisionSum := int64(0)
+	var pacer catalogPacer
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
 		select {
 		case <-h.changed:
+		case <-h.changedDeferrable:
+			if !pacer.postpone(timekeeper.Now(), h.largeFleet()) {
+				timer.Reset(pacer.wait(timekeeper.Now()))
+				continue
+			}
 		case <-timer.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		began := timekeeper.Now()
 		records, revision := h.mirror.Records()
 		catalog, next := builder.build(records, revision)
 		h.addUnlistedHosts(catalog)
@@ -83,11 +96,8 @@
 			lastRevisionSum = revisionSum
 			h.exchanger.TriggerExchanges()
 		}
-		wait := time.Hour
-		if !next.IsZero() {
-			wait = max(time.Millisecond, next.Sub(timekeeper.Now()))
-		}
-		timer.Reset(wait)
+		pacer.built(began, next)
+		timer.Reset(pacer.wait(timekeeper.Now()))
 	}
 }
 
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -65,7 +65,7 @@
 		select {
 		case <-ticker.C:
 			h.director.Maintain(idleConnectionTimeout)
-			h.notifyChange()
+			h.notifyChange(false)
 			h.updateGauges()
 			h.forgetObsoleteUsage()
 		case <-ctx.Done():
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -31,7 +31,7 @@
 	h.Logger.Info("host_stopping", "host", h.Settings.Host, "sessions", h.director.Sessions())
 	h.stopping.Store(true)
 	h.forwarder.Stop()
-	h.notifyChange()
+	h.notifyChange(false)
 	if h.largeFleet() {
 		// The report of the hub makes all hosts use other pool hosts.
 		h.exchanger.TriggerExchanges()
--- a/hoster/view.go
+++ b/hoster/view.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"maps"
 	"time"
 
 	"github.com/endiveturn/endiveturn/cataloger"
@@ -38,10 +39,18 @@
 	// configurationRevision is the revision of the current configuration.
 	configurationRevision int64
 	// endpoints holds decoded registrations by key.
-	endpoints         map[string]registration
+	endpoints map[string]registration
+	// hosts holds decoded records of hosts by key, voters the decoded list of voters.
+	hosts             map[string]hostRegistration
+	voters            cataloger.Voters
 	rejectedRevisions map[string]int64
 }
 
+type hostRegistration struct {
+	host     cataloger.Host
+	revision int64
+}
+
 type registration struct {
 	endpoint cataloger.Endpoint
 	revision int64
@@ -63,6 +72,7 @@
 		b.addRecord(c, record, present)
 	}
 	next = b.expireMissing(present)
+	b.forgetHosts(c)
 	for _, r := range b.endpoints {
 		if r.valid {
 			c.Endpoints[r.endpoint.Service] = append(c.Endpoints[r.endpoint.Service], r.endpoint)
@@ -97,21 +107,7 @@
 		c.Evacuated[dataCentre] = true
 		return
 	}
-	if host, ok, err := overseer.DecodeHost(record.Key, record.Value); ok {
-		if err != nil {
-			b.reject(record, err)
-			return
-		}
-		c.Hosts[host.Name] = host
-		return
-	}
-	if voters, ok, err := overseer.DecodeVoters(record.Key, record.Value, record.Revision); ok {
-		c.Voters = voters
-		if err != nil {
-			b.reject(record, err)
-			// No host counts with a list that it can't read.
-			c.Voters = cataloger.Voters{Revision: record.Revision, Version: 1}
-		}
+	if b.addHost(c, record) || b.addVoters(c, record) {
 		return
 	}
 	if ok, err := overseer.CheckLeader(record.Key, record.Value); ok {
@@ -134,6 +130,58 @@
 	b.addEndpoint(record, present)
 }
 
+// addHost adds the host of a record. It decodes each record once.
+func (b *catalogBuilder) addHost(c *cataloger.Catalog, record informer.Record) (ok bool) {
+	if known, ok := b.hosts[record.Key]; ok && known.revision == record.Revision {
+		c.Hosts[known.host.Name] = known.host
+		return true
+	}
+	host, ok, err := overseer.DecodeHost(record.Key, record.Value)
+	if !ok {
+		return false
+	}
+	if err != nil {
+		b.reject(record, err)
+		return true
+	}
+	if b.hosts == nil {
+		b.hosts = make(map[string]hostRegistration)
+	}
+	b.hosts[record.Key] = hostRegistration{host: host, revision: record.Revision}
+	c.Hosts[host.Name] = host
+	return true
+}
+
+// forgetHosts drops the decoded records of hosts that are not in the catalog.
+func (b *catalogBuilder) forgetHosts(c *cataloger.Catalog) {
+	if len(b.hosts) == len(c.Hosts) {
+		return
+	}
+	maps.DeleteFunc(b.hosts, func(_ string, known hostRegistration) bool {
+		_, ok := c.Hosts[known.host.Name]
+		return !ok
+	})
+}
+
+// addVoters adds the list of voters. It decodes each revision once, as the list names all
+// hosts.
+func (b *catalogBuilder) addVoters(c *cataloger.Catalog, record informer.Record) (ok bool) {
+	if record.Key != overseer.VotersKey {
+		return false
+	}
+	if b.voters.Revision != record.Revision {
+		voters, _, err := overseer.DecodeVoters(record.Key, record.Value, record.Revision)
+		if err != nil {
+			b.reject(record, err)
+			// No host counts with a list that it can't read.
+			voters = cataloger.Voters{Revision: record.Revision, Version: 1}
+		}
+		b.voters = voters
+	}
+	c.Voters = b.voters
+	return true
+}
+
 func (b *catalogBuilder) applyConfiguration(record informer.Record) bool {
 	if b.configuration != nil && record.Revision == b.configurationRevision {
 		_, ok, _ := b.decoder.Configuration(record.Key, nil)
--- a/informer/era.go
+++ b/informer/era.go
@@ -1,6 +1,7 @@
 package informer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endiveturn/endiveturn/storer"
@@ -41,20 +42,20 @@
 	for _, record := range replacements {
 		replaced[record.Key] = true
 	}
-	for key, old := range m.records {
+	for _, key := range slices.Clone(m.records.keys) {
+		old, _ := m.records.get(key)
 		if replaced[key] || old.Deleted || storer.EraOf(old.Revision) >= storer.EraOf(revision) || m.outlasts(old, revision) {
 			continue
 		}
-		m.records[key] = Record{Key: key, Revision: storer.JoinRevision(storer.EraOf(revision), 0), Deleted: true}
+		m.put(Record{Key: key, Revision: storer.JoinRevision(storer.EraOf(revision), 0), Deleted: true})
 		m.deletionTimes()[key] = m.Now()
 	}
-	m.digestValid = false
 }
 
 // hasOutdated reports whether a record of an earlier era has not been written again.
 func (m *Mirror) hasOutdated() bool {
-	for _, record := range m.records {
-		if m.outlasts(record, m.revision) {
+	for _, r := range m.records.upTo(m.lastEarlierRevision()) {
+		if record, _ := m.records.get(r.key); m.outlasts(record, m.revision) {
 			return true
 		}
 	}
--- a/informer/mirror.go
+++ b/informer/mirror.go
@@ -5,9 +5,8 @@
 
 import (
 	"bytes"
-	"encoding/binary"
-	"hash/fnv"
-	"sort"
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +38,12 @@
 type Mirror struct {
 	// Now returns a monotonic time that includes the time the machine is suspended.
 	Now func() time.Time
-	// OnChange is called after the mirror has changed, without locks held.
-	OnChange func()
+	// OnChange is called after the mirror has changed, without locks held. deferrable is
+	// set if Deferrable is true for all changed keys.
+	OnChange func(deferrable bool)
+	// Deferrable reports whether a change of a key may be processed a short while later,
+	// together with further ones. If it is nil, no change may.
+	Deferrable func(key string) bool
 	// InDigest reports whether a key counts for Digest.
 	InDigest func(key string) bool
 	// WrittenIn returns the era in which a host wrote a record, for the keys whose
@@ -53,8 +56,9 @@
 	// differs from the one that the mirror holds at the same revision. It may be nil.
 	OnConflict func(key string, revision int64)
 
-	mu      sync.Mutex
-	records map[string]Record
+	mu sync.Mutex
+	// records holds the records by key and in the orders in which they are read.
+	records recordIndex
 	// deletedAt holds when this host received a deletion, by key.
 	deletedAt map[string]time.Time
 	// ownWrites holds when this host last wrote to a key, by key.
@@ -75,9 +79,9 @@
 	// the store, 0 if it never did. A key that the mirror did not hold then was
 	// deleted or written later.
 	listedRevision int64
-	// digest is valid while digestValid is set.
-	digest      uint64
-	digestValid bool
+	// changed is set once a record has changed since OnChange was called last, and urgent
+	// once one has for which Deferrable is false.
+	changed, urgent bool
 }
 
 // Revision returns the store's revision up to which the mirror is complete.
@@ -119,41 +123,45 @@
 		m.mu.Unlock()
 		return false
 	}
-	records := make(map[string]Record, len(entries))
+	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
-		records[entry.Key] = m.dated(Record{Key: entry.Key, Value: entry.Value, Revision: entry.ModRevision})
-	}
-	now := m.Now()
-	for key, old := range m.records {
-		listed, ok := records[key]
-		switch {
-		case ok && listed.Revision >= old.Revision:
-		case ok || old.Deleted || old.Revision > revision || m.outlasts(old, revision):
-			records[key] = old
-		default:
-			records[key] = Record{Key: key, Revision: revision, Deleted: true}
-			m.deletionTimes()[key] = now
+		listed[entry.Key] = true
+		record := m.dated(Record{Key: entry.Key, Value: entry.Value, Revision: entry.ModRevision})
+		old, ok := m.records.get(entry.Key)
+		if !ok || record.Revision > old.Revision || record.Revision == old.Revision && !record.equal(old) {
+			m.put(record)
 		}
 	}
-	m.records = records
-	m.digestValid = false
+	m.deleteUnlisted(listed, revision)
 	m.listedRevision = revision
+	m.changed, m.urgent = true, true
 	m.advance(revision, requestedAt)
-	m.unlockAndNotify(true)
+	m.unlockAndNotify()
 	return true
 }
 
+// deleteUnlisted deletes the records that a list of the store at a revision did not show,
+// unless they are newer or outlast a restore.
+func (m *Mirror) deleteUnlisted(listed map[string]bool, revision int64) {
+	for _, key := range slices.Clone(m.records.keys) {
+		old, _ := m.records.get(key)
+		if listed[key] || old.Deleted || old.Revision > revision || m.outlasts(old, revision) {
+			continue
+		}
+		m.put(Record{Key: key, Revision: revision, Deleted: true})
+		m.deletionTimes()[key] = m.Now()
+	}
+}
+
 // Apply applies changes that make the mirror complete up to revision as of
 // completeAsOf.
 func (m *Mirror) Apply(changes []storer.Change, revision int64, completeAsOf time.Time) {
 	m.mu.Lock()
-	changed := false
 	for _, change := range changes {
-		record := m.dated(Record{Key: change.Key, Value: change.Value, Revision: change.ModRevision, Deleted: change.Deleted})
-		changed = m.mergeRecord(record) || changed
+		m.mergeRecord(m.dated(Record{Key: change.Key, Value: change.Value, Revision: change.ModRevision, Deleted: change.Deleted}))
 	}
 	m.advance(revision, completeAsOf)
-	m.unlockAndNotify(changed)
+	m.unlockAndNotify()
 }
 
 // Merge merges the records of another host, whose mirror is complete up to revision
@@ -161,16 +169,15 @@
 // their revisions are later than any of this mirror.
 func (m *Mirror) Merge(records []Record, revision int64, completeAsOf time.Time) {
 	m.mu.Lock()
-	changed := false
 	if m.loaded && storer.EraOf(revision) > storer.EraOf(m.revision) {
 		m.deleteEarlierEras(records, revision)
-		changed = true
+		m.changed, m.urgent = true, true
 	}
 	for _, record := range records {
-		changed = m.mergeRecord(record) || changed
+		m.mergeRecord(record)
 	}
 	m.advance(revision, completeAsOf)
-	m.unlockAndNotify(changed)
+	m.unlockAndNotify()
 }
 
 // ApplyWrite applies the outcome of a write by this host before the watch delivers
@@ -181,33 +188,38 @@
 		m.ownWrites = make(map[string]time.Time)
 	}
 	m.ownWrites[record.Key] = m.Now()
-	m.unlockAndNotify(m.mergeRecord(m.dated(record)))
+	m.mergeRecord(m.dated(record))
+	m.unlockAndNotify()
 }
 
-func (m *Mirror) mergeRecord(record Record) bool {
-	old, ok := m.records[record.Key]
+func (m *Mirror) mergeRecord(record Record) {
+	old, ok := m.records.get(record.Key)
 	if ok && old.Revision >= record.Revision {
 		if old.Revision == record.Revision && !old.equal(record) && m.OnConflict != nil {
 			m.OnConflict(record.Key, record.Revision)
 		}
-		return false
+		return
 	}
 	obsolete := record.Revision <= m.listedRevision || storer.EraOf(record.Revision) < storer.EraOf(m.revision)
 	if !ok && obsolete && !m.outlasts(record, m.revision) {
 		// A host that did not receive the deletion still sends the old record.
-		return false
-	}
-	if m.records == nil {
-		m.records = make(map[string]Record)
+		return
 	}
-	m.records[record.Key] = record
-	m.digestValid = false
+	m.put(record)
 	if record.Deleted {
 		m.deletionTimes()[record.Key] = m.Now()
 	}
-	return true
 }
 
+// put inserts or replaces a record.
+func (m *Mirror) put(record Record) {
+	m.records.put(record, m.inDigest(record.Key))
+	m.changed = true
+	m.urgent = m.urgent || m.Deferrable == nil || !m.Deferrable(record.Key)
+}
+
+func (m *Mirror) inDigest(key string) bool { return m.InDigest != nil && m.InDigest(key) }
+
 func (m *Mirror) advance(revision int64, completeAsOf time.Time) {
 	if !m.loaded {
 		m.firstEra = storer.EraOf(revision)
@@ -231,8 +243,8 @@
 	for key, at := range m.deletedAt {
 		if now.Sub(at) > tombstoneRetention {
 			delete(m.deletedAt, key)
-			if m.records[key].Deleted {
-				delete(m.records, key)
+			if record, _ := m.records.get(key); record.Deleted {
+				m.records.remove(key, m.inDigest(key))
 			}
 		}
 	}
@@ -245,10 +257,12 @@
 	return m.deletedAt
 }
 
-func (m *Mirror) unlockAndNotify(changed bool) {
+func (m *Mirror) unlockAndNotify() {
+	changed, deferrable := m.changed, !m.urgent
+	m.changed, m.urgent = false, false
 	m.mu.Unlock()
 	if changed && m.OnChange != nil {
-		m.OnChange()
+		m.OnChange(deferrable)
 	}
 }
 
@@ -260,54 +274,50 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var records []Record
-	for _, record := range m.records {
-		_, own := m.ownWrites[record.Key]
-		if record.Revision > revision || own || m.outlasts(record, m.revision) {
+	for _, r := range m.records.upTo(min(revision, m.lastEarlierRevision())) {
+		record, _ := m.records.get(r.key)
+		if _, own := m.ownWrites[r.key]; own || m.outlasts(record, m.revision) {
+			records = append(records, record)
+		}
+	}
+	for key := range m.ownWrites {
+		record, ok := m.records.get(key)
+		if ok && record.Revision <= revision && record.Revision > m.lastEarlierRevision() {
 			records = append(records, record)
 		}
 	}
-	sort.Slice(records, func(i, j int) bool { return records[i].Revision < records[j].Revision })
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, r := range m.records.after(revision) {
+		record, _ := m.records.get(r.key)
+		records = append(records, record)
+	}
 	return records, m.revision, m.completeAsOf
 }
 
+// lastEarlierRevision returns the latest revision that belongs to an earlier era than the
+// mirror.
+func (m *Mirror) lastEarlierRevision() int64 {
+	return storer.JoinRevision(storer.EraOf(m.revision), 0) - 1
+}
+
 // Digest returns a number that is equal for two mirrors that hold the same revisions
 // of the keys for which InDigest is true.
 func (m *Mirror) Digest() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.digestValid {
-		m.digest = m.computeDigest()
-		m.digestValid = true
-	}
-	return m.digest
-}
-
-func (m *Mirror) computeDigest() uint64 {
-	var digest uint64
-	for key, record := range m.records {
-		if record.Deleted || !m.InDigest(key) {
-			continue
-		}
-		hash := fnv.New64a()
-		// Write of a hash never returns an error.
-		_, _ = hash.Write([]byte(key))
-		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(record.Revision)))
-		digest ^= hash.Sum64()
-	}
-	return digest
+	return m.records.digest
 }
 
 // Records returns the present records sorted by key, and the revision of the mirror.
 func (m *Mirror) Records() ([]Record, int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	records := make([]Record, 0, len(m.records))
-	for _, record := range m.records {
-		if !record.Deleted {
+	records := make([]Record, 0, len(m.records.keys))
+	for _, key := range m.records.keys {
+		if record, _ := m.records.get(key); !record.Deleted {
 			records = append(records, record)
 		}
 	}
-	sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
 	return records, m.revision
 }
 
@@ -315,6 +325,6 @@
 func (m *Mirror) Get(key string) (Record, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	record, ok := m.records[key]
+	record, ok := m.records.get(key)
 	return record, ok && !record.Deleted
 }
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -121,9 +121,13 @@
 	return record.Host, nil
 }
 
+// RegisteredHost returns the name of the host whose record has the key; ok is false for
+// other keys.
+func RegisteredHost(key string) (name string, ok bool) { return strings.CutPrefix(key, hostsPrefix) }
+
 // DecodeHost decodes a host's record; ok is false for other keys.
 func DecodeHost(key string, value []byte) (host cataloger.Host, ok bool, err error) {
-	name, ok := strings.CutPrefix(key, hostsPrefix)
+	name, ok := RegisteredHost(key)
 	if !ok {
 		return cataloger.Host{}, false, nil
 	}
--- a/overseer/voters.go
+++ b/overseer/voters.go
@@ -18,6 +18,9 @@
 // votersKey is the key of the list of voters.
 const votersKey = Prefix + "voters"
 
+// VotersKey is the key of the list of voters.
+const VotersKey = votersKey
+
 // votersInterval is the minimum time between two changes of the list by the leader of a large
 // fleet, whose hosts start one after the other.
 const votersInterval = 500 * time.Millisecond
