--- a/acceptor/plan.go
+++ b/acceptor/plan.go
@@ -1,8 +1,6 @@
 package acceptor
 
 import (
-	"slices"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/endiveturn/endiveturn/classifier"
@@ -56,7 +54,8 @@
 // plan plans a request. An error means that a message is malformed.
 func (c *connection) plan(r *request) (*plan, error) {
 	// A buffer that grows while messages are added would leave copies behind.
-	p := &plan{connection: c, request: r, messages: slices.Grow(r.messages[:0], len(r.raw)), class: executor.ClassRead}
+	r.messages = reserve(r.messages[:0], len(r.raw))
+	p := &plan{connection: c, request: r, messages: r.messages, class: executor.ClassRead}
 	p.inTransaction = c.status != statusIdle
 	p.aborted = c.status == statusFailed && c.exchange == nil
 	p.failed = c.status == statusFailed && c.exchange != nil
--- a/acceptor/reader.go
+++ b/acceptor/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"slices"
 	"sync"
 
 	"github.com/endiveturn/endiveturn/executor"
@@ -96,7 +95,7 @@
 			if err != nil {
 				return dst, err
 			}
-			dst = slices.Grow(dst, size-len(dst))
+			dst = reserve(dst, size)
 		}
 		dst = append(dst, r.buffer()[r.start:r.start+m]...)
 		r.start += m
--- a/acceptor/request.go
+++ b/acceptor/request.go
@@ -12,6 +12,9 @@
 // such buffers without a count.
 const maxPooledRequestSize = 32 << 10
 
+// maxPooledEnds is the maximum number of messages in a request that goes back to the pool.
+const maxPooledEnds = 64
+
 var requestPool = sync.Pool{New: func() any { return new(request) }}
 
 // A request consists of the messages from a client up to Query, Sync, Flush or
@@ -69,10 +72,16 @@
 	return r.ends[len(r.ends)-1]
 }
 
-// release puts the request back into the pool unless its buffers are large.
+// release puts the request back into the pool. If its buffers are large, they become
+// available to other requests instead.
 func (r *request) release() {
 	if cap(r.raw)+cap(r.messages) > maxPooledRequestSize {
-		return
+		recycleBuffer(r.raw)
+		recycleBuffer(r.messages)
+		*r = request{ends: r.ends}
+		if cap(r.ends) > maxPooledEnds {
+			return
+		}
 	}
 	r.raw, r.ends, r.messages = r.raw[:0], r.ends[:0], r.messages[:0]
 	requestPool.Put(r)
--- a/classifier/classifier_test.go
+++ b/classifier/classifier_test.go
@@ -1,6 +1,8 @@
 package classifier
 
 import (
+	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/endiveturn/endiveturn/executor"
@@ -209,3 +211,30 @@
 		}
 	}
 }
+
+// TestLongLiterals guards against copies of long literals, of which a crowd of clients
+// makes a process run out of memory.
+func TestLongLiterals(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	tests := []struct {
+		name, text string
+		// limit is the greatest number of bytes that may be allocated.
+		limit uint64
+	}{
+		{"plain", "SELECT '" + long + "'", 64 << 10},
+		{"quoted name", `SELECT "` + long + `"`, 64 << 10},
+		// It is searched for the name of a setting, which takes two copies.
+		{"not terminated", "SELECT '" + long, 9 << 18},
+		{"doubled quote", "SELECT '''" + long + "'", 5 << 18},
+		{"escape", `SELECT E'\t` + long + "'", 5 << 18},
+	}
+	for _, test := range tests {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		Classify(test.text)
+		runtime.ReadMemStats(&after)
+		if got := after.TotalAlloc - before.TotalAlloc; got > test.limit {
+			t.Errorf("%s: allocated: got %d bytes, want at most %d", test.name, got, test.limit)
+		}
+	}
+}
--- a/classifier/lexer.go
+++ b/classifier/lexer.go
@@ -96,24 +96,52 @@
 // readQuoted reads text up to the closing quote; a doubled quote stands for the
 // quote itself. If escapes is set, a backslash escapes the next character.
 func (l *lexer) readQuoted(quote byte, kind tokenKind, escapes bool) token {
+	start := l.pos + 1
+	length, plain := quotedLength(l.text[start:], quote, escapes)
+	if length < 0 {
+		return l.readUnknown(len(l.text) - l.pos)
+	}
+	l.pos = start + length + 1
+	text := l.text[start : start+length]
+	if !plain {
+		text = unquote(text, quote, escapes)
+	}
+	return token{kind: kind, text: text}
+}
+
+// quotedLength returns the number of bytes up to the closing quote, -1 if there is none.
+// plain is set if the text before it stands for itself.
+func quotedLength(text string, quote byte, escapes bool) (length int, plain bool) {
+	plain = true
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; {
+		case c == quote && (i+1 == len(text) || text[i+1] != quote):
+			return i, plain
+		case c == quote, escapes && c == '\\':
+			plain = false
+			i++
+		}
+	}
+	return -1, false
+}
+
+// unquote returns what the text between two quotes stands for, which is not longer.
+func unquote(text string, quote byte, escapes bool) string {
 	var b strings.Builder
-	for i := l.pos + 1; i < len(l.text); {
-		c := l.text[i]
-		switch {
-		case c == quote && i+1 < len(l.text) && l.text[i+1] == quote:
+	b.Grow(len(text))
+	for i := 0; i < len(text); {
+		switch c := text[i]; {
+		case c == quote:
 			b.WriteByte(quote)
 			i += 2
-		case c == quote:
-			l.pos = i + 1
-			return token{kind: kind, text: b.String()}
-		case escapes && c == '\\' && i+1 < len(l.text):
-			i += decodeEscape(&b, l.text[i:])
+		case escapes && c == '\\' && i+1 < len(text):
+			i += decodeEscape(&b, text[i:])
 		default:
 			b.WriteByte(c)
 			i++
 		}
 	}
-	return l.readUnknown(len(l.text) - l.pos)
+	return b.String()
 }
 
 // readDollar reads a parameter ($1) or a dollar-quoted literal.
