--- a/accountant/model_test.go
+++ b/accountant/model_test.go
@@ -347,13 +347,18 @@
 		}
 	case m.now.Before(m.leaseExpires) || h.era != m.era || m.now.Before(h.campaignFrom) || m.random.IntN(10) > 0:
 	default:
-		m.counter++
-		m.leader, m.leaseExpires, h.renewedAt = h, m.now.Add(modelLease), m.now
-		eraSince := h.leadership.EraSince
-		h.leadership = Leadership{Token: storer.JoinRevision(m.era, m.counter), Since: m.now, Until: m.leaseExpires, EraSince: eraSince}
+		m.acquire(h)
 	}
 }
 
+// acquire makes a host the leader.
+func (m *model) acquire(h *modelHost) {
+	m.counter++
+	m.leader, m.leaseExpires, h.renewedAt = h, m.now.Add(modelLease), m.now
+	eraSince := h.leadership.EraSince
+	h.leadership = Leadership{Token: storer.JoinRevision(m.era, m.counter), Since: m.now, Until: m.leaseExpires, EraSince: eraSince}
+}
+
 // request sends requests of customers to databases.
 func (m *model) request(h *modelHost) {
 	for _, customer := range []string{"c1", "c2"} {
--- a/accountant/sender.go
+++ b/accountant/sender.go
@@ -21,6 +21,9 @@
 	retryPause = 300 * time.Millisecond
 	// writeTimeout bounds a write of the record.
 	writeTimeout = 1200 * time.Millisecond
+	// transferTime bounds how long a change of leader and the first call of the next one take:
+	// its predecessor offers it leadership for a second, and a call takes up to maxCallTimeout.
+	transferTime = 3 * time.Second
 	// eraClockMargin allows for clocks of a former leader that differ from this one's: a
 	// window that ended so shortly after the store came back is not counted.
 	eraClockMargin = 2 * time.Second
@@ -301,6 +304,25 @@
 	return accepted
 }
 
+// MayTransfer reports whether another host could become the leader now without a window that
+// is missed or late: all windows that have ended are recorded and accepted, and the next one is
+// due after the other host may send its report.
+func (s *Sender) MayTransfer() bool {
+	leadership, ok := s.Leadership()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !ok || !s.claimed || s.token != leadership.Token {
+		return false
+	}
+	for _, w := range s.base.Windows {
+		if state, ok := s.calls[w.Number]; ok && !state.accepted && !state.givenUp {
+			return false
+		}
+	}
+	now, end := s.Clock.Time(), s.Schedule.End(s.base.Next)
+	return now.Before(end) && now.Add(transferTime+s.Gap).Before(end.Add(s.Schedule.Due))
+}
+
 // SendStep reports one recorded window that has not been accepted, if there is one.
 func (s *Sender) SendStep(ctx context.Context) {
 	leadership, ok := s.Leadership()
--- a/accountant/sender_test.go
+++ b/accountant/sender_test.go
@@ -74,6 +74,46 @@
 	}
 }
 
+// TestTransfers guards against windows that are missed, late or wrong because the leader
+// transfers its leadership: it does so as often as its reports allow.
+func TestTransfers(t *testing.T) {
+	m := newModel(t, 3, 20, false)
+	m.run(10 * time.Second)
+	schedule := m.hosts[0].sender.Schedule
+	first, transfers := schedule.Number(m.trueTime())+1, 0
+	for end := m.now.Add(5 * time.Minute); m.now.Before(end); m.step() {
+		settled := m.now.Sub(m.leader.leadership.Since) >= 3*time.Second
+		if !settled || !m.leader.sender.MayTransfer() {
+			continue
+		}
+		next := m.hosts[transfers%len(m.hosts)]
+		if next == m.leader {
+			next = m.other()
+		}
+		m.leader.leadership.Token = 0
+		m.acquire(next)
+		transfers++
+	}
+	windows := int64(0)
+	for number := first; schedule.End(number).Add(schedule.Due).Before(m.trueTime()); number++ {
+		windows++
+		if _, ok := m.received[number]; !ok {
+			t.Errorf("window %d was missed", number)
+		}
+		if late := m.receivedAt[number].Sub(schedule.End(number)) - schedule.Due; late > 0 {
+			t.Errorf("window %d is late by %v", number, late)
+		}
+		for customer, want := range m.sent[number] {
+			if got := m.received[number][customer]; got != want {
+				t.Errorf("window %d, %s: got %d, want %d", number, customer, got, want)
+			}
+		}
+	}
+	if int64(transfers) < windows/2 {
+		t.Errorf("got %d transfers in %d windows, want one in every other window at least", transfers, windows)
+	}
+}
+
 // run runs the model for some time.
 func (m *model) run(d time.Duration) {
 	for end := m.now.Add(d); m.now.Before(end); {
