--- a/explainer/explain.go
+++ b/explainer/explain.go
@@ -131,7 +131,7 @@
 		return t.hosts[line.Host]
 	case "primary_changed", "replica_lagging":
 		return t.hosts[line.Host] && t.services[line.Get("service")]
-	case "duty_taken", "duty_lost", "duty_given_up":
+	case "duty_taken", "duty_lost", "duty_given_up", "duty_offered", "duty_offer_expired", "duty_offer_not_recorded":
 		return true
 	}
 	if line.Get("service") != "" {
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -194,6 +194,7 @@
 	}
 	if h.Settings.UsageAddress != "" {
 		h.accounting = newAccounting(h)
+		h.overseer.MayTransfer = h.accounting.sender.MayTransfer
 		h.director.BeginRequest, h.director.EndRequest = h.accounting.book.Begin, h.accounting.book.End
 	}
 }
--- a/overseer/leadership.go
+++ b/overseer/leadership.go
@@ -74,14 +74,14 @@
 func (o *Overseer) Stop(ctx context.Context) {
 	o.mu.Lock()
 	o.stopping, o.stopped = true, true
-	leases := []heldLease{o.leaderLease, o.hostLease}
-	o.leaderLease, o.hostLease, o.token = heldLease{}, heldLease{}, 0
+	leases := []storer.LeaseID{o.leaderLease.id, o.offer.lease, o.hostLease.id}
+	o.leaderLease, o.offer, o.hostLease, o.token = heldLease{}, offer{}, heldLease{}, 0
 	o.mu.Unlock()
 	for _, lease := range leases {
-		if lease.id == 0 {
+		if lease == 0 {
 			continue
 		}
-		o.revoke(ctx, lease.id)
+		o.revoke(ctx, lease)
 	}
 }
 
@@ -139,11 +139,21 @@
 	if taken && LeaderName(present.Value) == "" {
 		taken, expected = false, present.Revision
 	}
+	offered := taken && o.offeredToThisHost(present.Value)
+	if offered {
+		taken, expected = false, present.Revision
+	}
+	if taken {
+		o.observeLeader(present.Value)
+	}
 	o.mu.Lock()
 	registered, ineligible := o.hostLease.id != 0, o.stopping || o.Now().Before(o.campaignAfter) || o.Now().Before(campaignFrom)
 	vacantFor := o.recordVacancy(taken, campaignFrom)
 	o.mu.Unlock()
-	if taken || !registered || ineligible || !o.Mirror.Loaded() || o.defersToLarger(vacantFor) || !o.shouldCampaign() {
+	if taken || !registered || ineligible || !o.Mirror.Loaded() {
+		return false
+	}
+	if !offered && (o.defersToLarger(vacantFor) || !o.shouldCampaign()) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -164,7 +174,7 @@
 		o.revoke(ctx, lease)
 		return false
 	}
-	o.Logger.Info("duty_taken", "token", revision)
+	o.Logger.Info("duty_taken", "token", revision, "offered", offered)
 	return true
 }
 
@@ -178,6 +188,7 @@
 	o.leaderLease, o.token, o.ledSince = lease, token, o.Now()
 	clear(o.primaryMissingSince)
 	clear(o.partitionedSince)
+	o.endOffer()
 	return true
 }
 
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -94,6 +94,9 @@
 	// RecentlyStarted reports whether this host started recently. Such hosts leave
 	// leadership to others if there are any.
 	RecentlyStarted func() bool
+	// MayTransfer reports whether the other tasks of the leader allow it to transfer its
+	// leadership now. It may be nil if there are none.
+	MayTransfer func() bool
 	// ViewCompleteAsOf returns the latest instant at which this host's view of the
 	// primaries is known to have been complete.
 	ViewCompleteAsOf func() time.Time
@@ -157,6 +160,13 @@
 	eraCampaignFrom time.Time
 	// ledSince is when this host acquired its leadership.
 	ledSince time.Time
+	// offer is the transfer of leadership that this host has begun; its lease is 0 if there is
+	// none. transferAfter is the earliest time of the next one.
+	offer         offer
+	transferAfter time.Time
+	// ledAt holds when another host was last seen to lead, or did not accept an offer. It is
+	// pruned after formerLeaderPause.
+	ledAt map[string]time.Time
 	// stopping is set once this host shuts down and no longer campaigns.
 	stopping bool
 	// stopped is set by Stop. The host then takes and renews no lease.
@@ -169,7 +179,7 @@
 	o.changing, o.probeRespondedAt, o.partitionedSince = make(map[string]bool), make(map[string]time.Time), make(map[string]observedPartition)
 	o.deferred, o.unreachableAt = make(map[string]bool), make(map[string]time.Time)
 	o.primaryMissingSince, o.observed = make(map[string]time.Time), make(map[string]observedAssignment)
-	o.notBegun = make(map[string]notBegun)
+	o.notBegun, o.ledAt = make(map[string]notBegun), make(map[string]time.Time)
 	o.startedAt = o.Now()
 	o.keyMissing = make(chan struct{}, 1)
 	go o.evaluateLoop(ctx)
@@ -199,7 +209,7 @@
 		if catalog := o.Catalog(); catalog != nil {
 			o.observeAssignments(catalog)
 		}
-		if o.campaign(ctx) {
+		if o.campaign(ctx) && !o.transfer(ctx) {
 			o.evaluateServices(ctx)
 		}
 	}
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -48,6 +48,8 @@
 type leaderRecord struct {
 	Host        string `json:"host"`
 	Incarnation string `json:"incarnation"`
+	// Successor is the host to which the leader transfers its leadership, if it does.
+	Successor string `json:"successor,omitempty"`
 }
 
 func encode(value any) []byte {
