--- a/overseer/transfer_test.go
+++ b/overseer/transfer_test.go
@@ -17,6 +17,8 @@
 	large *Overseer
 	// fleetSize is the number of hosts that are registered.
 	fleetSize int
+	// largeCapacity is the registered capacity of the large host.
+	largeCapacity int64
 	// stoppingHosts are those of the catalog.
 	stoppingHosts map[string]bool
 	// largeSilent is set while the large host sends no reports.
@@ -28,10 +30,10 @@
 // newTransferEnv returns a fleet in which the small host is the leader, because it started
 // first, and the large one has not registered.
 func newTransferEnv(t *testing.T) *transferEnv {
-	env := &transferEnv{testEnv: newTestEnv(t), fleetSize: 1}
-	env.endpoints = nil
+	env := &transferEnv{testEnv: newTestEnv(t), fleetSize: 1, largeCapacity: 9}
+	env.endpoints = nil // no service is evaluated
 	env.large = env.newOverseer("large")
-	env.large.Host.Capacity, env.large.RecentlyStarted = 9, func() bool { return true }
+	env.large.Host.Capacity, env.large.RecentlyStarted = env.largeCapacity, func() bool { return true }
 	env.overseer.Host.Capacity, env.overseer.RecentlyStarted = 1, func() bool { return true }
 	for _, o := range []*Overseer{env.overseer, env.large} {
 		o.Catalog = env.catalogOfFleet
@@ -41,6 +43,8 @@
 			return !env.usageInProgress
 		}
 		o.Members = func() []Member {
+			env.mu.Lock()
+			defer env.mu.Unlock()
 			return []Member{{Name: "h1", RecentlyHeard: true}, {Name: "large", RecentlyHeard: !env.largeSilent}}
 		}
 	}
@@ -61,7 +65,7 @@
 		catalog.Hosts[name] = cataloger.Host{Name: name, Capacity: 1}
 	}
 	if env.fleetSize > 1 {
-		catalog.Hosts["large"] = env.large.Host
+		catalog.Hosts["large"] = cataloger.Host{Name: "large", Capacity: env.largeCapacity}
 	}
 	for _, host := range catalog.Hosts {
 		catalog.RecentHosts = append(catalog.RecentHosts, host)
@@ -154,11 +158,11 @@
 		name       string
 		begin, end func(env *transferEnv)
 	}{
-		{name: "small fleet", begin: func(env *transferEnv) { env.fleetSize = cataloger.MaxSmallFleetSize }, end: func(env *transferEnv) { env.fleetSize = 30 }},
-		{name: "equal hosts", begin: func(env *transferEnv) { env.large.Host.Capacity = 1 }, end: func(env *transferEnv) { env.large.Host.Capacity = 2 }},
-		{name: "silent host", begin: func(env *transferEnv) { env.largeSilent = true }, end: func(env *transferEnv) { env.largeSilent = false }},
-		{name: "stopping host", begin: func(env *transferEnv) { env.stoppingHosts = map[string]bool{"large": true} }, end: func(env *transferEnv) { env.stoppingHosts = nil }},
-		{name: "usage report in progress", begin: func(env *transferEnv) { env.usageInProgress = true }, end: func(env *transferEnv) { env.usageInProgress = false }},
+		{name: "small fleet", begin: func(env *transferEnv) { env.update(func() { env.fleetSize = cataloger.MaxSmallFleetSize }) }, end: func(env *transferEnv) { env.update(func() { env.fleetSize = 30 }) }},
+		{name: "equal hosts", begin: func(env *transferEnv) { env.update(func() { env.largeCapacity = 1 }) }, end: func(env *transferEnv) { env.update(func() { env.largeCapacity = 2 }) }},
+		{name: "silent host", begin: func(env *transferEnv) { env.update(func() { env.largeSilent = true }) }, end: func(env *transferEnv) { env.update(func() { env.largeSilent = false }) }},
+		{name: "stopping host", begin: func(env *transferEnv) { env.update(func() { env.stoppingHosts = map[string]bool{"large": true} }) }, end: func(env *transferEnv) { env.update(func() { env.stoppingHosts = nil }) }},
+		{name: "usage report in progress", begin: func(env *transferEnv) { env.update(func() { env.usageInProgress = true }) }, end: func(env *transferEnv) { env.update(func() { env.usageInProgress = false }) }},
 		{name: "change of primary in progress", begin: func(env *transferEnv) { env.overseer.tryBeginChange(service) }, end: func(env *transferEnv) { env.overseer.endChange(service) }},
 		{name: "change of primary recorded", begin: func(env *transferEnv) { env.assign(changing) }, end: func(env *transferEnv) { env.assign(cataloger.PrimaryAssignment{Service: service, ID: "p"}) }},
 		{name: "promotion pending", begin: func(env *transferEnv) { env.assign(pending) }, end: func(env *transferEnv) { env.assign(cataloger.PrimaryAssignment{Service: service, ID: "p"}) }},
@@ -167,7 +171,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				env := newTransferEnv(t)
-				env.fleetSize = 30
+				env.update(func() { env.fleetSize = 30 })
 				test.begin(env)
 				env.startLarge()
 				if changes, gap := env.observe(30 * time.Second); changes != 0 || gap != 0 {
@@ -185,8 +189,10 @@
 
 // assign makes the mirror of the hosts show an assignment.
 func (env *transferEnv) assign(assignment cataloger.PrimaryAssignment) {
-	env.revision++
-	env.mirror.ApplyWrite(informer.Record{Key: assignmentsPrefix + service, Value: encodeAssignment(assignment, 0), Revision: env.revision})
+	env.update(func() {
+		env.revision++
+		env.mirror.ApplyWrite(informer.Record{Key: assignmentsPrefix + service, Value: encodeAssignment(assignment, 0), Revision: env.revision})
+	})
 }
 
 // TestOfferIsNotAccepted guards against a fleet that stays without a leader, or changes its
