--- a/director/forward_test.go
+++ b/director/forward_test.go
@@ -287,7 +287,7 @@
 		{name: "no room", prepare: func(f *poolFixture) { f.server.MaxOperations = 0 }, wantTimes: 1, wantLocal: true},
 		{name: "outdated view", prepare: func(f *poolFixture) { f.pool.viewConfirmedAt = f.pool.now.Add(-MaxViewAge) }, wantTimes: 1, wantLocal: true},
 		{name: "own view outdated for long", prepare: func(f *poolFixture) {
-			f.entry.viewConfirmedAt = f.entry.now.Add(-maxForwardingViewAge - time.Millisecond)
+			f.entry.viewConfirmedAt = f.entry.now.Add(-maxKeyViewAge - time.Millisecond)
 		}, want: executor.CodeBusy, wantTimes: 0},
 		{name: "primary out of reach", prepare: func(f *poolFixture) {
 			db := f.pool.database("p")
@@ -339,7 +339,7 @@
 			if got := runVerb(s, executor.VerbWrite, "first"); got.Code != executor.CodeNone {
 				t.Fatalf("first write: got %+v", got)
 			}
-			f.entry.viewConfirmedAt = f.entry.now.Add(-maxForwardingViewAge - time.Millisecond)
+			f.entry.viewConfirmedAt = f.entry.now.Add(-maxKeyViewAge - time.Millisecond)
 			if got := runVerb(s, verb, "x"); got.Code != executor.CodeAborted {
 				t.Errorf("got %v %q, want %v", got.Code, got.Text, executor.CodeAborted)
 			}
@@ -403,7 +403,7 @@
 		consistency cataloger.Consistency
 		age         time.Duration
 	}{
-		{"any read", cataloger.BoundedStaleness, maxForwardingViewAge + time.Millisecond},
+		{"any read", cataloger.BoundedStaleness, maxKeyViewAge + time.Millisecond},
 		{"read of the primary", cataloger.Primary, MaxViewAge},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/director/forwarded.go
+++ b/director/forwarded.go
@@ -73,7 +73,7 @@
 	if !service.isConfigured() {
 		return "configuration is not loaded yet"
 	}
-	if s.director.viewForbidsForwarding() {
+	if s.director.viewIsOutdated() {
 		// It may lack that a database is leaving or that a data centre was evacuated.
 		return "view of the pool host is outdated"
 	}
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -14,11 +14,11 @@
 // reaches it may run them.
 const primaryUnreachableTimeout = 250 * time.Millisecond
 
-// maxForwardingViewAge is the age of this host's view above which it forwards nothing, so
-// that a withdrawn key stops working within 3 s on a host that is isolated from all but
-// the pool host, and above which a pool host takes no operations, so that databases that
-// leave get no new work after 3 s.
-const maxForwardingViewAge = 2 * time.Second
+// maxKeyViewAge is the age of this host's view above which it neither runs nor forwards
+// operations that need a key, so that a withdrawn key stops working within 3 s on a host that
+// is isolated from all but the databases or the pool host, and above which a pool host takes
+// no operations, so that databases that leave get no new work after 3 s.
+const maxKeyViewAge = 2 * time.Second
 
 // hasScarceConnections reports whether the hosts of the fleet forward operations on a
 // service to its pool host: in large fleets in which a database has few connections per
@@ -113,7 +113,7 @@
 		return nil, ""
 	}
 	d := s.director
-	if d.viewForbidsForwarding() {
+	if d.viewIsOutdated() {
 		return nil, localOutdatedView
 	}
 	for _, target := range pools {
@@ -129,10 +129,10 @@
 	return targets, localNoPoolHost
 }
 
-// viewForbidsForwarding reports whether this host's view is too old to check keys for
-// statements that run on other hosts, and to run operations of others.
-func (d *Director) viewForbidsForwarding() bool {
-	return d.SinceBoot().Sub(d.ViewCompleteAsOf()) > maxForwardingViewAge
+// viewIsOutdated reports whether this host's view is too old to check keys, to forward
+// operations and to run those of others.
+func (d *Director) viewIsOutdated() bool {
+	return d.SinceBoot().Sub(d.ViewCompleteAsOf()) > maxKeyViewAge
 }
 
 // verifyPoolHosts checks the pool hosts before this one in the list: another host has
--- a/director/session.go
+++ b/director/session.go
@@ -323,6 +323,9 @@
 		return op, executor.CodeUnauthenticated, "unknown key"
 	}
 	op.customer = customer
+	if !route.Public && d.viewIsOutdated() {
+		return op, executor.CodeBusy, "key could not be confirmed, retry in " + primaryRetryAfter
+	}
 	if ok, wait := d.Limits.Admit(customer); !ok {
 		return op, executor.CodeRateLimited, "rate exceeded, retry in " + wait.Round(time.Millisecond).String()
 	}
--- a/director/transaction.go
+++ b/director/transaction.go
@@ -82,8 +82,8 @@
 		return t.fail(executor.Response{Code: executor.CodeAborted, Text: "key was withdrawn"}, databaseID, "key withdrawn")
 	}
 	if t.keyUnconfirmed() {
-		t.closeRemote()
-		return t.fail(executor.Response{Code: executor.CodeAborted, Text: keyUnconfirmedText}, "", localOutdatedView)
+		databaseID := t.discardConn()
+		return t.fail(executor.Response{Code: executor.CodeAborted, Text: keyUnconfirmedText}, databaseID, localOutdatedView)
 	}
 	deadline := s.director.Now().Add(t.operation.route.StatementTimeout)
 	if t.remote != nil {
@@ -112,10 +112,14 @@
 // rolled back because this host can't confirm its key.
 const keyUnconfirmedText = "key could not be confirmed, the transaction is rolled back"
 
-// keyUnconfirmed reports whether the transaction runs on a pool host while this host's
-// view is too old to know whether the key was withdrawn. The pool host does not check keys.
+// keyUnconfirmed reports whether this host's view is too old to know whether the key of
+// the transaction was withdrawn. The pool host does not check the keys of others.
 func (t *transaction) keyUnconfirmed() bool {
-	return t.remote != nil && t.operation.session.director.viewForbidsForwarding()
+	s := t.operation.session
+	if s.forwarded != nil || t.operation.route.Public && t.remote == nil {
+		return false
+	}
+	return s.director.viewIsOutdated()
 }
 
 // executeFirst takes a connection, begins the transaction on it and runs the
@@ -314,9 +318,9 @@
 		return response
 	}
 	if t.keyUnconfirmed() {
-		t.closeRemote()
+		databaseID := t.discardConn()
 		response := s.errorResponse(executor.CodeAborted, keyUnconfirmedText)
-		t.operation.finish("", localOutdatedView, response)
+		t.operation.finish(databaseID, localOutdatedView, response)
 		return response
 	}
 	deadline := s.director.Now().Add(t.operation.route.StatementTimeout)
--- a/director/transaction_test.go
+++ b/director/transaction_test.go
@@ -265,3 +265,59 @@
 		}
 	}
 }
+
+// TestWithdrawnKeyOnIsolatedHost guards against a withdrawn key that keeps working on a host
+// that is isolated from all other processes except the databases, so that it does not learn
+// that the key was withdrawn: in a local read-only transaction, which needs no primary, and
+// in single reads that accept data older than the limit of 3 s.
+func TestWithdrawnKeyOnIsolatedHost(t *testing.T) {
+	tests := []struct {
+		name string
+		// open is the verb that opens the transaction, or VerbUnknown.
+		open, verb executor.Verb
+		public     bool
+		want       executor.Code
+	}{
+		{name: "read in a transaction", open: executor.VerbBeginRead, verb: executor.VerbRead, want: executor.CodeAborted},
+		{name: "commit", open: executor.VerbBeginRead, verb: executor.VerbCommit, want: executor.CodeAborted},
+		{name: "single read", verb: executor.VerbRead, want: executor.CodeBusy},
+		{name: "begin", verb: executor.VerbBeginRead, want: executor.CodeBusy},
+		{name: "transaction on a public route", open: executor.VerbBeginRead, verb: executor.VerbRead, public: true, want: executor.CodeNone},
+		{name: "single read on a public route", verb: executor.VerbRead, public: true, want: executor.CodeNone},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(cataloger.BoundedStaleness)
+			f.updateCatalog(func(c *cataloger.Catalog) {
+				configuration := *c.Configuration
+				route := configuration.Routes["db"]
+				route.MaxStaleness, route.Public = time.Minute, test.public
+				configuration.Routes = map[string]cataloger.Route{"db": route}
+				c.Configuration = &configuration
+			})
+			f.director.service("s").recordPosition(f.now, executor.Position{Term: 1, Offset: 10})
+			s := f.newSession()
+			if test.open != executor.VerbUnknown {
+				runVerb(s, test.open)
+				if got := runVerb(s, executor.VerbRead, "first"); got.Code != executor.CodeNone || got.Signature != "r" {
+					t.Fatalf("first read: got %v from %q, want none from the replica", got.Code, got.Signature)
+				}
+			}
+			before := len(f.replica.statements())
+			f.now = f.now.Add(maxKeyViewAge + time.Millisecond)
+			if got := runVerb(s, test.verb, "x"); got.Code != test.want {
+				t.Errorf("got %v %q, want %v", got.Code, got.Text, test.want)
+			}
+			ran, want := len(f.replica.statements())-before, 0
+			if test.want == executor.CodeNone {
+				want = 1
+			}
+			if ran != want {
+				t.Errorf("the replica ran %d statements, want %d", ran, want)
+			}
+			if used := f.director.ConnectionLoads()["s"].Used; test.want != executor.CodeNone && used != 0 {
+				t.Errorf("%d connections are in use, want 0", used)
+			}
+		})
+	}
+}
