--- a/balancer/detector.go
+++ b/balancer/detector.go
@@ -80,6 +80,8 @@
 	Failed bool
 	// Latency is the response time of a request that succeeded.
 	Latency time.Duration
+	// Trial is the number of the trial that the request is, 0 if it is none.
+	Trial uint64
 }
 
 // State is the state of a target.
@@ -126,7 +128,9 @@
 	returnedAt time.Time
 	trials     int
 	successes  int
-	// trialSince is when the present trial request began; zero if there is none.
+	// trial is the number of the present trial request, 0 if there is none, and trialSince
+	// is when it began.
+	trial      uint64
 	trialSince time.Time
 }
 
@@ -149,6 +153,8 @@
 // than the others. It is not safe for concurrent use.
 type Detector struct {
 	targets map[Target]*targetState
+	// lastTrial is the number of the last trial request of any target.
+	lastTrial uint64
 }
 
 func (d *Detector) target(key Target) *targetState {
@@ -175,28 +181,35 @@
 	switch {
 	case !ok || !t.ejected:
 		return Included
-	case now.Before(t.until) || !t.trialSince.IsZero() && now.Sub(t.trialSince) < trialTimeout:
+	case now.Before(t.until) || t.trial != 0 && now.Sub(t.trialSince) < trialTimeout:
 		return Ejected
 	default:
 		return HalfOpen
 	}
 }
 
-// BeginTrial records that a request is sent to a half-open target.
-func (d *Detector) BeginTrial(key Target, now time.Time) {
+// BeginTrial records that a request is sent to a half-open target, and returns the number
+// of the trial.
+func (d *Detector) BeginTrial(key Target, now time.Time) uint64 {
 	t := d.target(key)
-	t.trialSince = now
+	d.lastTrial++
+	t.trial, t.trialSince = d.lastTrial, now
 	t.trials++
+	return t.trial
 }
 
 // CancelTrial records that a trial request was not sent.
-func (d *Detector) CancelTrial(key Target) {
-	if t, ok := d.targets[key]; ok && !t.trialSince.IsZero() {
-		t.trialSince = time.Time{}
+func (d *Detector) CancelTrial(key Target, trial uint64) {
+	if t, ok := d.targets[key]; ok && t.isTrial(trial) {
+		t.trial = 0
 		t.trials--
 	}
 }
 
+// isTrial reports whether a request is the present trial. Others may end during one: they
+// were sent before the ejection or before an earlier trial timed out, or had no other target.
+func (t *targetState) isTrial(trial uint64) bool { return trial != 0 && trial == t.trial }
+
 // EjectedCount returns the number of ejected targets.
 func (d *Detector) EjectedCount() int {
 	count := 0
@@ -218,7 +231,7 @@
 		t.recordLatency(outcome)
 	}
 	if t.ejected {
-		return d.recordTrial(key, t, bad, now)
+		return d.recordTrial(key, t, bad, outcome.Trial, now)
 	}
 	others := d.othersShare(key, now)
 	t.decay(now)
@@ -296,16 +309,16 @@
 	}
 	t.ejected, t.until = true, now.Add(t.pause)
 	t.evidence, t.recent, t.recentOthers = 0, counts{}, counts{}
-	t.trials, t.successes, t.trialSince = 0, 0, time.Time{}
+	t.trials, t.successes, t.trial = 0, 0, 0
 }
 
-// recordTrial records the outcome of a trial request. Outcomes of requests that were
-// sent before the ejection are ignored.
-func (d *Detector) recordTrial(key Target, t *targetState, bad bool, now time.Time) (Event, bool) {
-	if t.trialSince.IsZero() {
+// recordTrial records the outcome of a request to an ejected target. Those of other requests
+// than the present trial are ignored.
+func (d *Detector) recordTrial(key Target, t *targetState, bad bool, trial uint64, now time.Time) (Event, bool) {
+	if !t.isTrial(trial) {
 		return Event{}, false
 	}
-	t.trialSince = time.Time{}
+	t.trial = 0
 	if bad {
 		trials := t.trials
 		t.returnedAt = now
--- a/balancer/detector_test.go
+++ b/balancer/detector_test.go
@@ -79,10 +79,12 @@
 					db = random.IntN(len(ids))
 				}
 				key := Target{ids[db], Read}
+				trial := uint64(0)
 				if d.State(key, now) == HalfOpen {
-					d.BeginTrial(key, now)
+					trial = d.BeginTrial(key, now)
 				}
 				outcome := load.respond(db, at, random)
+				outcome.Trial = trial
 				if at >= faultAt && at < faultAt+faultLength {
 					during++
 					if outcome.Failed || outcome.Latency > 60*time.Millisecond {
--- a/director/attempt.go
+++ b/director/attempt.go
@@ -80,6 +80,9 @@
 	// clientStatementSent is set while a statement of the client was sent that
 	// the database has not rejected without running it.
 	clientStatementSent bool
+	// trial is the number of the trial request that the attempt is, 0 if it is none or has
+	// had an outcome.
+	trial uint64
 	// awaiting is set while the attempt waits for the database: for a
 	// connection, or for the response to a statement.
 	awaiting bool
@@ -180,18 +183,18 @@
 	a.startWait()
 	balanced := op.service.isBalanced()
 	if balanced {
-		op.service.beginTrial(db, kindOf(op.writes))
+		a.trial = op.service.beginTrial(db, kindOf(op.writes))
 	}
 	if err := a.acquirePermit(ctx, op.rank(false), deadline); err != nil {
 		a.release()
-		op.recordConnectError(db, err)
+		a.recordConnectError(err)
 		return a, err
 	}
 	throttled := balanced && !db.pool.HasIdle(op.customer)
 	if throttled {
 		if err := a.throttle(); err != nil {
 			a.release()
-			op.recordConnectError(db, err)
+			a.recordConnectError(err)
 			return a, err
 		}
 	}
@@ -204,7 +207,7 @@
 	}
 	if err != nil {
 		a.release()
-		op.recordConnectError(db, err)
+		a.recordConnectError(err)
 		return a, err
 	}
 	a.conn = conn
@@ -248,17 +251,19 @@
 	}
 }
 
-func (op *operation) recordConnectError(db *database, err error) {
+// recordConnectError records that the attempt got no slot or no connection.
+func (a *attempt) recordConnectError(err error) {
+	op := a.operation
 	var refused *admissionError
 	switch {
 	case errors.As(err, &refused):
-		op.service.cancelTrial(db, kindOf(op.writes))
+		a.cancelTrial()
 	case errors.Is(err, connector.ErrQueueTimeout), errors.Is(err, connector.ErrTooManyConnections), errors.Is(err, connector.ErrClosed):
-		op.service.cancelTrial(db, kindOf(op.writes))
-		op.service.recordBusy(db)
+		a.cancelTrial()
+		op.service.recordBusy(a.database)
 	default:
-		op.service.recordOutcome(db, kindOf(op.writes), balancer.Outcome{Failed: true})
-		op.service.recordConnectFailure(db, err)
+		op.service.recordOutcome(a.database, kindOf(op.writes), balancer.Outcome{Failed: true, Trial: a.endTrial()})
+		op.service.recordConnectFailure(a.database, err)
 	}
 }
 
--- a/director/balance.go
+++ b/director/balance.go
@@ -84,23 +84,39 @@
 	return balancer.Read
 }
 
-// beginTrial records that an operation is sent to a half-open database.
-func (s *service) beginTrial(db *database, kind balancer.Kind) {
+// beginTrial records that an operation is sent to a half-open database. It returns the
+// number of the trial, or 0 if the operation is none.
+func (s *service) beginTrial(db *database, kind balancer.Kind) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.director.Now()
 	target := balancer.Target{Database: db.detectorID(), Kind: kind}
-	if s.detector.State(target, now) == balancer.HalfOpen {
-		s.detector.BeginTrial(target, now)
-		s.director.Metrics.increment("trial_requests." + kind.String())
+	if s.detector.State(target, now) != balancer.HalfOpen {
+		return 0
 	}
+	s.director.Metrics.increment("trial_requests." + kind.String())
+	return s.detector.BeginTrial(target, now)
 }
 
 // cancelTrial records that a trial request was not sent.
-func (s *service) cancelTrial(db *database, kind balancer.Kind) {
+func (s *service) cancelTrial(db *database, kind balancer.Kind, trial uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.detector.CancelTrial(balancer.Target{Database: db.detectorID(), Kind: kind})
+	s.detector.CancelTrial(balancer.Target{Database: db.detectorID(), Kind: kind}, trial)
+}
+
+// endTrial returns the number of the trial that the attempt is, and 0 from then on.
+func (a *attempt) endTrial() uint64 {
+	trial := a.trial
+	a.trial = 0
+	return trial
+}
+
+// cancelTrial records that the attempt's request was not run, if it is a trial.
+func (a *attempt) cancelTrial() {
+	if trial := a.endTrial(); trial != 0 {
+		a.operation.service.cancelTrial(a.database, kindOf(a.operation.writes), trial)
+	}
 }
 
 // recordSpread records how evenly this host's operations are spread over the
@@ -132,9 +148,10 @@
 	case response.Code == executor.CodeNone:
 		a.served = true
 	default:
-		op.service.cancelTrial(a.database, kindOf(op.writes))
+		a.cancelTrial()
 		return
 	}
+	outcome.Trial = a.endTrial()
 	op.service.recordOutcome(a.database, kindOf(op.writes), outcome)
 }
 
--- a/director/service_test.go
+++ b/director/service_test.go
@@ -123,3 +123,36 @@
 		t.Errorf("ejected after the change of address: got %d, want 0", got)
 	}
 }
+
+// TestTrialIsEndedByItsAttempt guards against an ejected database that gets more than one
+// trial request at a time, or that returns or stays ejected, because of attempts which are
+// not its trial: those that were sent before the ejection or had no other database.
+func TestTrialIsEndedByItsAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBalancedFixture(cataloger.BoundedStaleness)
+		s, replica := f.director.service("s"), f.database("r")
+		key := balancer.Target{Database: replica.detectorID(), Kind: balancer.Read}
+		for range 100 {
+			s.recordOutcome(f.database("p"), balancer.Read, balancer.Outcome{Class: "route", Latency: time.Millisecond})
+			s.recordOutcome(replica, balancer.Read, balancer.Outcome{Class: "route", Failed: true})
+		}
+		time.Sleep(2 * time.Second)
+		if got := s.detector.State(key, time.Now()); got != balancer.HalfOpen {
+			t.Fatalf("state after the pause: got %d, want half-open", got)
+		}
+		s.beginTrial(replica, balancer.Read)
+		op, _, _ := f.newSession().admitOperation("id")
+		for _, code := range []executor.Code{executor.CodeLagging, executor.CodeNone, executor.CodeRunFailed} {
+			other := &attempt{operation: op, database: replica}
+			other.recordOutcome(executor.Response{Code: code}, nil, time.Millisecond)
+			if got := s.detector.State(key, time.Now()); got != balancer.Ejected {
+				t.Errorf("after %v of another attempt: got state %d, want ejected while the trial runs", code, got)
+			}
+		}
+		// The pause has not begun again: without an outcome the trial ends after 3 s.
+		time.Sleep(3 * time.Second)
+		if got := s.detector.State(key, time.Now()); got != balancer.HalfOpen {
+			t.Errorf("after the trial without an outcome: got state %d, want half-open", got)
+		}
+	})
+}
