--- a/accountant/book.go
+++ b/accountant/book.go
@@ -16,6 +16,9 @@
 	count int64
 	// version is that of the book when the count changed last.
 	version uint64
+	// sourceVersion is a version of the source's own book as of which the count is exact.
+	// It is not used for the own counts.
+	sourceVersion uint64
 }
 
 // A windowCounts holds the counts of one window of a source by customer.
@@ -27,9 +30,9 @@
 	running int
 }
 
-func (w *windowCounts) set(customer string, count int64, version uint64) {
-	w.cells[customer] = cell{count: count, version: version}
-	w.version = version
+func (w *windowCounts) set(customer string, c cell) {
+	w.cells[customer] = c
+	w.version = c.version
 }
 
 // A sourceCounts holds what is known of the counts of a source.
@@ -99,7 +102,7 @@
 	w := b.source(b.Self).window(window)
 	w.running++
 	b.version++
-	w.set(customer, w.cells[customer].count+1, b.version)
+	w.set(customer, cell{count: w.cells[customer].count + 1, version: b.version})
 	return window
 }
 
@@ -115,7 +118,7 @@
 	w.running--
 	if !mayHaveRun {
 		b.version++
-		w.set(customer, w.cells[customer].count-1, b.version)
+		w.set(customer, cell{count: w.cells[customer].count - 1, version: b.version})
 	}
 }
 
@@ -212,7 +215,8 @@
 	for _, w := range s.windows {
 		for customer, c := range w.cells {
 			b.version++
-			w.set(customer, c.count, b.version)
+			c.version = b.version
+			w.set(customer, c)
 		}
 	}
 }
@@ -229,15 +233,13 @@
 	changes := b.acknowledgement(receiver)
 	changes.Base, changes.Version, changes.Final = b.acknowledged[receiver], b.version, b.reportFinal(now)
 	for id, s := range b.sources {
-		if id != b.Self && (!s.relayed || id.Host == receiver) {
-			continue
-		}
-		if counts := s.changedSince(changes.Base); len(counts) > 0 || id == b.Self {
-			source := id
-			if id == b.Self {
-				source = Source{}
+		switch {
+		case id == b.Self:
+			changes.Sources = append(changes.Sources, SourceChanges{Counts: s.changedSince(changes.Base)[0]})
+		case s.relayed && id.Host != receiver:
+			for version, counts := range s.changedSince(changes.Base) {
+				changes.Sources = append(changes.Sources, SourceChanges{Source: id, Version: version, Counts: counts})
 			}
-			changes.Sources = append(changes.Sources, SourceChanges{Source: source, Counts: counts})
 		}
 	}
 	return changes
@@ -258,22 +260,28 @@
 	return changes
 }
 
-// changedSince returns the counts that changed after a version.
-func (s *sourceCounts) changedSince(version uint64) []Count {
-	var counts []Count
+// changedSince returns the counts that changed after a version of this book, by the version
+// of the source's book as of which they are exact, 0 for the own counts.
+func (s *sourceCounts) changedSince(version uint64) map[uint64][]Count {
+	counts := make(map[uint64][]Count)
 	for number, w := range s.windows {
 		if w.version <= version {
 			continue
 		}
 		for customer, c := range w.cells {
 			if c.version > version {
-				counts = append(counts, Count{Customer: customer, Window: number, Requests: c.count})
+				exact := s.exactAsOf(c)
+				counts[exact] = append(counts[exact], Count{Customer: customer, Window: number, Requests: c.count})
 			}
 		}
 	}
 	return counts
 }
 
+// exactAsOf returns the latest version of the source's book as of which a count is known to
+// be exact: what did not change up to the complete one is exact as of that one.
+func (s *sourceCounts) exactAsOf(c cell) uint64 { return max(c.sourceVersion, s.complete) }
+
 // Apply applies the changes that a process has sent. Those that arrive after later ones are
 // ignored.
 func (b *Book) Apply(sender Source, changes Changes) {
@@ -293,7 +301,10 @@
 	present := b.Schedule.Number(b.Clock.Time())
 	b.prune(present)
 	for _, source := range changes.Sources {
-		b.applyCounts(sender, source, present)
+		if source.Source == (Source{}) {
+			source.Source, source.Version = sender, changes.Version
+		}
+		b.applyCounts(source, present)
 	}
 	if changes.Base <= s.complete {
 		s.complete = changes.Version
@@ -301,26 +312,23 @@
 	}
 }
 
-// applyCounts applies the counts of one source. Those that are passed on are not ordered with
-// the counts that the source itself reported, so the greater one is kept.
-func (b *Book) applyCounts(sender Source, changes SourceChanges, present int64) {
-	id := changes.Source
-	direct := id == Source{}
-	if direct {
-		id = sender
-	}
-	if id == b.Self {
+// applyCounts applies the counts of one source. Hosts that pass on the counts of a source have
+// received different reports of it, so the count of its latest version is kept. The former
+// release passes counts on without a version; of those the greater one is kept.
+func (b *Book) applyCounts(changes SourceChanges, present int64) {
+	if changes.Source == b.Self {
 		return
 	}
-	s := b.source(id)
+	s := b.source(changes.Source)
 	for _, c := range changes.Counts {
 		if c.Window < max(b.oldest, b.settled) || c.Window > present+keptWindows {
 			continue
 		}
 		w := s.window(c.Window)
-		if old := w.cells[c.Customer]; direct || c.Requests > old.count {
+		old := w.cells[c.Customer]
+		if changes.Version > s.exactAsOf(old) || changes.Version == 0 && c.Requests > old.count {
 			b.version++
-			w.set(c.Customer, c.Requests, b.version)
+			w.set(c.Customer, cell{count: c.Requests, version: b.version, sourceVersion: max(changes.Version, old.sourceVersion)})
 		}
 	}
 }
--- a/accountant/book_test.go
+++ b/accountant/book_test.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,29 @@
 	return window
 }
 
+// passOnCorrected has host b report two requests of customer c and one that is running to a,
+// and to another host that this one was not run. After b is killed both pass the counts on.
+func passOnCorrected(t *testing.T, a, b, collector *Book, correctedFirst bool) {
+	t.Helper()
+	other := newTestBook("other", "1")
+	a.SetCollector("a")
+	other.SetCollector("a")
+	count(b, "c", 2)
+	window := b.Begin("c")
+	deliver(t, b, a)
+	b.End("c", window, false)
+	deliver(t, b, other)
+	time.Sleep(time.Second)
+	relays := []*Book{a, other}
+	if correctedFirst {
+		slices.Reverse(relays)
+	}
+	for _, relay := range relays {
+		relay.SetCollector("collector")
+		deliver(t, relay, collector)
+	}
+}
+
 // TestCollection guards against requests that the collector loses or counts twice when
 // messages are lost, late or repeated, when processes restart, and when the collector changes.
 func TestCollection(t *testing.T) {
@@ -124,6 +148,35 @@
 			a.SetCollector("collector")
 			deliver(t, a, collector)
 		}},
+		{name: "corrected before it is passed on", want: 2, run: func(t *testing.T, a, b, collector *Book) {
+			a.SetCollector("a")
+			count(b, "c", 2)
+			window := b.Begin("c")
+			deliver(t, b, a)
+			b.End("c", window, false)
+			deliver(t, b, collector)
+			time.Sleep(time.Second)
+			a.SetCollector("collector")
+			deliver(t, a, collector)
+		}},
+		{name: "passed on by a former release", want: 3, run: func(t *testing.T, a, b, collector *Book) {
+			a.SetCollector("a")
+			count(b, "c", 3)
+			deliver(t, b, a)
+			time.Sleep(time.Second)
+			a.SetCollector("collector")
+			changes := a.Changes("collector")
+			for i := range changes.Sources {
+				changes.Sources[i].Version = 0
+			}
+			collector.Apply(a.Self, changes)
+		}},
+		{name: "passed on by two hosts, the corrected count first", want: 2, run: func(t *testing.T, a, b, collector *Book) {
+			passOnCorrected(t, a, b, collector, true)
+		}},
+		{name: "passed on by two hosts, the corrected count last", want: 2, run: func(t *testing.T, a, b, collector *Book) {
+			passOnCorrected(t, a, b, collector, false)
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/accountant/codec.go
+++ b/accountant/codec.go
@@ -23,7 +23,10 @@
 type SourceChanges struct {
 	// Source is zero for the sender itself.
 	Source Source
-	Counts []Count
+	// Version is the version of the source's book as of which the counts are exact, if the
+	// source is not the sender. The former release leaves it out.
+	Version uint64
+	Counts  []Count
 }
 
 // Changes is what one process sends to another one.
@@ -58,6 +61,7 @@
 	fieldSourceHost = iota + 1
 	fieldSourceIncarnation
 	fieldSourceCustomer
+	fieldSourceVersion
 )
 
 // Field numbers of a customer.
@@ -93,6 +97,7 @@
 		}
 		nested := appendBytes(nil, fieldSourceHost, []byte(source.Source.Host))
 		nested = appendBytes(nested, fieldSourceIncarnation, []byte(source.Source.Incarnation))
+		nested = appendNumber(nested, fieldSourceVersion, source.Version)
 		nested = appendCustomers(nested, fieldSourceCustomer, source.Counts, c.Final)
 		b = appendBytes(b, fieldSource, nested)
 	}
@@ -203,6 +208,8 @@
 			s.Source.Host = string(f.bytes)
 		case fieldSourceIncarnation:
 			s.Source.Incarnation = string(f.bytes)
+		case fieldSourceVersion:
+			s.Version = f.value
 		case fieldSourceCustomer:
 			customers = append(customers, f.bytes)
 		}
--- a/accountant/codec_test.go
+++ b/accountant/codec_test.go
@@ -20,7 +20,7 @@
 			Acknowledged: 7, WallClock: wall, FleetTime: wall.Add(-3 * time.Second), Base: 5, Version: 9, Final: 353445120,
 			Sources: []SourceChanges{
 				{Counts: []Count{{Customer: "c1", Window: 353445121, Requests: 1 << 40}, {Customer: "c1", Window: 353445109}, {Customer: "c2", Window: 353445120, Requests: 3}}},
-				{Source: Source{Host: "h", Incarnation: "i"}, Counts: []Count{{Customer: "c3", Window: 353445119, Requests: 2}}},
+				{Source: Source{Host: "h", Incarnation: "i"}, Version: 300, Counts: []Count{{Customer: "c3", Window: 353445119, Requests: 2}}},
 			},
 		}},
 	}
