--- a/forwarder/client.go
+++ b/forwarder/client.go
@@ -32,6 +32,9 @@
 	Detector *FailureDetector
 	// Now returns the time with a monotonic reading.
 	Now func() time.Time
+	// SinceBoot returns the time on a clock that keeps running while the machine is
+	// suspended. If it is nil, Now is used.
+	SinceBoot func() time.Time
 	// OnSuspect is called when a host becomes suspected, with the reason.
 	OnSuspect func(target Target, reason error)
 	// OnRegain is called when a suspected host has replied to a probe.
@@ -55,6 +58,9 @@
 		if c.Dial == nil {
 			c.Dial = dialTCP
 		}
+		if c.SinceBoot == nil {
+			c.SinceBoot = c.Now
+		}
 	})
 }
 
@@ -96,7 +102,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", target.Name, err)
 	}
-	opened, err := newConn(netConn, c.Now, func() { c.suspect(target, ErrSilent) })
+	opened, err := newConn(netConn, c.Now, c.SinceBoot, func() { c.suspect(target, ErrSilent) })
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", target.Name, err)
 	}
--- a/forwarder/codec.go
+++ b/forwarder/codec.go
@@ -33,6 +33,8 @@
 	fieldPreparedWrites
 	fieldOperation
 	fieldPreparedName
+	fieldSentAt
+	fieldValidFor
 )
 
 // Field numbers of an operation.
@@ -115,6 +117,8 @@
 
 func appendRequest(b []byte, r *Request) []byte {
 	b = appendNumber(b, fieldNumber, r.number)
+	b = appendNumber(b, fieldSentAt, milliseconds(r.sentAt))
+	b = appendNumber(b, fieldValidFor, milliseconds(r.validFor))
 	b = appendText(b, fieldID, r.Statement.ID)
 	b = appendNumber(b, fieldVerb, uint64(r.Statement.Verb))
 	b = appendText(b, fieldName, r.Statement.Name)
@@ -215,6 +219,10 @@
 		switch field {
 		case fieldNumber:
 			r.number = number
+		case fieldSentAt:
+			r.sentAt = time.Duration(number) * time.Millisecond
+		case fieldValidFor:
+			r.validFor = time.Duration(number) * time.Millisecond
 		case fieldID:
 			r.Statement.ID = string(text)
 		case fieldVerb:
--- a/forwarder/codec_test.go
+++ b/forwarder/codec_test.go
@@ -24,7 +24,7 @@
 		Variables: connector.NewVariables([]connector.Variable{{Name: "zone", Value: "utc"}, {Name: "empty"}}),
 		Prepared:  &Prepared{Name: "r1x", Text: "READ a", Writes: true},
 		Statement: executor.Request{ID: "q-1837465", Verb: executor.VerbExecute, Name: "r1x", Arguments: "a b"},
-		number:    77,
+		number:    77, sentAt: 3600 * time.Second, validFor: 1100 * time.Millisecond,
 	}
 }
 
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -48,6 +48,9 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	now   func() time.Time
+	// sinceBoot is the clock by which the other host notices late requests.
+	sinceBoot func() time.Time
+	openedAt  time.Time
 	// awaiting is set while a response is awaited.
 	awaiting bool
 	// heardAt is when the last frame was received, or the request was sent.
@@ -65,10 +68,10 @@
 }
 
 // newConn opens the stream on a connection. Nothing is sent before the handshake.
-func newConn(netConn net.Conn, now func() time.Time, onSilent func()) (*conn, error) {
+func newConn(netConn net.Conn, now, sinceBoot func() time.Time, onSilent func()) (*conn, error) {
 	t := &transport{Conn: netConn}
 	options := drpcconn.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxReadBuffer}}}
-	c := &conn{Conn: drpcconn.NewWithOptions(t, options), transport: t, now: now, onSilent: onSilent}
+	c := &conn{Conn: drpcconn.NewWithOptions(t, options), transport: t, now: now, sinceBoot: sinceBoot, openedAt: sinceBoot(), onSilent: onSilent}
 	c.timer = time.AfterFunc(time.Hour, c.checkSilence)
 	c.timer.Stop()
 	stream, err := c.NewStream(context.Background(), runRPC, encoding{})
@@ -127,6 +130,7 @@
 func (c *conn) roundTrip(request *Request, deadline time.Time, abandonSilent bool) (Reply, error) {
 	c.startWait(deadline, abandonSilent)
 	defer c.endWait()
+	request.sentAt, request.validFor = c.sinceBoot().Sub(c.openedAt), deadline.Sub(c.now())
 	writtenBefore := c.transport.written.Load()
 	if err := c.stream.MsgSend(request, encoding{}); err != nil {
 		c.discard()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -85,6 +85,10 @@
 
 	// number is the number of the request on its connection, 0 for a handshake.
 	number uint64
+	// sentAt is when the request was sent, on a clock of the sender that starts with the
+	// connection, and validFor how long it was awaited then. Both are sent in whole
+	// milliseconds; the former release sends neither.
+	sentAt, validFor time.Duration
 }
 
 // A Reply is the response of the host that ran a statement.
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -43,6 +43,9 @@
 	// their statements and responses. Operations beyond them are refused as not run.
 	MaxOperations int
 	MaxBytes      int64
+	// SinceBoot returns the time on a clock that keeps running while the machine is
+	// suspended. If it is nil, time.Now is used.
+	SinceBoot func() time.Time
 
 	stopping atomic.Bool
 	// stopAt is when open operations take no further statements, nil for never.
@@ -99,13 +102,21 @@
 			return nil
 		}
 		h.guard.Stop()
-		if err := h.handle(request); err != nil {
+		delay := h.delays.delay(request.sentAt, s.sinceBoot())
+		if err := h.handle(request, delay); err != nil {
 			return err
 		}
 		h.guard.Reset(h.idleTimeout())
 	}
 }
 
+func (s *Server) sinceBoot() time.Time {
+	if s.SinceBoot == nil {
+		return time.Now()
+	}
+	return s.SinceBoot()
+}
+
 // accountOf returns the account of the stream's connection, or nil.
 func accountOf(stream drpc.Stream) *budgeter.Account {
 	transport, ok := drpcctx.Transport(stream.Context())
@@ -127,6 +138,8 @@
 	account *budgeter.Account
 	// execution is the open operation, nil if there is none.
 	execution *Execution
+	// delays measures how long requests were under way.
+	delays delayMeter
 	// guard closes the transport of a peer that does not read its reply, or leaves a
 	// transaction open for too long.
 	guard *time.Timer
@@ -138,8 +151,9 @@
 	heartbeat *time.Timer
 }
 
-// handle runs a request and sends its reply. An error ends the stream.
-func (h *handler) handle(request *Request) error {
+// handle runs a request that was under way for the given time, and sends its reply. An error
+// ends the stream.
+func (h *handler) handle(request *Request, delay time.Duration) error {
 	if request.number == 0 {
 		return h.send(&Reply{Stopping: h.server.stopping.Load()})
 	}
@@ -152,7 +166,13 @@
 			Code: executor.CodeAborted, Text: "pool host is stopping, transaction is rolled back", State: executor.StateFailed,
 		}, Reason: "pool host is stopping"})
 	}
+	if request.validFor > 0 && delay > request.validFor {
+		return h.send(h.expire(request))
+	}
 	if h.execution == nil {
+		if request.Operation != nil {
+			request.Operation.Elapsed += delay
+		}
 		if reply := h.begin(request); reply != nil {
 			reply.number = request.number
 			return h.send(reply)
@@ -182,6 +202,19 @@
 	return idleServerTimeout
 }
 
+// expire returns the reply to a request that its sender has given up. This host hung, and the
+// kernel delivers what it received before the connection was reset.
+func (h *handler) expire(request *Request) *Reply {
+	const reason = "request arrived too late"
+	if h.execution == nil {
+		return &Reply{number: request.number, Refused: true, Reason: reason}
+	}
+	h.closeExecution()
+	return &Reply{number: request.number, Response: executor.Response{
+		Code: executor.CodeAborted, Text: reason + ", transaction is rolled back", State: executor.StateFailed,
+	}, Reason: reason}
+}
+
 // begin begins an operation, or returns the refusal of one that does not run here.
 func (h *handler) begin(request *Request) *Reply {
 	s := h.server
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -173,6 +173,7 @@
 	h.forwarder = &forwarder.Server{
 		Begin: h.director.BeginForwarded, IdleTransactionTimeout: h.director.ForwardedIdleTimeout,
 		MaxOperations: maxForwardedOperations, MaxBytes: h.Settings.maxForwardedBytes(),
+		SinceBoot: timekeeper.Now,
 	}
 	h.exchanger = &exchanger.Exchanger{
 		Host: h.Settings.Host, Report: h.report, RecordsSince: h.recordsSince, OnMessage: h.handleMessage, Peers: h.peerAddresses, MustInitiate: h.mustInitiate,
