--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -56,6 +56,10 @@
 	// formerIncarnation is the incarnation before that of Report, if the latter's process
 	// is known to have sent its report later.
 	formerIncarnation string
+	// delivery tracks the records in replies to the process with incarnation
+	// deliveredTo.
+	delivery    delivery
+	deliveredTo string
 }
 
 // An Exchanger exchanges reports with the other hosts and keeps the last one of
@@ -86,6 +90,8 @@
 	// Now returns a monotonic time that includes the time the machine is suspended.
 	Now    func() time.Time
 	Logger *slog.Logger
+	// Dial connects to the address of a host. If it is nil, it connects over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Register registers further services that are served at the same address. It may be
 	// nil.
 	Register func(mux drpc.Mux) error
@@ -94,6 +100,7 @@
 	peers       map[string]Peer
 	connections map[string]*peerConnection
 	compressor  compressor
+	seeds       seedChoice
 }
 
 // A peerConnection is the connection to one address.
@@ -107,6 +114,8 @@
 	echo uint64
 	// compress is set if the host accepts compressed values.
 	compress bool
+	// delivery tracks the records in requests.
+	delivery delivery
 }
 
 // Reports returns the state of each host that has reported, with its last report.
@@ -120,6 +129,27 @@
 	return peers
 }
 
+// EachPeer calls visit with each host that has reported and its state, until visit returns
+// false. Unlike Reports it copies nothing. visit must not call the Exchanger.
+func (e *Exchanger) EachPeer(visit func(name string, peer *Peer) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var current Peer
+	for name, peer := range e.peers {
+		current = peer
+		if !visit(name, &current) {
+			return
+		}
+	}
+}
+
+// Peer returns the state of a host, which is the zero value if it has not reported.
+func (e *Exchanger) Peer(name string) Peer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers[name]
+}
+
 // ReceivedAt returns when the last report of a host was received, or the zero time.
 func (e *Exchanger) ReceivedAt(name string) time.Time {
 	e.mu.Lock()
@@ -176,7 +206,7 @@
 	delete(wanted, e.Host)
 	if !fleetKnown {
 		wanted = make(map[string]string)
-		for _, seed := range e.Seeds {
+		for _, seed := range e.seeds.at(e.Now(), e.Seeds) {
 			wanted["seed "+seed] = seed
 		}
 	}
@@ -233,7 +263,7 @@
 			pause = retryInterval
 			// The next request carries no records, so the receiver must not treat
 			// its own mirror as complete as of the time it was sent.
-			peerRevision, c.echo = 0, 0
+			peerRevision, c.echo, c.delivery = 0, 0, delivery{}
 			if conn != nil {
 				_ = conn.Close()
 				conn = nil
@@ -288,7 +318,7 @@
 		request.compress = e.compressor.compress
 	}
 	if peerRevision > 0 {
-		request.Records = e.RecordsSince(peerRevision)
+		request.Records = c.delivery.next(e.RecordsSince(peerRevision), peerRevision)
 	}
 	var reply Message
 	sent := e.Now()
@@ -296,6 +326,9 @@
 		return 0, errors.Wrap(err, "exchange")
 	}
 	c.echo, c.compress = reply.Sequence, reply.AcceptsCompression
+	if request.Report.Age >= 0 {
+		c.delivery.confirm()
+	}
 	e.RecordMessage(reply, sent)
 	if peerRevision == 0 {
 		// The request carried no records, so the next one has to.
@@ -305,8 +338,11 @@
 }
 
 func (e *Exchanger) dial(ctx context.Context, c *peerConnection) (*drpcconn.Conn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	dial := e.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	conn, err := dial(ctx, c.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to host")
 	}
@@ -320,6 +356,11 @@
 	return drpcconn.New(conn), nil
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // RecordMessage processes a message that was not sent before the instant sent; the
 // zero time stands for unknown. OnMessage is called before HeardAt is advanced,
 // because callers of Reports conclude from HeardAt that they have the records that
@@ -366,17 +407,27 @@
 	sent := time.Time{}
 	if request.Echo != 0 && request.Echo == peer.sequence && peer.Report.Incarnation == request.Report.Incarnation {
 		sent = peer.repliedAt
+		peer.delivery.confirm()
 	}
+	if peer.deliveredTo != request.Report.Incarnation {
+		peer.delivery, peer.deliveredTo = delivery{}, request.Report.Incarnation
+	}
+	records := peer.delivery
 	e.mu.Unlock()
 	e.RecordMessage(*request, sent)
 	reply := &Message{Report: e.Report(name), AcceptsCompression: true}
 	if request.AcceptsCompression {
 		reply.compress = e.compressor.compress
 	}
-	reply.Records = e.RecordsSince(request.Report.Revision)
+	reply.Records = records.next(e.RecordsSince(request.Report.Revision), request.Report.Revision)
+	if reply.Report.Age < 0 {
+		// The receiver ignores the records of a host that has never been complete.
+		records.forgetSent()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	peer = e.peers[name]
+	peer.delivery, peer.deliveredTo = records, request.Report.Incarnation
 	peer.repliedAt = e.Now()
 	peer.sequence = max(peer.sequence+1, uint64(peer.repliedAt.UnixNano()))
 	reply.Sequence = peer.sequence
--- a/hoster/forwarding.go
+++ b/hoster/forwarding.go
@@ -64,24 +64,25 @@
 	if h.stopping.Load() {
 		stopping[h.Settings.Host] = true
 	}
-	reports := h.exchanger.Reports()
-	for name, peer := range reports {
+	h.exchanger.EachPeer(func(name string, peer *exchanger.Peer) bool {
 		if peer.Report.Stopping && peer.Report.Incarnation == catalog.Hosts[name].Incarnation {
 			stopping[name] = true
 		}
-	}
-	h.addReportedStopping(stopping, reports)
+		return true
+	})
+	h.addReportedStopping(stopping)
 	return stopping
 }
 
 // addReportedStopping adds the hosts that the hub reports as stopping. Its report counts
 // while it is recent, since it no longer says so once the host's next process runs.
-func (h *Host) addReportedStopping(stopping map[string]bool, reports map[string]exchanger.Peer) {
-	hub, ok := h.hub()
-	if !ok || timekeeper.Now().Sub(reports[hub].ReceivedAt) > maxObservationAge {
+func (h *Host) addReportedStopping(stopping map[string]bool) {
+	name, ok := h.hub()
+	hub := h.exchanger.Peer(name)
+	if !ok || timekeeper.Now().Sub(hub.ReceivedAt) > maxObservationAge {
 		return
 	}
-	for _, name := range reports[hub].Report.StoppingHosts {
+	for _, name := range hub.Report.StoppingHosts {
 		stopping[name] = true
 	}
 }
@@ -94,12 +95,16 @@
 	}
 	catalog := h.latestCatalog()
 	var hosts []cataloger.Host
-	for name, peer := range h.exchanger.Reports() {
+	h.exchanger.EachPeer(func(name string, peer *exchanger.Peer) bool {
+		if !peer.Report.Stopping {
+			return true
+		}
 		host, ok := catalog.Hosts[name]
-		if ok && peer.Report.Stopping && peer.Report.Incarnation == host.Incarnation {
+		if ok && peer.Report.Incarnation == host.Incarnation {
 			hosts = append(hosts, host)
 		}
-	}
+		return true
+	})
 	if h.stopping.Load() {
 		hosts = append(hosts, catalog.Hosts[h.Settings.Host])
 	}
--- a/hoster/freshness.go
+++ b/hoster/freshness.go
@@ -182,13 +182,12 @@
 // different records. Comparing revisions does not reveal such a difference if each
 // host has reached the revision of the other.
 func (h *Host) digestMismatch() bool {
-	now := timekeeper.Now()
-	own := h.report("")
-	for _, peer := range h.exchanger.Reports() {
+	now, digest := timekeeper.Now(), h.mirror.Digest()
+	differs := false
+	h.exchanger.EachPeer(func(_ string, peer *exchanger.Peer) bool {
 		recent := now.Sub(peer.HeardAt) < 2*exchanger.Interval
-		if recent && peer.Report.Age >= 0 && peer.Report.Digest != own.Digest {
-			return true
-		}
-	}
-	return false
+		differs = recent && peer.Report.Age >= 0 && peer.Report.Digest != digest
+		return !differs
+	})
+	return differs
 }
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -62,6 +62,9 @@
 	// Listen opens the listener of an address of the settings. If it is nil, the
 	// host listens on TCP.
 	Listen func(ctx context.Context, address string) (net.Listener, error)
+	// Dial connects to another host for the exchange of reports. If it is nil, the host
+	// connects over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	incarnation string
 	started     time.Time
@@ -80,7 +83,12 @@
 	// fallbackHub is the name of the fallback hub that this host contacts first, nil if
 	// it contacts none.
 	fallbackHub atomic.Pointer[string]
-	stopping    atomic.Bool
+	// leaderRecord is the record of the leader that was decoded last.
+	leaderRecord atomic.Pointer[leaderRecord]
+	// majorityInstant is reused by majorityReportedAsOf while Run runs, in large fleets.
+	majorityInstant atomic.Pointer[majorityInstant]
+	reusesMajority  bool
+	stopping        atomic.Bool
 
 	// mu guards the fields below. While it is held, no lock but the mirror's is
 	// acquired.
@@ -96,6 +104,7 @@
 // Run serves until ctx ends and the shutdown that follows is complete.
 func (h *Host) Run(ctx context.Context) error {
 	h.prepare()
+	h.reusesMajority = true
 	listeners, err := h.openListeners(ctx)
 	if err != nil {
 		return err
@@ -179,6 +188,7 @@
 		Host: h.Settings.Host, Report: h.report, RecordsSince: h.recordsSince, OnMessage: h.handleMessage, Peers: h.peerAddresses, MustInitiate: h.mustInitiate,
 		Pause: h.exchangePause,
 		Seeds: otherSeeds(h.Settings), Now: timekeeper.Now, Logger: h.Logger, Register: h.forwarder.Register,
+		Dial: h.Dial,
 	}
 	h.overseer = &overseer.Overseer{
 		Host: cataloger.Host{
--- a/hoster/quorum.go
+++ b/hoster/quorum.go
@@ -73,11 +73,32 @@
 	}
 }
 
+// majorityReuseTime is how long a host of a large fleet reuses the instant since which enough
+// voters have reported: it takes the reports of all hosts, and each request and each
+// exchange needs it. An instant remains correct, as if the message that carries it took longer.
+const majorityReuseTime = 25 * time.Millisecond
+
+// A majorityInstant is a result of computeMajority.
+type majorityInstant struct{ reportedAsOf, computedAt time.Time }
+
 // majorityReportedAsOf returns the latest instant since which enough voters have reported to
-// this host to confirm the freshness of its view, or the zero time. The list of voters has to
-// be one that this process has read, and the host has to be registered and in it, so that a
-// leader knows whom it may count.
+// this host to confirm the freshness of its view, or the zero time.
 func (h *Host) majorityReportedAsOf() time.Time {
+	now := timekeeper.Now()
+	if last := h.majorityInstant.Load(); last != nil && now.Sub(last.computedAt) < majorityReuseTime {
+		return last.reportedAsOf
+	}
+	reportedAsOf := h.computeMajority()
+	if h.reusesMajority && h.largeFleet() {
+		h.majorityInstant.Store(&majorityInstant{reportedAsOf: reportedAsOf, computedAt: now})
+	}
+	return reportedAsOf
+}
+
+// computeMajority computes majorityReportedAsOf from the reports of all voters. The list of
+// voters has to be one that this process has read, and the host has to be registered and in
+// it, so that a leader knows whom it may count.
+func (h *Host) computeMajority() time.Time {
 	catalog := h.latestCatalog()
 	if catalog == nil || !h.mirror.Listed() || !h.registered() {
 		return time.Time{}
@@ -109,15 +130,16 @@
 
 // votersAmong returns the named hosts as their reports show them.
 func votersAmong[T any](h *Host, names map[string]T, now time.Time) []voter {
-	reports := h.exchanger.Reports()
 	voters := make([]voter, 0, len(names))
-	for name := range names {
-		v := voter{listed: reports[name].HeardListed, reportedAt: reports[name].HeardAt}
-		if name == h.Settings.Host {
-			v = voter{listed: h.knowsChanges(), reportedAt: now}
-		}
-		voters = append(voters, v)
+	if _, ok := names[h.Settings.Host]; ok {
+		voters = append(voters, voter{listed: h.knowsChanges(), reportedAt: now})
 	}
+	h.exchanger.EachPeer(func(name string, peer *exchanger.Peer) bool {
+		if _, ok := names[name]; ok && name != h.Settings.Host {
+			voters = append(voters, voter{listed: peer.HeardListed, reportedAt: peer.HeardAt})
+		}
+		return true
+	})
 	return voters
 }
 
--- a/hoster/refresh.go
+++ b/hoster/refresh.go
@@ -8,6 +8,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/exchanger"
 	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
@@ -105,14 +106,15 @@
 // them.
 func (h *Host) addUnlistedHosts(catalog *cataloger.Catalog) {
 	now := timekeeper.Now()
-	for name, peer := range h.exchanger.Reports() {
+	h.exchanger.EachPeer(func(name string, peer *exchanger.Peer) bool {
 		if _, ok := catalog.Hosts[name]; ok || peer.HeardAt.IsZero() || now.Sub(peer.HeardAt) > unlistedHostRetention {
-			continue
+			return true
 		}
 		catalog.Hosts[name] = cataloger.Host{
 			Name: name, Incarnation: peer.Report.Incarnation, Address: peer.Report.Address, DataCentre: peer.Report.DataCentre,
 		}
-	}
+		return true
+	})
 }
 
 // assignmentRevisionSum returns a number that changes with each primary assignment.
--- a/hoster/topology.go
+++ b/hoster/topology.go
@@ -21,15 +21,35 @@
 	if catalog == nil || !catalog.IsLargeFleet() {
 		return "", false
 	}
-	record, ok := h.mirror.Get(overseer.LeaderKey)
+	name, ok = h.leader()
 	if !ok {
 		return "", false
 	}
-	name = overseer.LeaderName(record.Value)
 	_, ok = catalog.Hosts[name]
 	return name, ok
 }
 
+// A leaderRecord is the decoded record of the leader.
+type leaderRecord struct {
+	revision int64
+	name     string
+}
+
+// leader returns the name in the record of the leader. It decodes each record once, since
+// every exchange needs it.
+func (h *Host) leader() (name string, ok bool) {
+	record, ok := h.mirror.Get(overseer.LeaderKey)
+	if !ok {
+		return "", false
+	}
+	if known := h.leaderRecord.Load(); known != nil && known.revision == record.Revision {
+		return known.name, true
+	}
+	name = overseer.LeaderName(record.Value)
+	h.leaderRecord.Store(&leaderRecord{revision: record.Revision, name: name})
+	return name, true
+}
+
 // isHub reports whether this host is the hub of a large fleet.
 func (h *Host) isHub() bool {
 	name, ok := h.hub()
