--- a/informer/watcher.go
+++ b/informer/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,9 @@
 	Mirror *Mirror
 	// Prefix is the prefix of all keys to watch.
 	Prefix string
+	// Excluded reports whether a key stays out of the mirror, and so out of the reports to
+	// other hosts. It may be nil.
+	Excluded func(key string) bool
 	// Suspended reports whether another host delivers all changes, so that the store
 	// is not watched. It may be nil.
 	Suspended func() bool
@@ -123,6 +127,9 @@
 		after = page.Entries[len(page.Entries)-1].Key
 	}
 	w.recordSuccess()
+	if w.Excluded != nil {
+		entries = slices.DeleteFunc(entries, func(entry storer.Entry) bool { return w.Excluded(entry.Key) })
+	}
 	if !w.Mirror.Replace(entries, revision, requestedAt) {
 		w.Logger.Warn("store_list_ignored", "revision", revision, "mirror_revision", w.Mirror.Revision())
 	}
@@ -161,7 +168,11 @@
 			continue
 		}
 		w.recordSuccess()
-		w.Mirror.Apply(changes, next, completeAsOf(requestedAt, w.Now(), wait, len(changes)))
+		knownAsOf := completeAsOf(requestedAt, w.Now(), wait, len(changes))
+		if w.Excluded != nil {
+			changes = slices.DeleteFunc(changes, func(change storer.Change) bool { return w.Excluded(change.Key) })
+		}
+		w.Mirror.Apply(changes, next, knownAsOf)
 		revision = max(revision, next)
 		if len(changes) > 0 && w.CoalesceDelay != nil {
 			w.sleep(ctx, w.CoalesceDelay())
--- a/informer/watcher_test.go
+++ b/informer/watcher_test.go
@@ -101,6 +101,7 @@
 func startWatcher(t *testing.T, s *fakeStore) (*Watcher, *Mirror) {
 	t.Helper()
 	w := NewWatcher()
+	w.Excluded = func(key string) bool { return key == "excluded" }
 	w.Store = storer.KeyValueStore{List: s.list, Changes: s.watch, Era: func() int64 { return 1 }}
 	w.Mirror = &Mirror{Now: time.Now}
 	w.Wait = func() time.Duration { return 10 * time.Second }
@@ -185,6 +186,26 @@
 	}
 }
 
+// TestExcludedKeys guards against a key that stays out of the mirror for the sake of traffic and
+// is in it all the same, after a list or a change, and against other changes that are lost
+// with it.
+func TestExcludedKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("a", "1")
+		s.put("excluded", "1")
+		_, m := startWatcher(t, s)
+		synctest.Wait()
+		s.put("excluded", "2")
+		synctest.Wait()
+		s.put("a", "2")
+		synctest.Wait()
+		if records, revision := m.Records(); len(records) != 1 || value(m, "a") != "2" || revision != s.revision {
+			t.Errorf("got records %v up to revision %d, want the second value of a only, up to %d", records, revision, s.revision)
+		}
+	})
+}
+
 // TestCompleteAsOf guards against a mirror that counts as newer than the response of
 // the store.
 func TestCompleteAsOf(t *testing.T) {
