--- a/accountant/book.go
+++ b/accountant/book.go
@@ -84,6 +84,8 @@
 	// reportedFinal is the last own window that was reported as final.
 	reportedFinal int64
 	collector     string
+	// former are the counts of a checkpoint.
+	former formerCounts
 }
 
 // Begin counts a request that is sent now, and returns its window.
@@ -336,19 +338,7 @@
 func (b *Book) Totals(window int64) map[string]int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	totals := make(map[string]int64)
-	for _, s := range b.sources {
-		w, ok := s.windows[window]
-		if !ok {
-			continue
-		}
-		for customer, c := range w.cells {
-			if c.count > 0 {
-				totals[customer] += c.count
-			}
-		}
-	}
-	return totals
+	return b.totals(window)
 }
 
 // Missing returns the number of processes, by incarnation and host name, that have not yet
--- a/accountant/model_test.go
+++ b/accountant/model_test.go
@@ -26,15 +26,17 @@
 	faulty bool
 
 	// value, revision and era are the record in the store; copied is a copy of it.
-	value         []byte
-	revision      int64
-	era, counter  int64
-	copied        []byte
-	copiedAt      int64
-	leader        *modelHost
-	leaseExpires  time.Time
-	writes, calls []delayed
-	storeDown     time.Time
+	value        []byte
+	revision     int64
+	era, counter int64
+	copied       []byte
+	copiedAt     int64
+	// checkpoint is the checkpoint in the store, copiedCheckpoint a copy of it.
+	checkpoint, copiedCheckpoint storer.Entry
+	leader                       *modelHost
+	leaseExpires                 time.Time
+	writes, calls                []delayed
+	storeDown                    time.Time
 	// lostResponses is the number of next writes and calls whose responses are lost.
 	lostResponses int
 
@@ -67,6 +69,7 @@
 	clock                         *Clock
 	book                          *Book
 	sender                        *Sender
+	checkpointer                  *Checkpointer
 	skew                          time.Duration
 	suspendedUntil                time.Time
 	storeCutUntil, hostsCutUntil  time.Time
@@ -97,6 +100,15 @@
 	return m
 }
 
+// killAll kills all processes, which start again after an outage.
+func (m *model) killAll(outage time.Duration) {
+	m.calls = nil
+	for _, h := range m.hosts {
+		m.restart(h)
+		h.suspendedUntil = m.now.Add(outage)
+	}
+}
+
 // restart starts a process of a host, which knows nothing.
 func (m *model) restart(h *modelHost) {
 	*h = modelHost{name: h.name, incarnation: h.incarnation + 1, skew: h.skew, storeCutUntil: h.storeCutUntil, hostsCutUntil: h.hostsCutUntil}
@@ -104,12 +116,25 @@
 	schedule := Schedule{Window: 5 * time.Second, Due: 10 * time.Second}
 	h.clock = &Clock{Now: now, WallClock: func() time.Time { return m.trueTime().Add(h.skew) }, Agreement: 125 * time.Millisecond}
 	h.book = &Book{Schedule: schedule, Clock: h.clock, Self: Source{Host: h.name, Incarnation: fmt.Sprint(h.incarnation)}, Now: now}
+	leadership := func() (Leadership, bool) {
+		return h.leadership, h.leadership.Token > 0 && m.now.Before(h.leadership.Until) && storer.EraOf(h.leadership.Token) == h.era
+	}
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	h.checkpointer = &Checkpointer{
+		Schedule: schedule, Clock: h.clock, Book: h.book, Now: now, Leadership: leadership, Logger: logger,
+		Read: func(context.Context) ([]byte, int64, error) {
+			if !m.reachesStore(h) || m.chance(0.1) {
+				return nil, 0, errModelLost
+			}
+			return m.checkpoint.Value, m.checkpoint.ModRevision, nil
+		},
+		Write: func(_ context.Context, value []byte, expected int64) (int64, error) {
+			return m.writeCheckpoint(h, value, expected)
+		},
+	}
 	h.sender = &Sender{
 		Holder: h.name, Schedule: schedule, Gap: modelGap, Clock: h.clock, Book: h.book, Now: now,
-		Leadership: func() (Leadership, bool) {
-			return h.leadership, h.leadership.Token > 0 && m.now.Before(h.leadership.Until) && storer.EraOf(h.leadership.Token) == h.era
-		},
-		Incarnations: m.incarnations, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Leadership: leadership, Incarnations: m.incarnations, Logger: logger, TakenOver: h.checkpointer.TakenOver,
 		Stored: func() ([]byte, int64, bool) { return h.value, h.revision, h.value != nil },
 		Write: func(_ context.Context, value []byte, expected int64) (int64, error) {
 			return m.write(h, value, expected)
@@ -180,6 +205,31 @@
 	return revision, err
 }
 
+// writeCheckpoint carries out a conditional write of the checkpoint, at once or later.
+func (m *model) writeCheckpoint(h *modelHost, value []byte, expected int64) (int64, error) {
+	if !m.reachesStore(h) || m.chance(0.1) {
+		return 0, errModelLost
+	}
+	era := m.era
+	apply := func() error {
+		switch {
+		case m.era != era:
+			return errModelLost
+		case expected != m.checkpoint.ModRevision:
+			return &storer.ConflictError{Current: m.checkpoint}
+		}
+		m.counter++
+		m.checkpoint = storer.Entry{Key: CheckpointKey, Value: value, ModRevision: storer.JoinRevision(m.era, m.counter)}
+		return nil
+	}
+	if m.chance(0.1) {
+		m.writes = append(m.writes, delayed{at: m.now.Add(m.upTo(4 * time.Second)), deliver: func() { _ = apply() }})
+		return 0, errModelLost
+	}
+	err := apply()
+	return m.checkpoint.ModRevision, err
+}
+
 // sees applies the present record of the store to the mirror of a host, which orders records
 // by the era in which they were written.
 func (h *modelHost) sees(m *model) {
@@ -263,7 +313,7 @@
 		h = m.leader
 	}
 	until := m.now.Add(m.upTo(8 * time.Second))
-	switch m.random.IntN(9) {
+	switch m.random.IntN(10) {
 	case 0:
 		h.suspendedUntil = until
 	case 1:
@@ -282,10 +332,14 @@
 		m.copyStore()
 	case 8:
 		m.restoreStore()
+	case 9:
+		m.killAll(m.upTo(8 * time.Second))
 	}
 }
 
-func (m *model) copyStore() { m.copied, m.copiedAt = m.value, m.revision }
+func (m *model) copyStore() {
+	m.copied, m.copiedAt, m.copiedCheckpoint = m.value, m.revision, m.checkpoint
+}
 
 // restoreStore brings the store back from the copy, without leases.
 func (m *model) restoreStore() {
@@ -295,6 +349,10 @@
 	if _, number := storer.SplitRevision(m.copiedAt); m.copied != nil {
 		m.revision = storer.JoinRevision(m.era, number)
 	}
+	m.checkpoint = m.copiedCheckpoint
+	if _, number := storer.SplitRevision(m.checkpoint.ModRevision); number > 0 {
+		m.checkpoint.ModRevision = storer.JoinRevision(m.era, number)
+	}
 }
 
 func (m *model) step() {
@@ -310,6 +368,7 @@
 		m.lead(h)
 		m.request(h)
 		m.exchange(h)
+		h.checkpointer.Step(context.Background())
 		h.sender.RecordStep(context.Background())
 		h.sender.SendStep(context.Background())
 	}
--- a/accountant/record.go
+++ b/accountant/record.go
@@ -105,24 +105,53 @@
 	Windows   []wireWindow `json:"windows"`
 }
 
-// EncodeRecord returns the value of a record in the store.
-func EncodeRecord(r Record) []byte {
+// encodeWindows returns the windows with their counts in the order of the customers.
+func encodeWindows(windows []Window) (customers []string, wire []wireWindow) {
 	names := make(map[string]int)
-	for _, w := range r.Windows {
+	for _, w := range windows {
 		for name := range w.Counts {
 			names[name] = 0
 		}
 	}
-	wire := wireRecord{Token: r.Token, Era: r.Era, Next: r.Next, Customers: slices.Sorted(maps.Keys(names))}
-	for _, w := range r.Windows {
+	customers = slices.Sorted(maps.Keys(names))
+	for _, w := range windows {
 		var counts []int64
-		for _, name := range wire.Customers {
+		for _, name := range customers {
 			if !w.Accepted {
 				counts = append(counts, w.Counts[name])
 			}
 		}
-		wire.Windows = append(wire.Windows, wireWindow{Window: w.Number, Counts: counts, Accepted: w.Accepted})
+		wire = append(wire, wireWindow{Window: w.Number, Counts: counts, Accepted: w.Accepted})
 	}
+	return customers, wire
+}
+
+// decodeWindows returns the windows whose counts are in the order of the customers.
+func decodeWindows(customers []string, wire []wireWindow) ([]Window, error) {
+	var windows []Window
+	for _, w := range wire {
+		if w.Accepted {
+			windows = append(windows, Window{Number: w.Window, Accepted: true})
+			continue
+		}
+		if len(w.Counts) != len(customers) {
+			return nil, errors.Errorf("window %d has %d counts of %d customers", w.Window, len(w.Counts), len(customers))
+		}
+		window := Window{Number: w.Window, Counts: make(map[string]int64)}
+		for i, count := range w.Counts {
+			if count > 0 {
+				window.Counts[customers[i]] = count
+			}
+		}
+		windows = append(windows, window)
+	}
+	return windows, nil
+}
+
+// EncodeRecord returns the value of a record in the store.
+func EncodeRecord(r Record) []byte {
+	wire := wireRecord{Token: r.Token, Era: r.Era, Next: r.Next}
+	wire.Customers, wire.Windows = encodeWindows(r.Windows)
 	data, err := json.Marshal(wire)
 	if err != nil {
 		panic(err) // the record always encodes
@@ -136,24 +165,11 @@
 	if err := json.Unmarshal(value, &wire); err != nil {
 		return Record{}, errors.Wrap(errMalformedRecord, err.Error())
 	}
-	r := Record{Token: wire.Token, Era: wire.Era, Next: wire.Next}
-	for _, w := range wire.Windows {
-		if w.Accepted {
-			r.Windows = append(r.Windows, Window{Number: w.Window, Accepted: true})
-			continue
-		}
-		if len(w.Counts) != len(wire.Customers) {
-			return Record{}, errors.Wrapf(errMalformedRecord, "window %d has %d counts of %d customers", w.Window, len(w.Counts), len(wire.Customers))
-		}
-		window := Window{Number: w.Window, Counts: make(map[string]int64)}
-		for i, count := range w.Counts {
-			if count > 0 {
-				window.Counts[wire.Customers[i]] = count
-			}
-		}
-		r.Windows = append(r.Windows, window)
+	windows, err := decodeWindows(wire.Customers, wire.Windows)
+	if err != nil {
+		return Record{}, errors.Wrap(errMalformedRecord, err.Error())
 	}
-	return r, nil
+	return Record{Token: wire.Token, Era: wire.Era, Next: wire.Next, Windows: windows}, nil
 }
 
 // WrittenIn returns the era in which a leader wrote the record of usage reports; ok is
--- a/accountant/sender.go
+++ b/accountant/sender.go
@@ -69,6 +69,9 @@
 	Incarnations func() map[string]string
 	// Stored returns the record that this host knows of, and its revision.
 	Stored func() (value []byte, revision int64, ok bool)
+	// TakenOver reports whether the book has the counts in the checkpoint of the former
+	// leader. Until then, and at most for the gap, no window is closed.
+	TakenOver func(token int64) bool
 	// Write writes the record on condition that its revision is the expected one. It
 	// returns a *storer.ConflictError if it is not.
 	Write func(ctx context.Context, value []byte, expectedRevision int64) (revision int64, err error)
@@ -98,6 +101,9 @@
 	calls map[int64]*call
 	// callAfter is the earliest time of the next call after a failed one.
 	callAfter time.Time
+	// incomplete holds the number of processes that may lack in the counts of the windows
+	// that are being recorded.
+	incomplete map[int64]int
 }
 
 // A call is the state of the calls that report a window.
@@ -183,7 +189,10 @@
 	next := s.base.WithAccepted(s.acceptedWindows()).WithoutBefore(s.Schedule.Number(now) - keptWindows)
 	before := next.Next
 	next.Next = max(next.Next, s.Schedule.Number(now)-keptWindows+1)
+	s.incomplete = make(map[int64]int)
 	for s.closable(next.Next, leadership, now) {
+		incarnations := s.Incarnations()
+		s.incomplete[next.Next] = s.Book.Missing(next.Next, incarnations) + s.Book.Lost(next.Next, incarnations)
 		next = next.With(Window{Number: next.Next, Counts: s.Book.Totals(next.Next)})
 	}
 	return next, next.Next != before
@@ -217,6 +226,8 @@
 	switch {
 	case now.Before(s.Schedule.End(window)):
 		return false
+	case !s.TakenOver(leadership.Token) && s.Now().Before(leadership.Since.Add(s.Gap)):
+		return false
 	case s.Book.Missing(window, s.Incarnations()) == 0:
 		return true
 	case s.Now().Before(leadership.Since.Add(s.Gap * 2 / 3)):
@@ -253,6 +264,7 @@
 	if s.baseKnown {
 		s.reportMissed(record)
 	}
+	s.reportIncomplete(record)
 	for _, w := range record.Windows {
 		if _, ok := s.calls[w.Number]; !ok {
 			s.calls[w.Number] = &call{recordedAt: now, inherited: !s.claimed, accepted: w.Accepted}
@@ -286,6 +298,19 @@
 	s.Logger.Warn("usage_missed", "first_window", first, "windows", missed, "next_window", record.Next, "holder", s.Holder, "token", s.token)
 }
 
+// reportIncomplete logs the windows that are recorded now and may lack counts.
+func (s *Sender) reportIncomplete(record Record) {
+	for _, w := range record.Windows {
+		processes := s.incomplete[w.Number]
+		if processes == 0 {
+			continue
+		}
+		s.count("usage_incomplete", 1)
+		s.Logger.Warn("usage_incomplete", "window", w.Number, "holder", s.Holder, "token", s.token, "total", w.Total(), "processes", processes)
+	}
+	s.incomplete = nil
+}
+
 func (s *Sender) count(name string, n int64) {
 	if s.Registry != nil {
 		gometrics.GetOrRegisterCounter(name, s.Registry).Inc(n)
--- a/hoster/accounting.go
+++ b/hoster/accounting.go
@@ -22,6 +22,8 @@
 	// accountingInterval is how often the leader checks whether a window can be closed or
 	// reported.
 	accountingInterval = 100 * time.Millisecond
+	// checkpointCheckInterval is how often the leader checks whether a checkpoint is due.
+	checkpointCheckInterval = 50 * time.Millisecond
 	// standbyCount is how many other hosts of a large fleet the hub sends its own counts to,
 	// so that they are not lost with it.
 	standbyCount = 2
@@ -43,6 +45,8 @@
 	clock  *accountant.Clock
 	book   *accountant.Book
 	sender *accountant.Sender
+	// checkpointer keeps the counts of windows that are not recorded yet in the store.
+	checkpointer *accountant.Checkpointer
 	// standbys are those of the last catalog.
 	standbys atomic.Pointer[standbys]
 }
@@ -61,9 +65,13 @@
 	a.book = &accountant.Book{
 		Schedule: schedule, Clock: a.clock, Self: accountant.Source{Host: h.Settings.Host, Incarnation: h.incarnation}, Now: timekeeper.Now,
 	}
+	a.checkpointer = &accountant.Checkpointer{
+		Schedule: schedule, Clock: a.clock, Book: a.book, Now: timekeeper.Now, Leadership: a.leadership, Read: a.readCheckpoint, Write: a.writeCheckpoint,
+		Logger: h.Logger, Registry: h.Registry,
+	}
 	a.sender = &accountant.Sender{
 		Holder: h.Settings.Host, Schedule: schedule, Gap: h.Settings.DutyGap, Clock: a.clock, Book: a.book, Now: timekeeper.Now,
-		Leadership: a.leadership, Incarnations: a.incarnations, Stored: a.stored, Write: a.write, Send: h.Platform.ReportUsage,
+		Leadership: a.leadership, Incarnations: a.incarnations, TakenOver: a.checkpointer.TakenOver, Stored: a.stored, Write: a.write, Send: h.Platform.ReportUsage,
 		Logger: h.Logger, Registry: h.Registry,
 	}
 	return a
@@ -77,6 +85,14 @@
 	return ctx.Err()
 }
 
+// writeCheckpoints keeps the counts in the store while this host is the leader, until ctx ends.
+func (a *accounting) writeCheckpoints(ctx context.Context) error {
+	for timekeeper.Sleep(ctx, checkpointCheckInterval) {
+		a.checkpointer.Step(ctx)
+	}
+	return ctx.Err()
+}
+
 // sendReports reports recorded windows while this host is the leader, until ctx ends.
 func (a *accounting) sendReports(ctx context.Context) error {
 	for timekeeper.Sleep(ctx, accountingInterval) {
@@ -236,3 +252,24 @@
 	}
 	return 0, err
 }
+
+// readCheckpoint returns the checkpoint in the store, which is not mirrored.
+func (a *accounting) readCheckpoint(ctx context.Context) (value []byte, revision int64, err error) {
+	page, err := a.host.Platform.Store.List(ctx, accountant.CheckpointKey, "")
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, entry := range page.Entries {
+		if entry.Key == accountant.CheckpointKey {
+			return entry.Value, entry.ModRevision, nil
+		}
+	}
+	return nil, 0, nil
+}
+
+func (a *accounting) writeCheckpoint(ctx context.Context, value []byte, expectedRevision int64) (int64, error) {
+	return a.host.Platform.Store.Write(ctx, storer.Put{Key: accountant.CheckpointKey, Value: value, ExpectedRevision: expectedRevision})
+}
+
+// isCheckpoint reports whether a key is that of the checkpoint, which only the leader reads.
+func isCheckpoint(key string) bool { return key == accountant.CheckpointKey }
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -111,6 +111,9 @@
 	watcher.Store, watcher.Mirror, watcher.Prefix = h.Platform.Store, h.mirror, h.Platform.StorePrefix
 	watcher.Wait, watcher.Now, watcher.Logger = h.watchWait, timekeeper.Now, h.Logger
 	watcher.Suspended, watcher.CoalesceDelay, watcher.MaxBackoff = func() bool { return !h.readsStore() }, h.coalesceDelay, h.maxStoreBackoff
+	if h.accounting != nil {
+		watcher.Excluded = isCheckpoint
+	}
 	add(watcher.Run)
 	add(func(ctx context.Context) error { return h.triggerRelists(ctx, watcher) })
 	add(h.buildCatalogs)
@@ -123,6 +126,7 @@
 	if h.accounting != nil {
 		add(h.accounting.recordWindows)
 		add(h.accounting.sendReports)
+		add(h.accounting.writeCheckpoints)
 	}
 	add(func(ctx context.Context) error { return h.accept(ctx, listeners.clients) })
 	add(func(ctx context.Context) error {
