--- a/budgeter/budget.go
+++ b/budgeter/budget.go
@@ -96,6 +96,10 @@
 	// IdleWhenShort is the time for which a connection that has completed a request
 	// may be idle while connections are scarce.
 	IdleWhenShort time.Duration
+	// FirstRequestTimeout and MaxFirstRequest bound the first request on a connection of
+	// another host or of HTTP; zero values mean the defaults.
+	FirstRequestTimeout time.Duration
+	MaxFirstRequest     int64
 }
 
 // An Event reports that a connection was refused or closed.
--- a/budgeter/listener.go
+++ b/budgeter/listener.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// firstRequestTimeout is the time within which a connection of another host or of
+	// firstRequestTimeout is by default the time within which a connection of another host or of
 	// HTTP has to complete its first request.
 	firstRequestTimeout = 10 * time.Second
-	// maxFirstRequest bounds the size of that request in bytes. Another host's has no
+	// maxFirstRequest by default bounds the size of that request in bytes. Another host's has no
 	// records, and about 40 KB for the usage of 2,000 customers.
 	maxFirstRequest = 128 << 10
 	// accountingStep is the number of bytes received beyond which they are counted,
@@ -43,7 +43,7 @@
 			continue
 		}
 		c := &countedConn{Conn: conn, account: account}
-		if conn.SetReadDeadline(time.Now().Add(firstRequestTimeout)) != nil {
+		if conn.SetReadDeadline(time.Now().Add(orDefault(l.Budget.Limits.FirstRequestTimeout, firstRequestTimeout))) != nil {
 			_ = c.Close()
 			continue
 		}
@@ -92,7 +92,7 @@
 		return n, err
 	}
 	refusal := c.account.Resize(Message, requestCopies*c.received)
-	if !c.proven && c.received > maxFirstRequest {
+	if !c.proven && c.received > orDefault(c.account.budget.Limits.MaxFirstRequest, maxFirstRequest) {
 		refusal = ErrFirstRequest
 	}
 	if refusal != nil {
--- a/budgeter/listener_test.go
+++ b/budgeter/listener_test.go
@@ -108,3 +108,31 @@
 		t.Error("the connection has no account")
 	}
 }
+
+// TestFirstRequestSettings guards against settings of the first request without effect.
+func TestFirstRequestSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pipes := pipeListener{conns: make(chan net.Conn, 1)}
+		b := newTestBudget(Limits{FirstRequestTimeout: 3 * time.Second, MaxFirstRequest: 64 << 10})
+		listener := &Listener{Listener: pipes, Budget: b.Budget, Class: Peers}
+		client := pipes.dial()
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = client.Write(make([]byte, 80<<10)) }() // an error shows on the other end
+		if _, err := io.ReadFull(conn, make([]byte, 80<<10)); !errors.Is(err, ErrFirstRequest) {
+			t.Errorf("first request above the setting: got %v, want %v", err, ErrFirstRequest)
+		}
+		conn.Close()
+		pipes.dial()
+		if conn, err = listener.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		if _, err := conn.Read(make([]byte, 1)); err == nil || time.Since(start) != 3*time.Second {
+			t.Errorf("silent connection: got %v after %v, want an error after 3s", err, time.Since(start))
+		}
+		conn.Close()
+	})
+}
--- a/budgeter/plan.go
+++ b/budgeter/plan.go
@@ -25,6 +25,9 @@
 	databaseShare, peerShare = 4, 4
 	// httpShare is the same for HTTP connections, which are at most maxHTTP.
 	httpShare, maxHTTP = 16, 64
+	// minClients is the least number of connections of clients that the descriptors for
+	// other purposes leave.
+	minClients = 16
 	// minConnections is the least number of descriptors without those for files that Plan
 	// divides up.
 	minConnections = 64
@@ -35,6 +38,19 @@
 	MinIdleWhenShort = time.Second
 	// MaxIdleWhenShort is the greatest one.
 	MaxIdleWhenShort = 24 * time.Hour
+	// MinTimeout is the least valid setting of the time for a step that waits for a client
+	// or another host.
+	MinTimeout = time.Second
+	// MaxTimeout is the greatest one.
+	MaxTimeout = time.Hour
+	// minFirstRequest and maxFirstRequestSetting bound the valid settings of the size of a
+	// first request in bytes. The usage of 2,000 customers takes about 40 KB.
+	minFirstRequest, maxFirstRequestSetting = 64 << 10, 4 << 20
+	// MinHTTPHeader is the least valid setting of the size of the header of an HTTP request
+	// in bytes.
+	MinHTTPHeader = 1 << 10
+	// MaxHTTPHeader is the greatest one.
+	MaxHTTPHeader = 1 << 20
 )
 
 // Options are the limits that operators may set. Zero values mean the defaults.
@@ -45,6 +61,14 @@
 	ConnectionMegabytes int64
 	// FileDescriptors is the number of descriptors that are not for connections.
 	FileDescriptors int
+	// DatabaseDescriptors is the number of descriptors that are kept for connections to
+	// databases, the store and other hosts; MaxPeers and MaxHTTP are the numbers of
+	// connections of other hosts and of HTTP. By default each follows from the descriptors.
+	DatabaseDescriptors, MaxPeers, MaxHTTP int
+	// FirstRequestTimeout and MaxFirstRequest bound the time for the first request of
+	// another host, and its size in bytes.
+	FirstRequestTimeout time.Duration
+	MaxFirstRequest     int64
 	// MaxClients is the number of connections of clients; by default it follows from the
 	// descriptors.
 	MaxClients int
@@ -70,6 +94,10 @@
 	if o.FileDescriptors < 0 || o.FileDescriptors > 0 && descriptors > 0 && o.FileDescriptors > descriptors-minConnections {
 		reject("file_descriptors", "%d of %d leave less than %d for connections", o.FileDescriptors, descriptors, minConnections)
 	}
+	o.validateSplit(descriptors, reject)
+	if size := o.MaxFirstRequest; size != 0 && (size < minFirstRequest || size > maxFirstRequestSetting) {
+		reject("max_first_request_bytes", "%d is not between %d and %d", size, minFirstRequest, maxFirstRequestSetting)
+	}
 	if derived := o.clients(descriptors); o.MaxClients < 0 || derived > 0 && o.MaxClients > derived {
 		reject("max_clients", "%d is not between 0 and %d, what the descriptors allow", o.MaxClients, derived)
 	}
@@ -81,6 +109,24 @@
 	}
 }
 
+// validateSplit rejects descriptors for databases, other hosts and HTTP that leave too few
+// for clients.
+func (o Options) validateSplit(descriptors int, reject func(setting, format string, arguments ...any)) {
+	for _, part := range []struct {
+		setting string
+		number  int
+	}{{"database_descriptors", o.DatabaseDescriptors}, {"max_peers", o.MaxPeers}, {"max_http_connections", o.MaxHTTP}} {
+		if part.number < 0 {
+			reject(part.setting, "%d is negative", part.number)
+			return
+		}
+	}
+	if left := o.clients(descriptors); descriptors > 0 && left < minClients {
+		reject("database_descriptors", "with max_peers and max_http_connections, %d of %d descriptors are left for clients, less than %d",
+			left, descriptors, minClients)
+	}
+}
+
 // clients returns the number of connections of clients that follows from the descriptors.
 func (o Options) clients(descriptors int) int {
 	o.MaxClients = 0
@@ -96,6 +142,7 @@
 	limits := Limits{
 		ConnectionCost: ConnectionCost, IdleWhenShort: orDefault(o.IdleWhenShort, defaultIdleWhenShort),
 		PerAddress: o.PerAddress, PerCustomer: o.PerCustomer, ConnectionMemory: o.ConnectionMegabytes << 20,
+		FirstRequestTimeout: o.FirstRequestTimeout, MaxFirstRequest: o.MaxFirstRequest,
 	}
 	if memory > 0 {
 		limits.Memory = int64(orDefault(o.MemoryShare, clientMemoryShare) * float64(memory))
@@ -104,8 +151,9 @@
 	if descriptors > 0 {
 		files := orDefault(o.FileDescriptors, fileDescriptors)
 		usable := max(descriptors, files+minConnections) - files
-		peers, http := usable/peerShare, min(usable/httpShare, maxHTTP)
-		limits.Connections = [classes]int{Clients: usable - usable/databaseShare - peers - http, Peers: peers, HTTP: http}
+		databases := orDefault(o.DatabaseDescriptors, usable/databaseShare)
+		peers, http := orDefault(o.MaxPeers, usable/peerShare), orDefault(o.MaxHTTP, min(usable/httpShare, maxHTTP))
+		limits.Connections = [classes]int{Clients: usable - databases - peers - http, Peers: peers, HTTP: http}
 	}
 	if o.MaxClients > 0 {
 		limits.Connections[Clients] = o.MaxClients
--- a/director/director.go
+++ b/director/director.go
@@ -36,6 +36,9 @@
 	Dial func(ctx context.Context, endpoint cataloger.Endpoint, customer string) (connector.Transport, error)
 	// Balance determines whether this host uses the modules admitter and balancer.
 	Balance BalanceMode
+	// StartupTimeout is the time within which a client must send its startup message; 0
+	// means the default.
+	StartupTimeout time.Duration
 	// Limits enforces the rate limits of customers.
 	Limits *limiter.FleetLimiter
 	// Now returns the time with a monotonic reading.
--- a/director/session.go
+++ b/director/session.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"strconv"
@@ -15,7 +16,7 @@
 )
 
 const (
-	// startupTimeout is the time within which a client must send its startup
+	// startupTimeout is by default the time within which a client must send its startup
 	// message.
 	startupTimeout = 5 * time.Second
 	// maxVariables and maxPrepared limit the session variables and prepared
@@ -61,7 +62,7 @@
 // Serve runs a session on the client's connection until it ends.
 func (d *Director) Serve(ctx context.Context, client Client) {
 	defer client.Close()
-	startup, err := client.Startup(d.Now().Add(startupTimeout))
+	startup, err := client.Startup(d.Now().Add(cmp.Or(d.StartupTimeout, startupTimeout)))
 	if err != nil {
 		return
 	}
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -126,11 +126,11 @@
 	}
 	add(func(ctx context.Context) error { return h.accept(ctx, listeners.clients) })
 	add(func(ctx context.Context) error {
-		return serveHTTP(ctx, h.counted(listeners.readiness, budgeter.HTTP), h.readiness())
+		return h.serveHTTP(ctx, h.counted(listeners.readiness, budgeter.HTTP), h.readiness())
 	})
 	if listeners.metrics != nil {
 		add(func(ctx context.Context) error {
-			return serveHTTP(ctx, h.counted(listeners.metrics, budgeter.HTTP), h.metrics())
+			return h.serveHTTP(ctx, h.counted(listeners.metrics, budgeter.HTTP), h.metrics())
 		})
 	}
 	group.Add(func() error { return h.awaitStop(ctx, workCtx) }, func(error) { cancel() })
@@ -167,7 +167,8 @@
 	h.limits = limiter.NewFleetLimiter(timekeeper.Now)
 	h.director = &director.Director{
 		Host: h.Settings.Host, DataCentre: h.Settings.DataCentre, Dial: h.Platform.Databases.Dial, Balance: h.Settings.Balance, Limits: h.limits, Now: time.Now,
-		SinceBoot: timekeeper.Now, ViewCompleteAsOf: h.viewCompleteAsOf, Logger: h.Logger,
+		StartupTimeout: h.Settings.StartupTimeout,
+		SinceBoot:      timekeeper.Now, ViewCompleteAsOf: h.viewCompleteAsOf, Logger: h.Logger,
 		Metrics: &director.Metrics{Registry: h.Registry}, Forwarder: h.newForwardingClient(),
 	}
 	h.forwarder = &forwarder.Server{
--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -21,11 +22,11 @@
 	// idleConnectionTimeout is how long a connection to a database stays idle before
 	// it is closed.
 	idleConnectionTimeout = 20 * time.Second
-	// httpTimeout bounds the time for a request and for its response, httpIdleTimeout
+	// httpTimeout by default bounds the time for a request and for its response, httpIdleTimeout
 	// that between two requests of a connection.
 	httpTimeout     = 5 * time.Second
 	httpIdleTimeout = time.Minute
-	// maxHTTPHeader bounds the header of a request in bytes. Health checks and monitoring
+	// maxHTTPHeader by default bounds the header of a request in bytes. Health checks and monitoring
 	// systems send some hundred bytes.
 	maxHTTPHeader = 8 << 10
 	// isolationTolerance is how long a host may be without a current view before it
@@ -104,10 +105,11 @@
 	return 0
 }
 
-func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+func (h *Host) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	timeout := cmp.Or(h.Settings.HTTPTimeout, httpTimeout)
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: httpTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout,
-		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHTTPHeader,
+		Handler: handler, ReadHeaderTimeout: timeout, ReadTimeout: timeout, WriteTimeout: timeout,
+		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: cmp.Or(h.Settings.MaxHTTPHeader, maxHTTPHeader),
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -48,6 +48,12 @@
 	MaxDescriptors int
 	// ClientLimits are the limits of what clients can cause the process to use.
 	ClientLimits budgeter.Options
+	// StartupTimeout, MessageTimeout and WriteTimeout bound the steps of a connection that
+	// wait for a client: the startup, the rest of a message, and a write. HTTPTimeout
+	// bounds a request to the HTTP addresses and its response, and MaxHTTPHeader the size
+	// of its header in bytes. 0 means the default of each.
+	StartupTimeout, MessageTimeout, WriteTimeout, HTTPTimeout time.Duration
+	MaxHTTPHeader                                             int
 	// CPUShare is the fraction of a CPU core available to the process, 0 if
 	// unknown.
 	CPUShare float64
@@ -117,6 +123,7 @@
 	}
 	s.ClientLimits = decodeClientLimits(d)
 	s.ClientLimits.Validate(s.MemoryMegabytes<<20, s.MaxDescriptors, d.Reject)
+	s.decodeTimeouts(d)
 	s.Balance = decodeBalance(d)
 	s.decodeUsage(d)
 	return s, NewValidationError(ErrInvalidSettings, violations)
@@ -132,16 +139,41 @@
 	d.Optional("max_clients", &o.MaxClients)
 	d.Optional("max_connections_per_address", &o.PerAddress)
 	d.Optional("max_connections_per_customer", &o.PerCustomer)
-	var idle float64
-	if !d.Optional("idle_when_short_s", &idle) || idle == 0 {
-		return o
+	d.Optional("database_descriptors", &o.DatabaseDescriptors)
+	d.Optional("max_peers", &o.MaxPeers)
+	d.Optional("max_http_connections", &o.MaxHTTP)
+	d.Optional("max_first_request_bytes", &o.MaxFirstRequest)
+	o.FirstRequestTimeout = decodeOptionalSeconds(d, "first_request_timeout_s", budgeter.MinTimeout, budgeter.MaxTimeout)
+	o.IdleWhenShort = decodeOptionalSeconds(d, "idle_when_short_s", budgeter.MinIdleWhenShort, budgeter.MaxIdleWhenShort)
+	return o
+}
+
+// decodeTimeouts decodes the optional limits of steps that wait for a client; 0 means the
+// default.
+func (s *Settings) decodeTimeouts(d *ObjectDecoder) {
+	timeout := func(field string) time.Duration {
+		return decodeOptionalSeconds(d, field, budgeter.MinTimeout, budgeter.MaxTimeout)
 	}
-	if idle < budgeter.MinIdleWhenShort.Seconds() || idle > budgeter.MaxIdleWhenShort.Seconds() {
-		d.Reject("idle_when_short_s", "%v is not between %v and %v", idle, budgeter.MinIdleWhenShort.Seconds(), budgeter.MaxIdleWhenShort.Seconds())
-		return o
+	s.StartupTimeout, s.MessageTimeout = timeout("startup_timeout_s"), timeout("message_timeout_s")
+	s.WriteTimeout, s.HTTPTimeout = timeout("write_timeout_s"), timeout("http_timeout_s")
+	if d.Optional("max_http_header_bytes", &s.MaxHTTPHeader) && s.MaxHTTPHeader != 0 &&
+		(s.MaxHTTPHeader < budgeter.MinHTTPHeader || s.MaxHTTPHeader > budgeter.MaxHTTPHeader) {
+		d.Reject("max_http_header_bytes", "%d is not between %d and %d", s.MaxHTTPHeader, budgeter.MinHTTPHeader, budgeter.MaxHTTPHeader)
 	}
-	o.IdleWhenShort = time.Duration(idle * float64(time.Second))
-	return o
+}
+
+// decodeOptionalSeconds returns an optional duration that is given in seconds, 0 if there
+// is none or if it is not within its bounds.
+func decodeOptionalSeconds(d *ObjectDecoder, field string, least, most time.Duration) time.Duration {
+	var seconds float64
+	if !d.Optional(field, &seconds) || seconds == 0 {
+		return 0
+	}
+	if seconds < least.Seconds() || seconds > most.Seconds() {
+		d.Reject(field, "%v is not between %v and %v", seconds, least.Seconds(), most.Seconds())
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // decodeUsage decodes the settings of usage reports. The window and the time until a report
--- a/hoster/settings_test.go
+++ b/hoster/settings_test.go
@@ -47,6 +47,16 @@
 		{name: "connection below a message", old: `"memory_mb"`, new: `"connection_memory_mb": 1, "memory_mb"`, want: "connection_memory_mb"},
 		{name: "negative clients", old: `"memory_mb"`, new: `"max_clients": -1, "memory_mb"`, want: "max_clients"},
 		{name: "idle time too short", old: `"memory_mb"`, new: `"idle_when_short_s": 0.1, "memory_mb"`, want: "idle_when_short_s"},
+		{name: "none left for clients", old: `"memory_mb"`, new: `"max_descriptors": 4300, "database_descriptors": 4100, "memory_mb"`, want: "database_descriptors"},
+		{name: "negative peers", old: `"memory_mb"`, new: `"max_peers": -1, "memory_mb"`, want: "max_peers"},
+		{name: "negative HTTP", old: `"memory_mb"`, new: `"max_http_connections": -1, "memory_mb"`, want: "max_http_connections"},
+		{name: "first request too small", old: `"memory_mb"`, new: `"max_first_request_bytes": 1, "memory_mb"`, want: "max_first_request_bytes"},
+		{name: "first request too slow", old: `"memory_mb"`, new: `"first_request_timeout_s": 3601, "memory_mb"`, want: "first_request_timeout_s"},
+		{name: "startup timeout too short", old: `"memory_mb"`, new: `"startup_timeout_s": 0.5, "memory_mb"`, want: "startup_timeout_s"},
+		{name: "message timeout too long", old: `"memory_mb"`, new: `"message_timeout_s": 1e9, "memory_mb"`, want: "message_timeout_s"},
+		{name: "negative write timeout", old: `"memory_mb"`, new: `"write_timeout_s": -5, "memory_mb"`, want: "write_timeout_s"},
+		{name: "HTTP timeout too short", old: `"memory_mb"`, new: `"http_timeout_s": 0.001, "memory_mb"`, want: "http_timeout_s"},
+		{name: "HTTP header too large", old: `"memory_mb"`, new: `"max_http_header_bytes": 99999999, "memory_mb"`, want: "max_http_header_bytes"},
 		{name: "no object", old: validSettings, new: `null`, want: "want an object"},
 		{name: "text after the object", old: validSettings, new: validSettings + "}", want: "line 6: invalid character"},
 		{name: "not JSON", old: `{`, new: `host: `, want: "invalid"},
@@ -62,11 +72,21 @@
 	}
 	limited := strings.Replace(validSettings, `"memory_mb"`, `"max_descriptors": 4300, "client_memory_share": 0.2, "connection_memory_mb": 8,
 		"file_descriptors": 300, "max_clients": 1000, "max_connections_per_address": 9, "max_connections_per_customer": 7,
-		"idle_when_short_s": 90, "memory_mb"`, 1)
+		"database_descriptors": 600, "max_peers": 500, "max_http_connections": 30, "first_request_timeout_s": 20,
+		"max_first_request_bytes": 262144, "startup_timeout_s": 6, "message_timeout_s": 16, "write_timeout_s": 7,
+		"http_timeout_s": 8, "max_http_header_bytes": 16384, "idle_when_short_s": 90, "memory_mb"`, 1)
 	settings, err = ParseSettings([]byte(limited))
 	want := budgeter.Options{
 		MemoryShare: 0.2, ConnectionMegabytes: 8, FileDescriptors: 300, MaxClients: 1000, PerAddress: 9, PerCustomer: 7,
-		IdleWhenShort: 90 * time.Second,
+		IdleWhenShort: 90 * time.Second, DatabaseDescriptors: 600, MaxPeers: 500, MaxHTTP: 30,
+		FirstRequestTimeout: 20 * time.Second, MaxFirstRequest: 256 << 10,
+	}
+	timeouts := []time.Duration{settings.StartupTimeout, settings.MessageTimeout, settings.WriteTimeout, settings.HTTPTimeout}
+	if want := []time.Duration{6 * time.Second, 16 * time.Second, 7 * time.Second, 8 * time.Second}; !slices.Equal(timeouts, want) {
+		t.Errorf("timeouts: got %v, want %v", timeouts, want)
+	}
+	if got, want := settings.MaxHTTPHeader, 16<<10; got != want {
+		t.Errorf("header: got %d bytes, want %d", got, want)
 	}
 	if err != nil || settings.ClientLimits != want {
 		t.Errorf("limits of clients: got %+v, %v, want %+v", settings.ClientLimits, err, want)
--- a/server/settings.go
+++ b/server/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
@@ -95,6 +96,10 @@
 	// connection, the rest of a batch that has begun, to which a second is added for each
 	// 8 KB that arrive, and a write to a client that does not read.
 	StartupTimeout, MessageTimeout, WriteTimeout time.Duration
+	// HTTPTimeout bounds a request to the HTTP address and its response, and MaxHTTPHeader
+	// the size of its header in bytes.
+	HTTPTimeout   time.Duration
+	MaxHTTPHeader int
 	// LogLevel is the minimum level of log lines: debug, info, warn or error.
 	LogLevel slog.Level
 }
@@ -132,6 +137,13 @@
 	StartupTimeout   string   `json:"startup_timeout"`
 	MessageTimeout   string   `json:"message_timeout"`
 	WriteTimeout     string   `json:"write_timeout"`
+	FirstTimeout     string   `json:"first_request_timeout"`
+	MaxFirstRequest  int64    `json:"max_first_request_bytes"`
+	Databases        int      `json:"database_descriptors"`
+	MaxPeers         int      `json:"max_peers"`
+	MaxHTTP          int      `json:"max_http_connections"`
+	HTTPTimeout      string   `json:"http_timeout"`
+	MaxHTTPHeader    int      `json:"max_http_header_bytes"`
 	LogLevel         string   `json:"log_level"`
 }
 
@@ -217,8 +229,12 @@
 		ClientLimits: budgeter.Options{
 			MemoryShare: w.MemoryShare, ConnectionMegabytes: w.ConnectionMemory, FileDescriptors: w.FileDescriptors,
 			MaxClients: w.MaxClients, PerAddress: w.PerAddress, PerCustomer: w.PerCustomer,
-			IdleWhenShort: problems.duration("idle_when_short", w.IdleWhenShort, 0),
+			IdleWhenShort:       problems.duration("idle_when_short", w.IdleWhenShort, 0),
+			DatabaseDescriptors: w.Databases, MaxPeers: w.MaxPeers, MaxHTTP: w.MaxHTTP, MaxFirstRequest: w.MaxFirstRequest,
+			FirstRequestTimeout: problems.duration("first_request_timeout", w.FirstTimeout, 0),
 		},
+		HTTPTimeout:   problems.duration("http_timeout", w.HTTPTimeout, httpTimeout),
+		MaxHTTPHeader: cmp.Or(w.MaxHTTPHeader, maxHTTPHeader),
 	}
 	if s.MaxMessageBytes == 0 {
 		s.MaxMessageBytes = DefaultMaxMessageBytes
@@ -288,6 +304,17 @@
 	if idle > 0 && idle < budgeter.MinIdleWhenShort || idle > budgeter.MaxIdleWhenShort {
 		problems.add("idle_when_short", "%v is not between %v and %v", idle, budgeter.MinIdleWhenShort, budgeter.MaxIdleWhenShort)
 	}
+	for _, timeout := range []struct {
+		field string
+		value time.Duration
+	}{{"http_timeout", s.HTTPTimeout}, {"first_request_timeout", s.ClientLimits.FirstRequestTimeout}} {
+		if timeout.value > 0 && timeout.value < budgeter.MinTimeout || timeout.value > budgeter.MaxTimeout {
+			problems.add(timeout.field, "%v is not between %v and %v", timeout.value, budgeter.MinTimeout, budgeter.MaxTimeout)
+		}
+	}
+	if s.MaxHTTPHeader < budgeter.MinHTTPHeader || s.MaxHTTPHeader > budgeter.MaxHTTPHeader {
+		problems.add("max_http_header_bytes", "%d is not between %d and %d", s.MaxHTTPHeader, budgeter.MinHTTPHeader, budgeter.MaxHTTPHeader)
+	}
 	needed := acceptor.RequiredMemory(s.MaxMessageBytes)
 	if s.ClientLimits.ConnectionMegabytes > 0 && s.ClientLimits.ConnectionMegabytes<<20 < needed {
 		problems.add("connection_memory_mb", "%d is less than a message of max_message_bytes takes, %d bytes",
--- a/server/status.go
+++ b/server/status.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -15,12 +16,12 @@
 )
 
 const (
-	// httpTimeout bounds reading a request for metrics or status and writing its
+	// httpTimeout by default bounds reading a request for metrics or status and writing its
 	// response.
 	httpTimeout = 5 * time.Second
 	// httpIdleTimeout bounds the time between two requests on a connection.
 	httpIdleTimeout = time.Minute
-	// maxHTTPHeader bounds the header of a request in bytes.
+	// maxHTTPHeader by default bounds the header of a request in bytes.
 	maxHTTPHeader = 8 << 10
 	// percentile99 is the quantile reported for timers.
 	percentile99 = 0.99
@@ -211,9 +212,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", s.handleStatus)
 	mux.HandleFunc("GET /metrics", s.handleMetrics)
+	timeout := cmp.Or(s.Settings.HTTPTimeout, httpTimeout)
 	httpServer := &http.Server{
-		Handler: mux, ReadHeaderTimeout: httpTimeout, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout,
-		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHTTPHeader,
+		Handler: mux, ReadHeaderTimeout: timeout, ReadTimeout: timeout, WriteTimeout: timeout,
+		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: cmp.Or(s.Settings.MaxHTTPHeader, maxHTTPHeader),
 	}
 	context.AfterFunc(ctx, func() { httpServer.Close() })
 	if err := httpServer.Serve(s.counted(listener, budgeter.HTTP)); !errors.Is(err, http.ErrServerClosed) {
