--- a/admitter/throttle.go
+++ b/admitter/throttle.go
@@ -31,8 +31,13 @@
 // Admit reports whether an attempt of the priority may be made.
 func (t *Throttle) Admit(priority int, uniform func() float64, now time.Time) bool {
 	t.recover(now)
+	return t.refused == 0 || uniform() >= t.refusedShare(priority)
+}
+
+// refusedShare returns the share of attempts of the priority that are refused.
+func (t *Throttle) refusedShare(priority int) float64 {
 	refused := t.refused * (1 + priorityBias*float64(min(priority, maxPriority)-1))
-	return t.refused == 0 || uniform() >= min(refused, 1-minAdmittedShare)
+	return min(refused, 1-minAdmittedShare)
 }
 
 // Record records the outcome of an attempt.
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -31,10 +31,10 @@
 	Penalty time.Duration
 }
 
-// estimates returns the expected response times of the options in seconds. The
+// Estimates returns the expected response times of the options in seconds. The
 // latency of a database decays to the mean of all with the age of the information,
 // so that a database that was slow is tried again.
-func estimates(options []Option) []float64 {
+func Estimates(options []Option) []float64 {
 	sum, known := 0.0, 0
 	for _, o := range options {
 		if o.Latency > 0 {
@@ -64,7 +64,7 @@
 // uniform returns a random number in [0, 1).
 func Choose(options []Option, uniform func() float64) int {
 	best, equal := -1, 0.0
-	costs := estimates(options)
+	costs := Estimates(options)
 	for i, cost := range costs {
 		switch {
 		case best < 0 || cost < costs[best]:
--- a/balancer/simulation_test.go
+++ b/balancer/simulation_test.go
@@ -223,11 +223,11 @@
 		return twoOf(s.load.databases, s.random, func(db int) float64 { return float64(s.views[host][db].outstanding) })
 	}},
 	{"two by decaying estimate", func(s *spreadSimulation, host int) int {
-		costs := estimates(s.options(host))
+		costs := Estimates(s.options(host))
 		return twoOf(s.load.databases, s.random, func(db int) float64 { return costs[db] })
 	}},
 	{"shares by estimate", func(s *spreadSimulation, host int) int {
-		costs := estimates(s.options(host))
+		costs := Estimates(s.options(host))
 		for db := range costs {
 			costs[db] += 0.2 * costs[db] * math.Log(s.random.ExpFloat64())
 		}
--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -302,6 +302,21 @@
 	return false, wait
 }
 
+// WouldAdmit returns what Admit would return now. It changes nothing.
+func (f *FleetLimiter) WouldAdmit(customer string) (bool, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	trial := &FleetLimiter{
+		Now: f.Now, buckets: make(map[string]*fleetBucket), reports: f.reports, hosts: f.hosts,
+		lastSync: f.lastSync, isolated: f.isolated, hasHub: f.hasHub,
+	}
+	if b, ok := f.buckets[customer]; ok {
+		copied := *b
+		trial.buckets[customer] = &copied
+	}
+	return trial.Admit(customer)
+}
+
 // RecordUse counts an admitted operation that a database has run or may have run.
 // Only these operations are reported to other hosts, so that the reported number
 // never decreases.
