--- a/director/admission.go
+++ b/director/admission.go
@@ -70,7 +70,11 @@
 // try another database.
 func refusedOnArrival(err error) bool {
 	var refused *admissionError
-	return errors.As(err, &refused) && (refused.refusal.Reason == admitter.ReasonExpectedWait || refused.refusal.Reason == admitter.ReasonThrottled)
+	return errors.As(err, &refused) && onArrival(refused.refusal)
+}
+
+func onArrival(refusal *admitter.Refusal) bool {
+	return refusal.Reason == admitter.ReasonExpectedWait || refusal.Reason == admitter.ReasonThrottled
 }
 
 // isBalanced reports whether admission and balancing are in use.
@@ -84,12 +88,7 @@
 	if !r.inTransaction {
 		timeout = op.statementTimeout()
 	}
-	request := admitter.Request{
-		Customer: op.customer, Weight: op.service.customerWeight(op.customer),
-		Class:     admitter.Class{Route: op.route.Name, Priority: r.priority, Writes: op.writes, InTransaction: r.inTransaction},
-		Objective: op.began.Add(op.objective()), Timeout: timeout, MaxHold: time.Duration(maxHoldShare * float64(op.objective())),
-	}
-	ticket, err := a.database.gate.Acquire(ctx, request)
+	ticket, err := a.database.gate.Acquire(ctx, op.slotRequest(r, timeout))
 	if err != nil {
 		return op.admissionError(err)
 	}
@@ -97,6 +96,15 @@
 	return nil
 }
 
+// slotRequest returns the request for a slot of a database.
+func (op *operation) slotRequest(r rank, timeout time.Time) admitter.Request {
+	return admitter.Request{
+		Customer: op.customer, Weight: op.service.customerWeight(op.customer),
+		Class:     admitter.Class{Route: op.route.Name, Priority: r.priority, Writes: op.writes, InTransaction: r.inTransaction},
+		Objective: op.began.Add(op.objective()), Timeout: timeout, MaxHold: time.Duration(maxHoldShare * float64(op.objective())),
+	}
+}
+
 // throttle refuses an attempt that needs a new connection if too few of this host's
 // recent ones to the database succeeded.
 func (a *attempt) throttle() error {
--- a/director/attempt.go
+++ b/director/attempt.go
@@ -107,19 +107,41 @@
 func (op *operation) openAttempt(ctx context.Context, required Requirements, since time.Time) (*attempt, error) {
 	deadline := op.queueDeadline()
 	op.floor, op.writes = required.Floor, required.Writes
-	candidates, databases := op.service.candidates(op.customer, kindOf(required.Writes))
-	i := op.service.choose(required, candidates)
-	if i >= 0 && !candidates[i].Primary {
-		return op.connect(ctx, databases[i], nil, required.FloorIsOwnCommit, deadline)
+	var ref *primaryRef
+	var changed chan struct{}
+	chosen := op.service.selectDatabase(op.customer, required, func() *database {
+		if ref, changed = op.service.acquirePrimary(); ref == nil {
+			return nil
+		}
+		return ref.database
+	})
+	if chosen.database == nil {
+		return nil, op.awaitPrimary(ctx, changed, since.Add(op.primaryWait()))
+	}
+	return op.connect(ctx, chosen.database, ref, ref == nil && required.FloorIsOwnCommit, deadline)
+}
+
+// A selection is the database for an attempt, nil if none may serve now, with the candidates
+// from which it was chosen.
+type selection struct {
+	database   *database
+	candidates []Candidate
+}
+
+// selectDatabase chooses the database for an attempt. primary returns the database to use if
+// it is to be the primary, or nil if no primary may be used now; it is called at most once.
+func (s *service) selectDatabase(customer string, required Requirements, primary func() *database) selection {
+	candidates, databases := s.candidates(customer, kindOf(required.Writes))
+	if i := s.choose(required, candidates); i >= 0 && !candidates[i].Primary {
+		return selection{databases[i], candidates}
 	}
-	ref, changed := op.service.acquirePrimary()
-	if ref != nil {
-		return op.connect(ctx, ref.database, ref, false, deadline)
+	if db := primary(); db != nil {
+		return selection{db, candidates}
 	}
-	if j := op.service.chooseReplica(required, candidates); j >= 0 {
-		return op.connect(ctx, databases[j], nil, required.FloorIsOwnCommit, deadline)
+	if i := s.chooseReplica(required, candidates); i >= 0 {
+		return selection{databases[i], candidates}
 	}
-	return nil, op.awaitPrimary(ctx, changed, since.Add(op.primaryWait()))
+	return selection{nil, candidates}
 }
 
 // queueDeadline returns the time until which the operation may wait for a
--- a/director/balance.go
+++ b/director/balance.go
@@ -44,12 +44,10 @@
 		if c.unusable || !required.satisfiedBy(c) {
 			continue
 		}
-		if c.Detected == balancer.HalfOpen && !required.Writes && len(required.Tried) == 0 && !c.Failing && !c.Lagging {
+		if required.tries(c) {
 			return i
 		}
-		options = append(options, balancer.Option{
-			Outstanding: c.Load, Permits: c.Permits, Latency: c.RecentLatency, Age: c.LatencyAge, Penalty: required.penalty(c),
-		})
+		options = append(options, required.option(c))
 		indexes = append(indexes, i)
 	}
 	if i := balancer.Choose(options, uniform); i >= 0 {
@@ -58,6 +56,16 @@
 	return -1
 }
 
+// tries reports whether a candidate gets the operation as a trial.
+func (r Requirements) tries(c Candidate) bool {
+	return c.Detected == balancer.HalfOpen && !r.Writes && len(r.Tried) == 0 && !c.Failing && !c.Lagging
+}
+
+// option returns the candidate as an option of the balancer.
+func (r Requirements) option(c Candidate) balancer.Option {
+	return balancer.Option{Outstanding: c.Load, Permits: c.Permits, Latency: c.RecentLatency, Age: c.LatencyAge, Penalty: r.penalty(c)}
+}
+
 // penalty returns the cost of a candidate apart from its load, as a time.
 func (r Requirements) penalty(c Candidate) time.Duration {
 	c.Load, c.Latency = 0, 0
--- a/director/forward.go
+++ b/director/forward.go
@@ -36,7 +36,7 @@
 // so that this host may run it. The stream is open after a successful run.
 func (op *operation) forward(ctx context.Context, request *forwarder.Request, deadline time.Time, abandonSilent bool) (*forwarder.Stream, forwarder.Reply, error) {
 	d := op.session.director
-	targets, localReason := op.service.forwardTargets()
+	targets, localReason := op.service.forwardTargets(d.Forwarder.ProbeIfDue)
 	if localReason == "" {
 		return nil, forwarder.Reply{}, nil
 	}
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -104,8 +104,8 @@
 
 // forwardTargets returns the hosts to which an operation is forwarded, in order, and the
 // reason for which this host runs it if none of them takes it. The reason is empty if the
-// service has no pool host.
-func (s *service) forwardTargets() (targets []forwarder.Target, localReason string) {
+// service has no pool host. It calls skipped with each pool host that is not usable.
+func (s *service) forwardTargets(skipped func(forwarder.Target)) (targets []forwarder.Target, localReason string) {
 	s.mu.Lock()
 	pools := s.poolHosts
 	s.mu.Unlock()
@@ -124,7 +124,7 @@
 			targets = append(targets, target)
 			continue
 		}
-		d.Forwarder.ProbeIfDue(target)
+		skipped(target)
 	}
 	return targets, localNoPoolHost
 }
--- a/director/pool_hosts_test.go
+++ b/director/pool_hosts_test.go
@@ -145,7 +145,7 @@
 	}
 	d := f.hosts[host]
 	request := executor.Request{ID: "id", Verb: verb}
-	if targets, _ := d.service("s").forwardTargets(); len(targets) > 0 {
+	if targets, _ := d.service("s").forwardTargets(d.Forwarder.ProbeIfDue); len(targets) > 0 {
 		execution := f.hosts[targets[0].Name].BeginForwarded(&forwarder.Operation{Customer: customer, Route: d.Catalog().Configuration.Routes["db"]})
 		defer execution.Close()
 		return execution.Run(context.Background(), &forwarder.Request{Operation: &forwarder.Operation{}, Statement: request}).Response
--- a/director/route.go
+++ b/director/route.go
@@ -110,40 +110,63 @@
 	return best
 }
 
-func (r Requirements) satisfiedBy(c Candidate) bool {
-	if c.Primary {
-		return true
+func (r Requirements) satisfiedBy(c Candidate) bool { return r.unmetBy(c) == "" }
+
+// unmetBy returns why the candidate may not serve, or "".
+func (r Requirements) unmetBy(c Candidate) string {
+	switch {
+	case c.Primary:
+		return ""
+	case r.Writes || r.Consistency == cataloger.Primary:
+		return "role: not the primary in force"
+	case !r.FloorKnown:
+		return "data lag: no position is known that is recent enough"
+	case c.Endpoint.Draining:
+		return "draining"
+	case c.WarmingUp:
+		return "warming up"
 	}
-	return !r.Writes && r.Consistency != cataloger.Primary && r.FloorKnown && !c.Endpoint.Draining && !c.WarmingUp
+	return ""
 }
 
 func (r Requirements) cost(c Candidate) float64 {
-	cost := float64(c.Load) + min(maxLatencyCost, float64(c.Latency)/float64(latencyPerCostUnit))
+	sum := 0.0
+	r.eachCost(c, func(_ string, cost float64) { sum += cost })
+	return sum
+}
+
+// eachCost calls add with each cost of the candidate and its reason.
+func (r Requirements) eachCost(c Candidate, add func(reason string, cost float64)) {
+	if c.Load > 0 {
+		add("load", float64(c.Load))
+	}
+	if c.Latency > 0 {
+		add("slow responses", min(maxLatencyCost, float64(c.Latency)/float64(latencyPerCostUnit)))
+	}
 	if !c.Local {
-		cost += costRemote
+		add("other data centre", costRemote)
 	}
 	if !c.Idle {
-		cost += costConnect
+		add("no idle connection", costConnect)
 	}
 	switch {
 	case c.Primary:
-		cost += costPrimary
+		add("role: the primary is spared", costPrimary)
 	case !c.Preferred:
-		cost += costNotPreferred
+		add("not the preferred replica", costNotPreferred)
 	}
 	if c.Busy {
-		cost += costBusy
+		add("busy", costBusy)
 	}
 	if c.Lagging {
-		cost += costLagging
+		add("data lag", costLagging)
 	}
 	if c.Failing {
-		cost += costFailing
+		add("unreachable", costFailing)
 	}
 	if r.Tried[c.Endpoint.ID] {
-		cost += costTried
+		add("tried before", costTried)
 	}
-	return cost
 }
 
 // An Observation records that the primary's log had not passed Position at time
--- a/director/service.go
+++ b/director/service.go
@@ -227,13 +227,11 @@
 func (s *service) acquirePrimary() (*primaryRef, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.primary == nil {
-		return nil, s.primaryChanged
-	}
-	if !s.viewIsCurrent() {
-		return nil, nil
+	primary, changed := s.usablePrimary()
+	if primary == nil {
+		return nil, changed
 	}
-	ref := &primaryRef{database: s.primary}
+	ref := &primaryRef{database: primary}
 	if s.primaryRefs == nil {
 		s.primaryRefs = make(map[*primaryRef]struct{})
 	}
@@ -241,6 +239,18 @@
 	return ref, nil
 }
 
+// usablePrimary returns the primary, or nil and the channel of acquirePrimary if no operation
+// may use it now. The caller holds mu.
+func (s *service) usablePrimary() (*database, chan struct{}) {
+	if s.primary == nil {
+		return nil, s.primaryChanged
+	}
+	if !s.viewIsCurrent() {
+		return nil, nil
+	}
+	return s.primary, nil
+}
+
 // viewIsCurrent reports whether this host's view is recent enough that it would
 // contain a replacement of the primary.
 func (s *service) viewIsCurrent() bool {
@@ -305,7 +315,7 @@
 	list := make([]Candidate, 0, len(s.databases))
 	databases := make([]*database, 0, len(s.databases))
 	for _, db := range s.databases {
-		if !db.deregisteredAt.IsZero() || s.catalog.Evacuated[db.endpoint.DataCentre] {
+		if s.leftOut(db) != "" {
 			continue
 		}
 		list = append(list, Candidate{
@@ -329,6 +339,17 @@
 	return list, databases
 }
 
+// leftOut returns why operations are not routed to a database, or "". The caller holds mu.
+func (s *service) leftOut(db *database) string {
+	switch {
+	case !db.deregisteredAt.IsZero():
+		return "not registered"
+	case s.catalog.Evacuated[db.endpoint.DataCentre]:
+		return "data centre is evacuated"
+	}
+	return ""
+}
+
 // floor returns the lowest known position that satisfies the staleness limit of
 // a read, or false if none is known.
 func (s *service) floor(maxStaleness time.Duration) (executor.Position, bool) {
--- a/director/session.go
+++ b/director/session.go
@@ -311,6 +311,33 @@
 	if s.forwarded != nil {
 		return s.admitForwarded(id)
 	}
+	op, code, text := s.newOperation(id)
+	if code != executor.CodeNone {
+		return op, code, text
+	}
+	if ok, wait := s.director.Limits.Admit(op.customer); !ok {
+		return op, executor.CodeRateLimited, rateText(wait)
+	}
+	op.admitted = true
+	code, text = op.findService()
+	return op, code, text
+}
+
+// rateText returns the text of the response to an operation above the customer's rate.
+func rateText(wait time.Duration) string {
+	return "rate exceeded, retry in " + wait.Round(time.Millisecond).String()
+}
+
+// findService sets the service of the operation.
+func (op *operation) findService() (executor.Code, string) {
+	if op.service = op.session.director.service(op.route.Service); op.service == nil {
+		return executor.CodeBusy, "service has no databases, retry in 1s"
+	}
+	return executor.CodeNone, ""
+}
+
+// newOperation returns an operation after it has checked its route and key.
+func (s *Session) newOperation(id string) (*operation, executor.Code, string) {
 	d := s.director
 	catalog := d.Catalog()
 	route, ok := catalog.Configuration.Routes[s.startup.Database]
@@ -323,13 +350,6 @@
 		return op, executor.CodeUnauthenticated, "unknown key"
 	}
 	op.customer = customer
-	if ok, wait := d.Limits.Admit(customer); !ok {
-		return op, executor.CodeRateLimited, "rate exceeded, retry in " + wait.Round(time.Millisecond).String()
-	}
-	op.admitted = true
-	if op.service = d.service(route.Service); op.service == nil {
-		return op, executor.CodeBusy, "service has no databases, retry in 1s"
-	}
 	return op, executor.CodeNone, ""
 }
 
