--- a/hoster/serve.go
+++ b/hoster/serve.go
@@ -131,6 +131,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	if h.Settings.MetricsAddress == "" {
+		mux.HandleFunc("GET "+ExplainPath, h.explain)
+	}
 	return mux
 }
 
@@ -140,5 +143,6 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		reporter.WriteMetrics(w, h.Registry)
 	})
+	mux.HandleFunc("GET "+ExplainPath, h.explain)
 	return mux
 }
--- a/run.go
+++ b/run.go
@@ -82,6 +82,7 @@
 		{"host", "Run one host on the platform", &hostCommand{env: env}},
 		{"check", "Check configuration objects, or settings and configuration on the platform", &checkCommand{env: env}},
 		{"explain", "Print the trace of a request from the logs of hosts", &explainCommand{env: env}},
+		{"explain-routing", "Ask a host where it would route a request now, and why", &explainRoutingCommand{env: env}},
 		{"publish", "Check and publish a directory of configuration objects", &publishCommand{env: env}},
 		{"take-out", "Take a data centre, host or database out of service", &takeOutCommand{takenOut: true, env: env}},
 		{"bring-back", "Bring a data centre, host or database back into service", &takeOutCommand{env: env}},
