--- a/director/director.go
+++ b/director/director.go
@@ -62,8 +62,10 @@
 	// service, which is taken before that of a database's pool.
 	mu       sync.Mutex
 	services map[string]*service
-	sessions map[*Session]struct{}
-	stopping atomic.Bool
+	// placement is that of the catalog in force.
+	placement placement
+	sessions  map[*Session]struct{}
+	stopping  atomic.Bool
 	// stopAt is when open transactions are ended, on the clock of Now.
 	stopAt atomic.Pointer[time.Time]
 }
@@ -93,7 +95,7 @@
 	}
 	var pools map[string][]forwarder.Target
 	if d.Forwarder != nil {
-		pools = placePools(catalog)
+		pools = d.placement.pools(catalog)
 		d.Forwarder.Detector.Retain(func(host string) bool {
 			_, ok := catalog.Hosts[host]
 			return ok
--- a/director/pool_hosts.go
+++ b/director/pool_hosts.go
@@ -31,8 +31,41 @@
 	return limit > 0 && limit/float64(max(1, len(catalog.RecentHosts))) < scarceConnectionsPerHost
 }
 
-// placePools returns the pool hosts by service, in order of preference.
-func placePools(catalog *cataloger.Catalog) map[string][]forwarder.Target {
+// A placement keeps the last result of cataloger.PoolHosts, whose time grows with the
+// product of hosts and services: most catalogs have the hosts of the one before, and each
+// host of a large fleet builds one at least once a second. Its zero value is ready for use.
+type placement struct {
+	services []string
+	hosts    []placedHost
+	placed   map[string][]string
+	// computed counts the placements that were not reused.
+	computed int
+}
+
+// A placedHost is what a placement depends on.
+type placedHost struct {
+	name       string
+	capacity   int64
+	lastResort bool
+}
+
+// poolHosts returns the same as cataloger.PoolHosts. The hosts are in the order of their names.
+func (p *placement) poolHosts(services []string, hosts []cataloger.Host, lastResort func(host string) bool) map[string][]string {
+	slices.Sort(services)
+	key := make([]placedHost, 0, len(hosts))
+	for _, host := range hosts {
+		key = append(key, placedHost{name: host.Name, capacity: host.Capacity, lastResort: lastResort(host.Name)})
+	}
+	if p.placed != nil && slices.Equal(services, p.services) && slices.Equal(key, p.hosts) {
+		return p.placed
+	}
+	p.services, p.hosts, p.placed = services, key, cataloger.PoolHosts(services, hosts, lastResort)
+	p.computed++
+	return p.placed
+}
+
+// pools returns the pool hosts by service, in order of preference.
+func (p *placement) pools(catalog *cataloger.Catalog) map[string][]forwarder.Target {
 	var services []string
 	if catalog.Configuration != nil {
 		for name := range catalog.Configuration.Services {
@@ -56,7 +89,7 @@
 		lastResort = func(string) bool { return false }
 	}
 	placed := make(map[string][]forwarder.Target, len(services))
-	for service, names := range cataloger.PoolHosts(services, hosts, lastResort) {
+	for service, names := range p.poolHosts(services, hosts, lastResort) {
 		for _, name := range names {
 			host := catalog.Hosts[name]
 			placed[service] = append(placed[service], forwarder.Target{Name: name, Incarnation: host.Incarnation, Address: host.Address})
--- a/director/pool_hosts_test.go
+++ b/director/pool_hosts_test.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"reflect"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -220,3 +222,43 @@
 		})
 	}
 }
+
+// TestPlacementReused guards against hosts of a large fleet that place all services on all
+// hosts again with each catalog, and against a placement that does not follow the fleet.
+func TestPlacementReused(t *testing.T) {
+	host := func(name string, capacity int64) cataloger.Host {
+		return cataloger.Host{Name: name, Capacity: capacity}
+	}
+	hosts := []cataloger.Host{host("a", 5), host("b", 5), host("c", 5)}
+	services := []string{"s1", "s2", "s3"}
+	restarted := slices.Clone(hosts)
+	restarted[0].Incarnation = "2"
+	tests := []struct {
+		name     string
+		services []string
+		hosts    []cataloger.Host
+		starting string
+		computed bool
+	}{
+		{name: "first", services: services, hosts: hosts, computed: true},
+		{name: "same", services: services, hosts: hosts},
+		{name: "other order of services", services: []string{"s3", "s1", "s2"}, hosts: hosts},
+		{name: "other process", services: services, hosts: restarted},
+		{name: "host is starting", services: services, hosts: hosts, starting: "a", computed: true},
+		{name: "host left", services: services, hosts: hosts[1:], computed: true},
+		{name: "other capacity", services: services, hosts: []cataloger.Host{host("b", 5), host("c", 50)}, computed: true},
+		{name: "service left", services: services[1:], hosts: hosts, computed: true},
+	}
+	var p placement
+	for _, test := range tests {
+		before := p.computed
+		lastResort := func(host string) bool { return host == test.starting }
+		got := p.poolHosts(test.services, test.hosts, lastResort)
+		if want := cataloger.PoolHosts(test.services, test.hosts, lastResort); !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: got %v, want %v", test.name, got, want)
+		}
+		if computed := p.computed > before; computed != test.computed {
+			t.Errorf("%s: got computed %v, want %v", test.name, computed, test.computed)
+		}
+	}
+}
--- a/hoster/forwarding.go
+++ b/hoster/forwarding.go
@@ -93,6 +93,25 @@
 	if !h.isHub() {
 		return nil
 	}
+	now := timekeeper.Now()
+	if last := h.stoppingReported.Load(); last != nil && now.Sub(last.at) < reuseTime {
+		return last.names
+	}
+	names := h.computeStoppingHosts()
+	if h.reusesResults && h.largeFleet() {
+		h.stoppingReported.Store(&stoppingNames{names: names, at: now})
+	}
+	return names
+}
+
+// stoppingNames is a result of computeStoppingHosts.
+type stoppingNames struct {
+	names []string
+	at    time.Time
+}
+
+// computeStoppingHosts computes stoppingHostsToReport from the reports of all hosts.
+func (h *Host) computeStoppingHosts() []string {
 	catalog := h.latestCatalog()
 	var hosts []cataloger.Host
 	h.exchanger.EachPeer(func(name string, peer *exchanger.Peer) bool {
--- a/hoster/freshness.go
+++ b/hoster/freshness.go
@@ -23,6 +23,9 @@
 	// hubWatchWait is how long the hub's watch waits, and that of the fallback hubs while
 	// there is no hub. The other hosts receive the changes one exchange later.
 	hubWatchWait = 300 * time.Millisecond
+	// largestFleetsWatchWait replaces hubWatchWait where hosts exchange with the hub less
+	// often than every hubExchangeInterval, so that their views are not older.
+	largestFleetsWatchWait = 200 * time.Millisecond
 	// hubStaleAge is the age of the hub's view above which its watch waits for
 	// hubStaleWatchWait only. A response with changes shows that the mirror was complete
 	// when the watch began, the next one without changes that it is complete now.
@@ -73,6 +76,9 @@
 		if timekeeper.Now().Sub(h.mirror.CompleteAsOf()) > hubStaleAge {
 			return hubStaleWatchWait
 		}
+		if h.exchangePause() > hubExchangeInterval {
+			return largestFleetsWatchWait
+		}
 		return hubWatchWait
 	}
 	mean := maxWatchWait
--- a/hoster/freshness_test.go
+++ b/hoster/freshness_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/exchanger"
 	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
@@ -57,8 +59,39 @@
 // start of the watch, and the next response dates the view.
 func TestHubViewAge(t *testing.T) {
 	const delivery = 50 * time.Millisecond
-	oldest := hubWatchWait + minCoalesceDelay + hubStaleWatchWait + hubExchangeInterval*11/10 + delivery
-	if oldest >= freshViewAge {
-		t.Errorf("the view of a host ages up to %v after a change, want less than %v", oldest, freshViewAge)
+	for _, interval := range []struct{ watch, exchange time.Duration }{
+		{hubWatchWait, hubExchangeInterval}, {largestFleetsWatchWait, maxHubExchangeInterval},
+	} {
+		oldest := interval.watch + minCoalesceDelay + hubStaleWatchWait + interval.exchange*11/10 + delivery
+		if oldest >= freshViewAge {
+			t.Errorf("the view of a host ages up to %v after a change, want less than %v", oldest, freshViewAge)
+		}
+		if regular := interval.watch + minCoalesceDelay + hubStaleWatchWait + interval.exchange; regular >= relayViewAge {
+			t.Errorf("a view is %v old behind a working hub, want less than %v", regular, relayViewAge)
+		}
+	}
+}
+
+// TestHubExchangesBounded guards against a hub of a fleet of 300 hosts that is asked more
+// often than it can respond, and against a changed interval of fleets that it serves.
+func TestHubExchangesBounded(t *testing.T) {
+	tests := []struct {
+		hosts   int
+		pause   time.Duration
+		maxRate int
+	}{
+		{hosts: cataloger.MaxSmallFleetSize, pause: exchanger.Interval},
+		{hosts: 17, pause: hubExchangeInterval},
+		{hosts: 195, pause: hubExchangeInterval},
+		{hosts: 300, pause: maxHubExchangeInterval, maxRate: 1_150},
+	}
+	for _, test := range tests {
+		got := newTestHost(test.hosts).exchangePause()
+		if got != test.pause {
+			t.Errorf("%d hosts: got a pause of %v, want %v", test.hosts, got, test.pause)
+		}
+		if rate := int(float64(test.hosts) / got.Seconds()); test.maxRate > 0 && rate > test.maxRate {
+			t.Errorf("%d hosts: got %d exchanges a second, want at most %d", test.hosts, rate, test.maxRate)
+		}
 	}
 }
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -85,10 +85,12 @@
 	fallbackHub atomic.Pointer[string]
 	// leaderRecord is the record of the leader that was decoded last.
 	leaderRecord atomic.Pointer[leaderRecord]
-	// majorityInstant is reused by majorityReportedAsOf while Run runs, in large fleets.
-	majorityInstant atomic.Pointer[majorityInstant]
-	reusesMajority  bool
-	stopping        atomic.Bool
+	// reusesResults is set by Run. majorityInstant and stoppingReported are then reused in
+	// large fleets.
+	reusesResults    bool
+	majorityInstant  atomic.Pointer[majorityInstant]
+	stoppingReported atomic.Pointer[stoppingNames]
+	stopping         atomic.Bool
 
 	// mu guards the fields below. While it is held, no lock but the mirror's is
 	// acquired.
@@ -104,7 +106,7 @@
 // Run serves until ctx ends and the shutdown that follows is complete.
 func (h *Host) Run(ctx context.Context) error {
 	h.prepare()
-	h.reusesMajority = true
+	h.reusesResults = true
 	listeners, err := h.openListeners(ctx)
 	if err != nil {
 		return err
--- a/hoster/pacing_test.go
+++ b/hoster/pacing_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/informer"
 	"github.com/endiveturn/endiveturn/overseer"
 )
@@ -145,3 +146,25 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// TestConfigurationIsDecodedOnce guards against hosts that parse a large configuration with
+// each catalog because it is malformed or another one has a higher version.
+func TestConfigurationIsDecodedOnce(t *testing.T) {
+	decoded := 0
+	decoder := testDecoder
+	decoder.Configuration = func(key string, value []byte) (cataloger.Configuration, bool, error) {
+		if key == "config" {
+			decoded++
+		}
+		return testDecoder.Configuration(key, value)
+	}
+	b := &catalogBuilder{decoder: decoder, now: time.Now, onReject: func(string, int64, error) {}}
+	for revision, value := range []string{"12", "1", ""} {
+		for range 3 {
+			b.build([]informer.Record{record("config", value, int64(revision+1))}, int64(revision+1))
+		}
+	}
+	if decoded != 3 {
+		t.Errorf("decoded the configuration %d times, want once for each of 3 revisions", decoded)
+	}
+}
--- a/hoster/quorum.go
+++ b/hoster/quorum.go
@@ -73,10 +73,10 @@
 	}
 }
 
-// majorityReuseTime is how long a host of a large fleet reuses the instant since which enough
-// voters have reported: it takes the reports of all hosts, and each request and each
-// exchange needs it. An instant remains correct, as if the message that carries it took longer.
-const majorityReuseTime = 25 * time.Millisecond
+// reuseTime is how long a host of a large fleet reuses what it computes from the reports of all
+// hosts although each exchange needs it, and each request some of it. The instant since which
+// enough voters have reported remains correct, as if the message with it took longer.
+const reuseTime = 25 * time.Millisecond
 
 // A majorityInstant is a result of computeMajority.
 type majorityInstant struct{ reportedAsOf, computedAt time.Time }
@@ -85,11 +85,11 @@
 // this host to confirm the freshness of its view, or the zero time.
 func (h *Host) majorityReportedAsOf() time.Time {
 	now := timekeeper.Now()
-	if last := h.majorityInstant.Load(); last != nil && now.Sub(last.computedAt) < majorityReuseTime {
+	if last := h.majorityInstant.Load(); last != nil && now.Sub(last.computedAt) < reuseTime {
 		return last.reportedAsOf
 	}
 	reportedAsOf := h.computeMajority()
-	if h.reusesMajority && h.largeFleet() {
+	if h.reusesResults && h.largeFleet() {
 		h.majorityInstant.Store(&majorityInstant{reportedAsOf: reportedAsOf, computedAt: now})
 	}
 	return reportedAsOf
--- a/hoster/start_network_test.go
+++ b/hoster/start_network_test.go
@@ -113,20 +113,44 @@
 	conns   chan net.Conn
 	once    sync.Once
 	closed  chan struct{}
-	// bytes counts what the host sends and receives.
-	bytes *atomic.Int64
+	link    *startLink
 }
 
-func (n *startNetwork) listen(address string, bytes *atomic.Int64) net.Listener {
+// A startLink is the link of a host. It counts what the host sends and receives, and takes
+// time for what it sends.
+type startLink struct {
+	bytes atomic.Int64
+
+	mu        sync.Mutex
+	busyUntil time.Time
+}
+
+// startLinkRate is in bytes per second: 10 Mbit/s.
+const startLinkRate = 10e6 / 8
+
+func (l *startLink) send(bytes int) {
+	l.bytes.Add(int64(bytes))
+	l.mu.Lock()
+	now := time.Now()
+	if l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(time.Duration(float64(bytes) / startLinkRate * float64(time.Second)))
+	wait := l.busyUntil.Sub(now)
+	l.mu.Unlock()
+	time.Sleep(wait)
+}
+
+func (n *startNetwork) listen(address string, link *startLink) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := &startListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{}), bytes: bytes}
+	l := &startListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{}), link: link}
 	n.listeners[address] = l
 	return l
 }
 
-// dial connects a host whose bytes are counted to an address.
-func (n *startNetwork) dial(ctx context.Context, address string, bytes *atomic.Int64) (net.Conn, error) {
+// dial connects the host with the link to an address.
+func (n *startNetwork) dial(ctx context.Context, address string, link *startLink) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
@@ -135,8 +159,8 @@
 	}
 	near, far := net.Pipe()
 	select {
-	case l.conns <- countedConn{Conn: far, bytes: l.bytes}:
-		return countedConn{Conn: near, bytes: bytes}, nil
+	case l.conns <- linkedConn{Conn: far, link: l.link}:
+		return linkedConn{Conn: near, link: link}, nil
 	case <-l.closed:
 	case <-ctx.Done():
 	}
@@ -159,19 +183,18 @@
 
 func (l *startListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
 
-type countedConn struct {
+type linkedConn struct {
 	net.Conn
-	bytes *atomic.Int64
+	link *startLink
 }
 
-func (c countedConn) Read(p []byte) (int, error) {
+func (c linkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
+	c.link.bytes.Add(int64(n))
 	return n, err
 }
 
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
+func (c linkedConn) Write(p []byte) (int, error) {
+	c.link.send(len(p))
+	return c.Conn.Write(p)
 }
--- a/hoster/start_test.go
+++ b/hoster/start_test.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"os"
 	"runtime/pprof"
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +21,7 @@
 
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
+	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/overseer"
 	"github.com/endiveturn/endiveturn/reporter"
@@ -28,7 +29,7 @@
 )
 
 var (
-	startHosts   = flag.String("start-hosts", "30,60", "numbers of hosts of TestFleetStart")
+	startHosts   = flag.String("start-hosts", "30,100", "numbers of hosts of TestFleetStart")
 	startProfile = flag.String("start-profile", "", "file for the CPU profile of TestFleetStart")
 )
 
@@ -48,7 +49,9 @@
 	// medianBytes and maxBytes are sent and received by the median and the busiest host.
 	medianBytes, maxBytes int64
 	storeCalls            int64
-	ready                 int
+	// readyAfter is when all hosts knew each other and had a view fresh enough to use
+	// primaries, 0 if that was not so until startDuration.
+	readyAfter time.Duration
 }
 
 // measureStart starts a fleet in virtual time and returns what it costs until startDuration.
@@ -70,16 +73,12 @@
 				}
 			}()
 		}
-		time.Sleep(startDuration)
+		readyAfter := f.awaitReady(hosts)
 		cost.processorTime = (processorTime() - began) / time.Duration(hosts)
 		var bytes []int64
-		for _, h := range f.hosts {
-			if catalog := h.latestCatalog(); catalog != nil && len(catalog.Hosts) == hosts && !h.isolated() {
-				cost.ready++
-			}
-		}
-		for _, count := range f.bytes {
-			bytes = append(bytes, count.Load())
+		cost.readyAfter = readyAfter
+		for _, link := range f.links {
+			bytes = append(bytes, link.bytes.Load())
 		}
 		slices.Sort(bytes)
 		cost.medianBytes, cost.maxBytes, cost.storeCalls = bytes[len(bytes)/2], bytes[len(bytes)-1], f.store.calls.Load()
@@ -91,13 +90,39 @@
 	return cost
 }
 
+// awaitReady waits for startDuration and returns after which time all hosts were ready.
+func (f *startFleet) awaitReady(hosts int) (readyAfter time.Duration) {
+	const step = 100 * time.Millisecond
+	for after := step; after <= startDuration; after += step {
+		time.Sleep(step)
+		ready := 0
+		for _, h := range f.hosts {
+			if h.knowsFleet(hosts) {
+				ready++
+			}
+		}
+		if ready < hosts {
+			readyAfter = 0
+		} else if readyAfter == 0 {
+			readyAfter = after
+		}
+	}
+	return readyAfter
+}
+
+// knowsFleet reports whether the host knows all hosts and may use primaries.
+func (h *Host) knowsFleet(hosts int) bool {
+	catalog := h.latestCatalog()
+	return catalog != nil && len(catalog.Hosts) == hosts && timekeeper.Now().Sub(h.viewCompleteAsOf()) < director.MaxViewAge
+}
+
 // A startFleet is a fleet whose hosts, store and network run in this process. It has
 // configured services, whose databases accept no connections, and no clients.
 type startFleet struct {
 	store   *startStore
 	network *startNetwork
 	hosts   []*Host
-	bytes   []*atomic.Int64
+	links   []*startLink
 }
 
 func newStartFleet() *startFleet {
@@ -110,7 +135,7 @@
 }
 
 func (f *startFleet) newHost(i, hosts int) *Host {
-	bytes := &atomic.Int64{}
+	link := &startLink{}
 	settings := Settings{
 		Host: fmt.Sprintf("frontend-%03d", i), DataCentre: fmt.Sprintf("dk-east-%d", i%4), ClientAddress: fmt.Sprintf("10.1.%d.%d:1", i/250, i%250),
 		ReadinessAddress: fmt.Sprintf("10.1.%d.%d:2", i/250, i%250), PeerAddress: fmt.Sprintf("10.1.%d.%d:3", i/250, i%250), StopTimeout: time.Second,
@@ -123,13 +148,13 @@
 	h := &Host{
 		Settings: settings, Platform: f.platform(), Writer: writer, Logger: reporter.NewLogger(writer, slog.LevelInfo), Registry: gometrics.NewRegistry(),
 		Listen: func(_ context.Context, address string) (net.Listener, error) {
-			return f.network.listen(address, bytes), nil
+			return f.network.listen(address, link), nil
 		},
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return f.network.dial(ctx, address, bytes)
+			return f.network.dial(ctx, address, link)
 		},
 	}
-	f.hosts, f.bytes = append(f.hosts, h), append(f.bytes, bytes)
+	f.hosts, f.links = append(f.hosts, h), append(f.links, link)
 	return h
 }
 
@@ -192,13 +217,38 @@
 		}
 		defer pprof.StopCPUProfile()
 	}
+	var smallest startCost
 	for _, text := range strings.Split(*startHosts, ",") {
 		hosts, err := strconv.Atoi(text)
 		if err != nil {
 			t.Fatal(err)
 		}
 		c := measureStart(t, hosts)
-		t.Logf("%d hosts: %v of processor time a host, %d KB on the median host, %d KB on the busiest, %d store calls, %d ready", c.hosts,
-			c.processorTime.Round(time.Millisecond), c.medianBytes>>10, c.maxBytes>>10, c.storeCalls, c.ready)
+		t.Logf("%d hosts: %v of processor time a host, %d KB on the median host, %d KB on the busiest, %d store calls, all ready after %v", c.hosts,
+			c.processorTime.Round(time.Millisecond), c.medianBytes>>10, c.maxBytes>>10, c.storeCalls, c.readyAfter)
+		if smallest.hosts == 0 {
+			smallest = c
+		}
+		checkGrowth(t, smallest, c)
+	}
+}
+
+// checkGrowth checks that the costs grow at most in proportion to the hosts, and those of the
+// busiest host, the hub, which has to tell all hosts of all hosts, less than with the square.
+func checkGrowth(t *testing.T, smallest, c startCost) {
+	t.Helper()
+	const busiestExponent = 1.5
+	ratio := float64(c.hosts) / float64(smallest.hosts)
+	if c.readyAfter == 0 {
+		t.Errorf("%d hosts: not all are ready after %v", c.hosts, startDuration)
+	}
+	if got, limit := c.processorTime, time.Duration(ratio*float64(smallest.processorTime)); got > limit {
+		t.Errorf("%d hosts: got %v of processor time a host, want at most %v", c.hosts, got, limit)
+	}
+	if got, limit := c.medianBytes, int64(ratio*float64(smallest.medianBytes)); got > limit {
+		t.Errorf("%d hosts: got %d bytes on the median host, want at most %d", c.hosts, got, limit)
+	}
+	if got, limit := c.maxBytes, int64(math.Pow(ratio, busiestExponent)*float64(smallest.maxBytes)); got > limit {
+		t.Errorf("%d hosts: got %d bytes on the busiest host, want at most %d", c.hosts, got, limit)
 	}
 }
--- a/hoster/topology.go
+++ b/hoster/topology.go
@@ -134,14 +134,31 @@
 	return ok && (name == h.Settings.Host || name == report.Host)
 }
 
-// hubExchangeInterval is how often a host exchanges with the hub.
-const hubExchangeInterval = 180 * time.Millisecond
+const (
+	// hubExchangeInterval is how often a host exchanges with the hub in fleets of up to 198
+	// hosts.
+	hubExchangeInterval = 180 * time.Millisecond
+	// hubExchangeTime is the time that the interval of larger fleets leaves the hub for each
+	// exchange, up to 1,100 a second. 300 hosts at hubExchangeInterval make 1,667, of about
+	// 110 us each, which a hub of 0.192 of a core can't respond to.
+	hubExchangeTime = 910 * time.Microsecond
+	// maxHubExchangeInterval bounds the interval, so that views behind a working hub stay
+	// below relayViewAge together with largestFleetsWatchWait.
+	maxHubExchangeInterval = 270 * time.Millisecond
+)
 
+// exchangePause returns the time between two exchanges with a host.
 func (h *Host) exchangePause() time.Duration {
-	if h.largeFleet() {
-		return hubExchangeInterval
+	catalog := h.latestCatalog()
+	if catalog == nil || !catalog.IsLargeFleet() {
+		return exchanger.Interval
 	}
-	return exchanger.Interval
+	return hubInterval(catalog.FleetSize())
+}
+
+// hubInterval returns how often each host of a large fleet exchanges with the hub.
+func hubInterval(hosts int) time.Duration {
+	return min(max(hubExchangeInterval, time.Duration(hosts)*hubExchangeTime), maxHubExchangeInterval)
 }
 
 // usages returns the usage of the customers' rate limits to report to another host,
--- a/hoster/view.go
+++ b/hoster/view.go
@@ -36,8 +36,10 @@
 	now      func() time.Time
 
 	configuration *cataloger.Configuration
-	// configurationRevision is the revision of the current configuration.
-	configurationRevision int64
+	// configurationRevisions are the revisions of the configuration records that were
+	// decoded last, by key: malformed ones and those of a lower version included, as a
+	// configuration may be large.
+	configurationRevisions map[string]int64
 	// endpoints holds decoded registrations by key.
 	endpoints map[string]registration
 	// hosts holds decoded records of hosts by key, voters the decoded list of voters.
@@ -183,21 +185,23 @@
 }
 
 func (b *catalogBuilder) applyConfiguration(record informer.Record) bool {
-	if b.configuration != nil && record.Revision == b.configurationRevision {
-		_, ok, _ := b.decoder.Configuration(record.Key, nil)
-		return ok
+	if revision, ok := b.configurationRevisions[record.Key]; ok && revision == record.Revision {
+		return true
 	}
 	configuration, ok, err := b.decoder.Configuration(record.Key, record.Value)
 	if !ok {
 		return false
 	}
+	if b.configurationRevisions == nil {
+		b.configurationRevisions = make(map[string]int64)
+	}
+	b.configurationRevisions[record.Key] = record.Revision
 	switch {
 	case err != nil:
 		b.reject(record, err)
 	case b.configuration == nil || configuration.Version > b.configuration.Version:
 		indexed := configuration.WithKeyIndex()
 		b.configuration = &indexed
-		b.configurationRevision = record.Revision
 	}
 	return true
 }
--- a/overseer/voters.go
+++ b/overseer/voters.go
@@ -22,8 +22,18 @@
 const VotersKey = votersKey
 
 // votersInterval is the minimum time between two changes of the list by the leader of a large
-// fleet, whose hosts start one after the other.
-const votersInterval = 500 * time.Millisecond
+// fleet, whose hosts start one after the other. Each change is sent to all hosts and names all
+// of them, so that with more than 100 hosts it is votersIntervalPerHost for each.
+const (
+	votersInterval        = 500 * time.Millisecond
+	votersIntervalPerHost = 5 * time.Millisecond
+)
+
+// votersDue reports whether the leader may change the list that it wrote last.
+func (o *Overseer) votersDue(list voterList, catalog *cataloger.Catalog) bool {
+	interval := max(votersInterval, time.Duration(catalog.FleetSize())*votersIntervalPerHost)
+	return !catalog.IsLargeFleet() || o.Now().Sub(list.writtenAt) >= interval
+}
 
 type votersRecord struct {
 	Version int64            `json:"version"`
@@ -83,8 +93,7 @@
 	}
 	list.absentSince = o.absentVoters(list, catalog)
 	next, changed := o.nextVoters(list, catalog, members)
-	due := !catalog.IsLargeFleet() || o.Now().Sub(list.writtenAt) >= votersInterval
-	if unwritten || changed && due {
+	if unwritten || changed && o.votersDue(list, catalog) {
 		return o.writeVoters(ctx, list, next, token)
 	}
 	o.setVoters(list)
