--- a/informer/watcher.go
+++ b/informer/watcher.go
@@ -22,6 +22,10 @@
 	// suspendedPollInterval is how often a suspended watcher checks whether it is
 	// still suspended.
 	suspendedPollInterval = 200 * time.Millisecond
+	// maxExcludedHistory is the number of changes up to which a watcher with excluded keys
+	// reads them after it was suspended. They may all be of excluded keys, of which a list has only
+	// the last value.
+	maxExcludedHistory = 100
 	// initialBackoff is the pause after the first failed call. The pause doubles up
 	// to MaxBackoff and is randomized, so that hosts do not retry at the same time.
 	initialBackoff = 50 * time.Millisecond
@@ -154,6 +158,9 @@
 			w.sleep(ctx, suspendedPollInterval)
 			continue
 		}
+		if w.Excluded != nil && w.Mirror.Revision()-revision > maxExcludedHistory {
+			return errRelist
+		}
 		wait := w.Wait()
 		requestedAt := w.Now()
 		changes, next, err := w.watch(ctx, revision, wait)
--- a/informer/watcher_test.go
+++ b/informer/watcher_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +30,8 @@
 	compacted int64
 	lists     int
 	changed   chan struct{}
+	// suspended makes the watcher wait.
+	suspended atomic.Bool
 }
 
 func newFakeStore() *fakeStore {
@@ -102,6 +106,7 @@
 	t.Helper()
 	w := NewWatcher()
 	w.Excluded = func(key string) bool { return key == "excluded" }
+	w.Suspended = s.suspended.Load
 	w.Store = storer.KeyValueStore{List: s.list, Changes: s.watch, Era: func() int64 { return 1 }}
 	w.Mirror = &Mirror{Now: time.Now}
 	w.Wait = func() time.Duration { return 10 * time.Second }
@@ -206,6 +211,35 @@
 	})
 }
 
+// TestResume guards against a host that reads the whole history of an excluded key from the store
+// after another host has delivered all changes for long, and against a list where few
+// changes have to be read.
+func TestResume(t *testing.T) {
+	for _, test := range []struct{ changes, lists int }{{changes: 50, lists: 1}, {changes: 200, lists: 2}} {
+		t.Run(fmt.Sprint(test.changes, " changes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				s.suspended.Store(true)
+				_, m := startWatcher(t, s)
+				synctest.Wait()
+				for range test.changes {
+					s.put("excluded", "1")
+				}
+				m.Merge(nil, s.revision, time.Now())
+				s.suspended.Store(false)
+				time.Sleep(time.Second)
+				s.put("b", "1")
+				synctest.Wait()
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if s.lists != test.lists || value(m, "b") != "1" {
+					t.Errorf("got %d lists and value %q, want %d and 1", s.lists, value(m, "b"), test.lists)
+				}
+			})
+		})
+	}
+}
+
 // TestCompleteAsOf guards against a mirror that counts as newer than the response of
 // the store.
 func TestCompleteAsOf(t *testing.T) {
