--- a/informer/watcher_test.go
+++ b/informer/watcher_test.go
@@ -228,12 +228,12 @@
 				m.Merge(nil, s.revision, time.Now())
 				s.suspended.Store(false)
 				time.Sleep(time.Second)
-				s.put("a", "1")
+				s.put("b", "1")
 				synctest.Wait()
 				s.mu.Lock()
 				defer s.mu.Unlock()
-				if s.lists != test.lists || value(m, "a") != "1" {
-					t.Errorf("got %d lists and value %q, want %d and 1", s.lists, value(m, "a"), test.lists)
+				if s.lists != test.lists || value(m, "b") != "1" {
+					t.Errorf("got %d lists and value %q, want %d and 1", s.lists, value(m, "b"), test.lists)
 				}
 			})
 		})
