--- a/budgeter/listener_test.go
+++ b/budgeter/listener_test.go
@@ -1,7 +1,6 @@
 package budgeter
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"testing"
@@ -9,14 +8,26 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"storj.io/drpc/drpcwire"
 )
 
 // A pipeListener accepts the other ends of connections in memory.
 type pipeListener struct{ conns chan net.Conn }
 
-func (l pipeListener) Accept() (net.Conn, error) { return <-l.conns, nil }
-func (l pipeListener) Close() error              { return nil }
-func (l pipeListener) Addr() net.Addr            { return nil }
+// Accept waits for dial or end.
+func (l pipeListener) Accept() (net.Conn, error) {
+	conn, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (l pipeListener) Close() error   { return nil }
+func (l pipeListener) Addr() net.Addr { return nil }
+
+// end makes Accept return an error.
+func (l pipeListener) end() { close(l.conns) }
 
 // dial returns the client's end of a new connection.
 func (l pipeListener) dial() net.Conn {
@@ -38,7 +49,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		request := bytes.Repeat([]byte("x"), 50<<10)
+		const size, header = 50 << 10, 6
+		request := drpcwire.AppendFrame(nil, drpcwire.Frame{
+			Data: make([]byte, size-header), ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: drpcwire.KindMessage, Done: true,
+		})
 		exchange := func() error {
 			go func() { _, _ = client.Write(request) }() // an error shows on the other end
 			_, err := io.ReadFull(conn, make([]byte, len(request)))
@@ -136,3 +150,95 @@
 		conn.Close()
 	})
 }
+
+// TestIncompleteMessagesStayCounted guards against another host that, after a first
+// exchange, sends a large message slowly: heartbeats and responses that are sent meanwhile
+// must not end the charge for what drpc has collected.
+func TestIncompleteMessagesStayCounted(t *testing.T) {
+	pipes := pipeListener{conns: make(chan net.Conn, 1)}
+	b := newTestBudget(Limits{Memory: 1 << 20})
+	client := pipes.dial()
+	conn, err := (&Listener{Listener: pipes, Budget: b.Budget, Class: Peers}).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	receive := func(message []byte) error {
+		go func() { _, _ = client.Write(message) }() // an error shows on the other end
+		_, err := io.ReadFull(conn, make([]byte, len(message)))
+		return err
+	}
+	respond := func() {
+		go func() { _, _ = io.ReadFull(client, make([]byte, 1)) }()
+		if _, err := conn.Write([]byte("r")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	frame := func(done bool, announced, size int) []byte {
+		data := drpcwire.AppendFrame(nil, drpcwire.Frame{
+			Data: make([]byte, announced), ID: drpcwire.ID{Stream: 1, Message: 300}, Kind: drpcwire.KindMessage, Done: done,
+		})
+		return data[:len(data)-announced+size]
+	}
+	const part = 64 << 10
+	for _, step := range []struct {
+		name    string
+		message []byte
+		// least and most bound the memory after a response.
+		least, most int64
+	}{
+		{"complete message", frame(true, part, part), 0, 0},
+		{"first frame of a message", frame(false, part, part), requestCopies * part, requestCopies * (part + 10)},
+		{"part of a frame", frame(true, part, part/2), requestCopies * part * 3 / 2, requestCopies * (part*3/2 + 20)},
+		{"rest of the message", make([]byte, part/2), 0, 0},
+	} {
+		if err := receive(step.message); err != nil {
+			t.Fatalf("%s: %v", step.name, err)
+		}
+		respond()
+		if got := b.Load().Memory; got < step.least || got > step.most {
+			t.Errorf("%s: memory after a response: got %d, want %d to %d", step.name, got, step.least, step.most)
+		}
+	}
+	for range 10 {
+		if err = receive(frame(false, part, part)); err != nil {
+			break
+		}
+		respond()
+	}
+	if !errors.Is(err, ErrMemory) {
+		t.Errorf("message above the memory: got %v, want %v", err, ErrMemory)
+	}
+}
+
+// TestRefusalIsSent guards against a connection that is refused in the way in which one to a
+// failed host ends, and against refusals that are sent without a bound.
+func TestRefusalIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pipes := pipeListener{conns: make(chan net.Conn, 1)}
+		b := newTestBudget(Limits{ConnectionCost: 1 << 20, Memory: 1})
+		listener := &Listener{Listener: pipes, Budget: b.Budget, Class: Peers, Refusal: []byte("full")}
+		go func() { _, _ = listener.Accept() }() // it accepts none, and waits to the end
+		first := pipes.dial()
+		got := make([]byte, 4)
+		if _, err := io.ReadFull(first, got); err != nil || string(got) != "full" {
+			t.Errorf("refused connection: got %q, %v, want %q", got, err, "full")
+		}
+		var refused, closed int
+		for range maxRefusing + 5 {
+			conn := pipes.dial()
+			synctest.Wait()
+			_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+			if _, err := conn.Read(got[:1]); err == nil {
+				refused++
+			} else {
+				closed++
+			}
+		}
+		if refused > maxRefusing || closed == 0 {
+			t.Errorf("refusals that are not read: %d sent, %d only closed, want at most %d sent", refused, closed, maxRefusing)
+		}
+		pipes.end()
+		time.Sleep(time.Second)
+	})
+}
--- a/forwarder/client.go
+++ b/forwarder/client.go
@@ -46,6 +46,9 @@
 	// generations counts the suspicions by address. Idle connections of a former
 	// generation are not used, since they may hang.
 	generations map[string]uint64
+	// fullUntil is until when no new connection to an address is tried, since the host
+	// takes no more.
+	fullUntil map[string]time.Time
 }
 
 func (c *Client) init() {
@@ -65,7 +68,7 @@
 }
 
 // Open returns a stream for one operation. It sends nothing if there is an idle
-// connection. Errors wrap ErrNotSent; the host is suspected then.
+// connection. Errors wrap ErrNotSent; the host is suspected then, unless they wrap ErrFull.
 func (c *Client) Open(ctx context.Context, target Target) (*Stream, error) {
 	c.init()
 	for {
@@ -78,9 +81,12 @@
 		}
 		idle.discard()
 	}
+	if c.isFull(target.Address) {
+		return nil, ErrFull
+	}
 	opened, err := c.open(ctx, target)
 	if err != nil {
-		c.suspect(target, err)
+		c.recordFailedOpen(target, err)
 		return nil, err
 	}
 	return &Stream{client: c, target: target, conn: opened}, nil
@@ -102,7 +108,11 @@
 	}
 	opened.generation = generation
 	reply, err := opened.handshake(deadline)
-	if err != nil {
+	switch {
+	case err != nil && opened.refused():
+		c.recordFull(target.Address)
+		return nil, errors.Wrap(ErrFull, target.Name)
+	case err != nil:
 		return nil, errors.Wrapf(ErrNotSent, "handshake with %s: %v", target.Name, err)
 	}
 	c.recordStopping(target, &reply)
@@ -117,11 +127,10 @@
 	c.init()
 	go func() {
 		probe, err := c.open(context.Background(), target)
-		regained := c.Detector.EndProbe(target.Name, err == nil)
-		if err != nil {
-			return
+		regained := c.Detector.EndProbe(target.Name, err == nil || errors.Is(err, ErrFull))
+		if err == nil {
+			c.pool.Put(target.Address, probe)
 		}
-		c.pool.Put(target.Address, probe)
 		if regained && c.OnRegain != nil {
 			c.OnRegain(target)
 		}
@@ -138,13 +147,21 @@
 	go func() {
 		verified, err := c.open(context.Background(), target)
 		if err != nil {
-			c.suspect(target, err)
+			c.recordFailedOpen(target, err)
 			return
 		}
 		c.pool.Put(target.Address, verified)
 	}()
 }
 
+// recordFailedOpen suspects a host to which no connection could be opened, unless it has
+// replied that it takes no more.
+func (c *Client) recordFailedOpen(target Target, reason error) {
+	if !errors.Is(reason, ErrFull) {
+		c.suspect(target, reason)
+	}
+}
+
 // suspect records that a host did not respond.
 func (c *Client) suspect(target Target, reason error) {
 	c.mu.Lock()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +15,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/endiveturn/endiveturn/budgeter"
 	"github.com/endiveturn/endiveturn/executor"
 )
 
@@ -409,3 +412,79 @@
 		}
 	})
 }
+
+// TestFullHostIsNotSuspected guards against a host that takes no more connections and then
+// counts as failed, and against a connection attempt for each operation meanwhile.
+func TestFullHostIsNotSuspected(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		serve, dials, full := f.client.Dial, 0, true
+		f.client.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			dials++
+			if !full {
+				return serve(ctx, address)
+			}
+			here, there := net.Pipe()
+			go func() {
+				defer there.Close()
+				_, _ = there.Write(RefusalFrame()) // an error shows on the other end
+				_, _ = io.Copy(io.Discard, there)
+			}()
+			return here, nil
+		}
+		for range 3 {
+			_, err := f.client.Open(context.Background(), testTarget)
+			if !errors.Is(err, ErrFull) || !errors.Is(err, ErrNotSent) {
+				t.Errorf("got %v, want %v, which wraps %v", err, ErrFull, ErrNotSent)
+			}
+		}
+		f.client.VerifyIfDue(testTarget)
+		time.Sleep(fullBackoff / 2)
+		if _, suspected, _, _ := f.counts(); suspected != 0 || !f.client.Detector.Usable(testTarget.Name, testTarget.Incarnation) {
+			t.Errorf("the host is suspected: %v", f.suspected)
+		}
+		if want := 2; dials != want {
+			t.Errorf("connections tried by operations and a check: got %d, want %d", dials, want)
+		}
+		full = false
+		time.Sleep(fullBackoff)
+		if _, err := f.runSingle(first(executor.VerbRead, "x"), time.Second, false); err != nil {
+			t.Errorf("operation after the host has room again: got %v, want nil", err)
+		}
+	})
+}
+
+// TestRequestsArePaidFor guards against statements of other hosts that run without an
+// account, since a heartbeat ends the charge for what was received.
+func TestRequestsArePaidFor(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fixture) {
+		budget := &budgeter.Budget{Limits: budgeter.Limits{Memory: 1 << 20}, Now: time.Now}
+		account, err := budget.Open(budgeter.Peers, "peer", func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.wrapServer = func(conn net.Conn) net.Conn { return countedPipe{Conn: conn, account: account} }
+		var running int64
+		f.run = func(context.Context, *Request) Reply {
+			running = budget.Load().Memory
+			return Reply{Response: executor.Response{State: executor.StateIdle}}
+		}
+		for _, test := range []struct {
+			size    int
+			refused bool
+		}{{1 << 10, false}, {100 << 10, false}, {700 << 10, true}} {
+			running = 0
+			request := first(executor.VerbWrite, strings.Repeat("x", test.size))
+			reply, err := f.runSingle(request, time.Second, false)
+			if err != nil || reply.Refused != test.refused {
+				t.Errorf("request of %d bytes: got refused %v, %v, want %v", test.size, reply.Refused, err, test.refused)
+			}
+			if counted := running >= requestCopies*int64(test.size); counted != (test.size > uncountedRequest && !test.refused) {
+				t.Errorf("request of %d bytes: memory while it runs: got %d", test.size, running)
+			}
+			synctest.Wait() // the memory is returned after the reply is sent
+			if got := budget.Load().Memory; got != 0 {
+				t.Errorf("request of %d bytes: memory afterwards: got %d, want 0", test.size, got)
+			}
+		}
+	})
+}
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -20,6 +20,11 @@
 	// idleServerTimeout is how long a connection without an operation is kept. It is longer
 	// than the other side keeps one, so that only connections that hang reach it.
 	idleServerTimeout = idleConnTimeout + 30*time.Second
+	// uncountedRequest is the size of a request in bytes up to which it costs no account,
+	// and requestCopies how often a larger one is in memory while it runs: decoded, and as
+	// it is sent to a database.
+	uncountedRequest = 16 << 10
+	requestCopies    = 2
 )
 
 // An Execution is an operation of another host that runs on this one.
@@ -125,6 +130,8 @@
 	stream drpc.Stream
 	// account is charged for the responses; nil sets no limit.
 	account *budgeter.Account
+	// charged is set while the account is charged for a request.
+	charged bool
 	// execution is the open operation, nil if there is none.
 	execution *Execution
 	// guard closes the transport of a peer that does not read its reply, or leaves a
@@ -152,14 +159,19 @@
 			Code: executor.CodeAborted, Text: "pool host is stopping, transaction is rolled back", State: executor.StateFailed,
 		}, Reason: "pool host is stopping"})
 	}
+	if reply := h.pay(size); reply != nil {
+		reply.number = request.number
+		return h.send(reply)
+	}
 	if h.execution == nil {
 		if reply := h.begin(request); reply != nil {
+			h.release()
 			reply.number = request.number
 			return h.send(reply)
 		}
 	}
 	request.Statement.Account = h.account
-	defer func() { _ = h.account.Resize(budgeter.Response, 0) }() // less is never refused
+	defer h.release()
 	reply := h.run(request)
 	reply.number, reply.Stopping = request.number, h.server.stopping.Load()
 	if reply.EndsOperation() {
@@ -174,6 +186,36 @@
 	return nil
 }
 
+// pay charges the connection for a request of the given size until release, since
+// heartbeats end the charge for what was received. It returns the refusal of a request
+// for which there is no memory; nothing of it has run.
+func (h *handler) pay(size int64) *Reply {
+	if size <= uncountedRequest {
+		return nil
+	}
+	err := h.account.Resize(budgeter.Session, requestCopies*size)
+	switch {
+	case err == nil:
+		h.charged = true
+		return nil
+	case h.execution != nil:
+		h.closeExecution()
+		return &Reply{Response: executor.Response{
+			Code: executor.CodeAborted, Text: "no memory for the statement, transaction is rolled back", State: executor.StateFailed,
+		}, Reason: "pool host has no memory for the statement"}
+	}
+	return &Reply{Refused: true, Reason: "pool host has no memory for the statement"}
+}
+
+// release returns the memory of a request and its response.
+func (h *handler) release() {
+	_ = h.account.Resize(budgeter.Response, 0) // less is never refused
+	if h.charged {
+		h.charged = false
+		_ = h.account.Resize(budgeter.Session, 0)
+	}
+}
+
 // idleTimeout returns how long the next request may take to arrive.
 func (h *handler) idleTimeout() time.Duration {
 	if h.execution != nil {
--- a/hoster/budget.go
+++ b/hoster/budget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/endiveturn/endiveturn/budgeter"
+	"github.com/endiveturn/endiveturn/forwarder"
 )
 
 // newBudget returns the budget of the host's connections.
@@ -17,7 +18,11 @@
 
 // counted returns a listener whose connections count against the budget.
 func (h *Host) counted(listener net.Listener, class budgeter.Class) net.Listener {
-	return &budgeter.Listener{Listener: listener, Budget: h.budget, Class: class}
+	counted := &budgeter.Listener{Listener: listener, Budget: h.budget, Class: class}
+	if class == budgeter.Peers {
+		counted.Refusal = forwarder.RefusalFrame()
+	}
+	return counted
 }
 
 // updateBudgetGauges updates the gauges of what connections use.
