--- a/acceptor/budget.go
+++ b/acceptor/budget.go
@@ -18,6 +18,16 @@
 	// uncountedRequest is the size of a request in bytes up to which it costs no account,
 	// so that ordinary requests take no lock.
 	uncountedRequest = 8 << 10
+	// messageOverhead is the memory in bytes that a message of a batch takes besides its
+	// text: decoded, and as a statement or portal of the batch (measured: up to 232).
+	messageOverhead = 256
+	// textCopies is how often the text of a prepared statement that is sent again is in
+	// memory besides the session's: as it is sent to a database or to another host, and in
+	// the buffer of that connection.
+	textCopies = 2
+	// uncountedMessages is the number of messages of a batch up to which they cost no
+	// account.
+	uncountedMessages = 64
 	// uncountedKept is the size in bytes up to which what a session keeps costs no account.
 	uncountedKept = 1 << 10
 	// keptOverhead is the memory in bytes that a prepared statement takes besides its
@@ -37,7 +47,7 @@
 // RequiredMemory returns the memory in bytes that a connection needs so that a request of
 // the given size is served beside as many prepared statements as a session may keep.
 func RequiredMemory(size int) int64 {
-	return budgeter.ConnectionCost + DefaultMaxStatementBytes + DefaultMaxStatements*keptOverhead + messageMemory(size)
+	return budgeter.ConnectionCost + (1+textCopies)*DefaultMaxStatementBytes + DefaultMaxStatements*keptOverhead + messageMemory(size)
 }
 
 // payFor takes the memory for a request of which size bytes have arrived, and returns the
@@ -55,10 +65,39 @@
 	return paid, nil
 }
 
+// payForMessages takes the memory for what a batch of the given number of messages takes
+// besides their texts while it is planned and run. It returns the refusal of a batch for
+// which there is none.
+func (c *connection) payForMessages(messages int) *executor.Refusal {
+	if messages <= uncountedMessages {
+		return nil
+	}
+	return c.payExtra(int64(messages) * messageOverhead)
+}
+
+// payForTexts takes the memory for the texts of prepared statements, of the given size,
+// that are sent to a database again. It returns the refusal of a batch for which there is
+// none.
+func (c *connection) payForTexts(size int) *executor.Refusal {
+	if size <= uncountedRequest {
+		return nil
+	}
+	return c.payExtra(int64(size) * textCopies)
+}
+
+// payExtra takes memory for a batch besides that of its texts until endRequest.
+func (c *connection) payExtra(bytes int64) *executor.Refusal {
+	if err := c.account.Resize(budgeter.Message, messageMemory(c.paid)+c.extra+bytes); err != nil {
+		return executor.RefuseNotRun(executor.CodeOutOfMemory, "no memory for the messages of the batch: "+err.Error())
+	}
+	c.extra += bytes
+	return nil
+}
+
 // endRequest returns the memory of a request.
 func (c *connection) endRequest() {
-	if c.paid > 0 {
-		c.paid = 0
+	if c.paid > 0 || c.extra > 0 {
+		c.paid, c.extra = 0, 0
 		_ = c.account.Resize(budgeter.Message, 0) // less is never refused
 	}
 }
--- a/acceptor/budget_test.go
+++ b/acceptor/budget_test.go
@@ -164,3 +164,37 @@
 		t.Errorf("connections: got %d, want at most %d", got, limit)
 	}
 }
+
+// TestTextsSentAgainTakeMemory guards against batches that refer to large prepared
+// statements, whose texts are sent to a database again without a count.
+func TestTextsSentAgainTakeMemory(t *testing.T) {
+	const size = 60 << 10
+	f := newBudgetFixture(t, 450<<10)
+	c := dialRaw(t, f)
+	c.startup(publicStartup)
+	names := []string{"a", "b", "c"}
+	kept := int64(0)
+	for _, name := range names {
+		query := "SELECT '" + name + strings.Repeat("x", size) + "'"
+		kept += int64(len(query) + len(name) + keptOverhead)
+		c.Send(&pgproto3.Parse{Name: name, Query: query})
+		c.Send(&pgproto3.Sync{})
+		if got := firstError(c.read()); got != "" {
+			t.Fatalf("statement %s: got %s, want no error", name, got)
+		}
+	}
+	for _, test := range []struct {
+		names []string
+		want  string
+	}{{names[:1], ""}, {names, "ERROR 53200"}, {names[2:], ""}} {
+		for _, name := range test.names {
+			c.Send(&pgproto3.Bind{PreparedStatement: name})
+			c.Send(&pgproto3.Execute{})
+		}
+		c.Send(&pgproto3.Sync{})
+		if got := firstError(c.read()); got != test.want {
+			t.Errorf("batch that refers to %d statements: got %q, want %q", len(test.names), got, test.want)
+		}
+		awaitMemory(t, f, "after the batch", kept)
+	}
+}
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -71,6 +71,8 @@
 	account *budgeter.Account
 	paid    int
 	kept    int64
+	// extra is what the account is charged for the batch besides its size.
+	extra int64
 	// messageBegan is when the process first had to wait for the rest of a request, zero
 	// while it has not; messageBytes is what has arrived since.
 	messageBegan time.Time
--- a/acceptor/plan.go
+++ b/acceptor/plan.go
@@ -30,8 +30,10 @@
 	// that destination.
 	hasProxyStatement, hasEndpointStatement bool
 	// messages, references, class and changesConnectionState make up the batch.
-	messages               []byte
-	references             []executor.Statement
+	messages   []byte
+	references []executor.Statement
+	// referencedBytes is the size of the texts of references.
+	referencedBytes        int
 	class                  executor.Class
 	changesConnectionState bool
 	// hasBind and hasExecute are set if the request contains a Bind, and a
@@ -60,6 +62,11 @@
 	p.aborted = c.status == statusFailed && c.exchange == nil
 	p.failed = c.status == statusFailed && c.exchange != nil
 	p.isPrepared = func(name string) bool { return name == "all" || c.statements.byName[name] != nil }
+	if p.refusal = c.payForMessages(len(r.ends)); p.refusal != nil {
+		// It is not known whether the batch was to begin a transaction.
+		p.inTransaction = true
+		return p, nil
+	}
 	for i := range r.ends {
 		message, err := r.decode(i)
 		if err != nil {
@@ -75,6 +82,9 @@
 			"statements of the proxy cannot be combined with others in one batch")
 	}
 	r.messages = p.messages
+	if p.refusal == nil {
+		p.refusal = c.payForTexts(p.referencedBytes)
+	}
 	return p, nil
 }
 
@@ -321,5 +331,6 @@
 		}
 	}
 	p.references = append(p.references, statement.executorStatement())
+	p.referencedBytes += statement.sizeAs("")
 	return statement, statement.endpointName(), nil
 }
