--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -41,6 +41,11 @@
 	// minRetryAfter and maxRetryAfter bound the suggested delay of a retry.
 	minRetryAfter = 20 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// classRetention is the time after which the mean slot time of an unused class is
+	// forgotten. The utilization and what is above the initial slot time have decayed by then.
+	classRetention = time.Minute
+	// minSweep is the least number of classes or customers of which unused ones are removed.
+	minSweep = 64
 	// maxPriority is the last priority that is distinguished from later ones.
 	maxPriority = 7
 )
@@ -183,6 +188,8 @@
 	// utilizationAt.
 	utilization   float64
 	utilizationAt time.Time
+	// usedAt is when the class was last looked up for a request.
+	usedAt time.Time
 }
 
 func newClass(key Class) *class {
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -19,6 +20,9 @@
 	classes   []*class
 	byKey     map[Class]*class
 	customers map[string]*customer
+	// sweepCustomersAt and sweepClassesAt are the numbers of entries at which unused ones
+	// are removed, 0 for minSweep.
+	sweepCustomersAt, sweepClassesAt int
 	// transactions and late are the waiting statements of open transactions, and the
 	// waiting requests that can only be late.
 	transactions ticketList
@@ -64,7 +68,7 @@
 func (q *Queue) Add(request Request, now time.Time) (*Ticket, []*Ticket) {
 	q.fairShare.advance(now, q.slots)
 	q.sequence++
-	t := &Ticket{Request: request, class: q.class(request.Class), customer: q.customer(request.Customer), sequence: q.sequence}
+	t := &Ticket{Request: request, class: q.class(request.Class, now), customer: q.customer(request.Customer), sequence: q.sequence}
 	t.class.decay(now)
 	t.cost = t.class.slotTime
 	t.customer.setWeight(request.Weight, &q.fairShare)
@@ -273,32 +277,58 @@
 	return changed
 }
 
-func (q *Queue) class(key Class) *class {
+func (q *Queue) class(key Class, now time.Time) *class {
 	c, ok := q.byKey[key]
 	if !ok {
 		if q.byKey == nil {
 			q.byKey = make(map[Class]*class)
 		}
+		if len(q.byKey) >= max(q.sweepClassesAt, minSweep) {
+			q.sweepClasses(now)
+		}
 		c = newClass(key)
 		q.byKey[key] = c
 		q.classes = append(q.classes, c)
 		q.sortClasses()
 	}
+	c.usedAt = now
 	return c
 }
 
+// sweepClasses removes the classes that have not been used for long, as those of routes that
+// were removed. It runs each time that their number has doubled.
+func (q *Queue) sweepClasses(now time.Time) {
+	unused := func(c *class) bool { return c.waiting.peekFirst() == nil && now.Sub(c.usedAt) > classRetention }
+	maps.DeleteFunc(q.byKey, func(_ Class, c *class) bool { return unused(c) })
+	q.classes = slices.DeleteFunc(q.classes, unused)
+	q.sweepClassesAt = 2 * len(q.byKey)
+}
+
 func (q *Queue) customer(name string) *customer {
 	c, ok := q.customers[name]
 	if !ok {
 		if q.customers == nil {
 			q.customers = make(map[string]*customer)
 		}
+		if len(q.customers) >= max(q.sweepCustomersAt, minSweep) {
+			q.sweepCustomers()
+		}
 		c = &customer{weight: 1}
 		q.customers[name] = c
 	}
 	return c
 }
 
+// sweepCustomers removes the customers whose state is that of a new one: they have no
+// requests and are not ahead of their fair share. It runs each time that their number has
+// doubled.
+func (q *Queue) sweepCustomers() {
+	maps.DeleteFunc(q.customers, func(_ string, c *customer) bool {
+		return c.outstanding == 0 && slices.Max(c.used[:]) <= q.fairShare.virtual
+	})
+	q.sweepCustomersAt = 2 * len(q.customers)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func earlier(a, b time.Time) time.Time {
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -195,6 +195,41 @@
 	})
 }
 
+// TestIdleEntriesAreRemoved guards against memory, and a cost of each request, that grow with
+// all customers and routes that a configuration ever had; and against a customer that gets
+// more than its fair share because what it has used is forgotten too early.
+func TestIdleEntriesAreRemoved(t *testing.T) {
+	now := simEpoch
+	var q Queue
+	q.SetSlots(1, now)
+	run := func(customer, route string) {
+		request := newRequest(customer, 0, now)
+		request.Class.Route = route
+		ticket, _ := q.Add(request, now)
+		now = now.Add(time.Millisecond)
+		q.Release(ticket, true, now)
+	}
+	for i := range 5000 {
+		run(fmt.Sprint("customer", i), fmt.Sprint("route", i))
+		now = now.Add(100 * time.Millisecond)
+	}
+	if got, limit := len(q.customers), 2*minSweep; got > limit {
+		t.Errorf("customers: got %d, want at most %d", got, limit)
+	}
+	// 600 routes are used within classRetention.
+	if got, limit := len(q.byKey), 2*(600+minSweep); got > limit || len(q.classes) != got {
+		t.Errorf("classes: got %d and %d, want the same number and at most %d", got, len(q.classes), limit)
+	}
+	heavy := q.customer("heavy")
+	heavy.used[0] = q.fairShare.virtual + 100
+	for i := range 1000 {
+		q.customer(fmt.Sprint("other", i))
+	}
+	if got := q.customers["heavy"]; got != heavy {
+		t.Error("a customer that is ahead of its fair share is removed")
+	}
+}
+
 // BenchmarkQueue measures the processor time of one request while 100 others of 81
 // customers wait.
 func BenchmarkQueue(b *testing.B) {
--- a/director/director.go
+++ b/director/director.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -150,8 +151,8 @@
 }
 
 // Maintain closes connections that have been idle for at least the given time
-// and removes databases that left the registry. It is called about once a
-// second.
+// and removes databases that left the registry, and services without databases.
+// It is called about once a second.
 func (d *Director) Maintain(idle time.Duration) {
 	d.mu.Lock()
 	services := make([]*service, 0, len(d.services))
@@ -165,6 +166,16 @@
 			s.recordSpread()
 		}
 	}
+	d.removeUnusedServices()
+}
+
+// removeUnusedServices removes the services all of whose databases have left the registry.
+func (d *Director) removeUnusedServices() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.services, func(name string, s *service) bool {
+		return len(d.Catalog().Endpoints[name]) == 0 && s.isUnused()
+	})
 }
 
 // A ConnectionLoad is the number of used connections to a service's databases
--- a/director/service.go
+++ b/director/service.go
@@ -337,6 +337,14 @@
 	return s.history.Floor(s.director.SinceBoot().Add(-maxStaleness))
 }
 
+// isUnused reports whether the service has no databases left and no change of its primary
+// waits for this host.
+func (s *service) isUnused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.databases) == 0 && len(s.primaryRefs) == 0 && !s.assignment.Changing
+}
+
 func (s *service) cleanUp(idle time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/director/service_test.go
+++ b/director/service_test.go
@@ -156,3 +156,33 @@
 		}
 	})
 }
+
+// TestServiceWithoutDatabasesIsRemoved guards against memory that grows with all services that
+// ever had a database, and against a service that is removed while a change of its primary
+// waits for this host.
+func TestServiceWithoutDatabasesIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(cataloger.Primary)
+		f.updateCatalog(func(c *cataloger.Catalog) {
+			c.Endpoints = nil
+			c.Assignments["s"] = cataloger.PrimaryAssignment{Service: "s", ID: "p", Revision: 4, Changing: true}
+		})
+		maintain := func(want bool) {
+			t.Helper()
+			f.director.Maintain(time.Minute)
+			if got := f.director.service("s") != nil; got != want {
+				t.Errorf("service exists: got %v, want %v", got, want)
+			}
+		}
+		maintain(true)
+		time.Sleep(deregisteredRetention + time.Second)
+		maintain(true)
+		f.updateCatalog(func(c *cataloger.Catalog) {
+			c.Assignments["s"] = cataloger.PrimaryAssignment{Service: "s", ID: "p", Revision: 5}
+		})
+		maintain(false)
+		if got := runVerb(f.newSession(), executor.VerbWrite, "x").Code; got != executor.CodeBusy {
+			t.Errorf("write without databases: got %v, want %v", got, executor.CodeBusy)
+		}
+	})
+}
--- a/forwarder/client.go
+++ b/forwarder/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -24,6 +25,17 @@
 	Address     string
 }
 
+// generationRetention is how long the suspicion of an address is remembered: longer than an
+// idle connection from before it is kept.
+const generationRetention = 2 * idleConnTimeout
+
+// A generation is the last suspicion of an address.
+type generation struct {
+	// number is that of the suspicion.
+	number      uint64
+	suspectedAt time.Time
+}
+
 // A Client runs operations on other hosts. Its exported fields are set before first use.
 type Client struct {
 	// Dial opens a connection that is reset when it is closed. If it is nil, TCP is used.
@@ -46,15 +58,17 @@
 	pool     *drpcpool.Pool[string, *conn]
 
 	mu sync.Mutex
-	// generations counts the suspicions by address. Idle connections of a former
+	// generations holds the last suspicion of each address. Idle connections of a former
 	// generation are not used, since they may hang.
-	generations map[string]uint64
+	generations map[string]generation
+	// suspicions counts the suspicions of all addresses.
+	suspicions uint64
 }
 
 func (c *Client) init() {
 	c.initOnce.Do(func() {
 		c.pool = drpcpool.New[string, *conn](drpcpool.Options{Expiration: idleConnTimeout, KeyCapacity: maxIdleConns})
-		c.generations = make(map[string]uint64)
+		c.generations = make(map[string]generation)
 		if c.Dial == nil {
 			c.Dial = dialTCP
 		}
@@ -67,7 +81,7 @@
 func (c *Client) generation(address string) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.generations[address]
+	return c.generations[address].number
 }
 
 // Open returns a stream for one operation. It sends nothing if there is an idle
@@ -95,7 +109,7 @@
 // open opens a connection and waits for the handshake.
 func (c *Client) open(ctx context.Context, target Target) (*conn, error) {
 	deadline := c.Now().Add(dialTimeout)
-	generation := c.generation(target.Address)
+	generationBefore := c.generation(target.Address)
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	netConn, err := c.Dial(dialCtx, target.Address)
@@ -106,7 +120,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", target.Name, err)
 	}
-	opened.generation = generation
+	opened.generation = generationBefore
 	reply, err := opened.handshake(deadline)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "handshake with %s: %v", target.Name, err)
@@ -153,8 +167,11 @@
 
 // suspect records that a host did not respond.
 func (c *Client) suspect(target Target, reason error) {
+	now := c.Now()
 	c.mu.Lock()
-	c.generations[target.Address]++
+	c.suspicions++
+	maps.DeleteFunc(c.generations, func(_ string, g generation) bool { return now.Sub(g.suspectedAt) > generationRetention })
+	c.generations[target.Address] = generation{number: c.suspicions, suspectedAt: now}
 	c.mu.Unlock()
 	if c.Detector.Suspect(target.Name, target.Incarnation) && c.OnSuspect != nil {
 		c.OnSuspect(target, reason)
