--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -119,20 +119,26 @@
 
 // start runs the overseer until the end of the test, or until cancel is called.
 func (env *testEnv) start() (cancel func()) {
+	cancel = env.run(env.overseer)
+	time.Sleep(2 * evaluateInterval)
+	synctest.Wait()
+	return cancel
+}
+
+// run runs an overseer until the end of the test, or until cancel is called.
+func (env *testEnv) run(o *Overseer) (cancel func()) {
 	ctx, cancel := context.WithCancel(env.t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		// Run always returns the error of the context.
-		_ = env.overseer.Run(ctx)
+		_ = o.Run(ctx)
 	}()
 	env.t.Cleanup(func() {
 		cancel()
 		<-done
 		time.Sleep(time.Minute)
 	})
-	time.Sleep(2 * evaluateInterval)
-	synctest.Wait()
 	return cancel
 }
 
--- a/overseer/transfer_test.go
+++ b/overseer/transfer_test.go
@@ -1,7 +1,6 @@
 package overseer
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -19,12 +18,12 @@
 	fleetSize int
 	// largeCapacity is the registered capacity of the large host.
 	largeCapacity int64
-	// stoppingHosts are those of the catalog.
-	stoppingHosts map[string]bool
-	// largeSilent is set while the large host sends no reports.
-	largeSilent bool
-	// usageInProgress is set while the small host reports usage.
-	usageInProgress bool
+	// stoppingHosts are those of the catalog. largeSilent is set while the large host sends no
+	// reports, and usageInProgress while the small one reports usage.
+	stoppingHosts                map[string]bool
+	largeSilent, usageInProgress bool
+	// secondLarge is set if another large host is registered, which does not reach the store.
+	secondLarge bool
 }
 
 // newTransferEnv returns a fleet in which the small host is the leader, because it started
@@ -45,7 +44,7 @@
 		o.Members = func() []Member {
 			env.mu.Lock()
 			defer env.mu.Unlock()
-			return []Member{{Name: "h1", RecentlyHeard: true}, {Name: "large", RecentlyHeard: !env.largeSilent}}
+			return []Member{{Name: "h1", RecentlyHeard: true}, {Name: "large", RecentlyHeard: !env.largeSilent}, {Name: "large2", RecentlyHeard: true}}
 		}
 	}
 	env.start()
@@ -67,6 +66,9 @@
 	if env.fleetSize > 1 {
 		catalog.Hosts["large"] = cataloger.Host{Name: "large", Capacity: env.largeCapacity}
 	}
+	if env.secondLarge {
+		catalog.Hosts["large2"] = cataloger.Host{Name: "large2", Capacity: env.largeCapacity}
+	}
 	for _, host := range catalog.Hosts {
 		catalog.RecentHosts = append(catalog.RecentHosts, host)
 	}
@@ -74,32 +76,6 @@
 	return catalog
 }
 
-// startLarge runs the large host until the end of the test.
-func (env *transferEnv) startLarge() {
-	ctx, cancel := context.WithCancel(env.t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		// Run always returns the error of the context.
-		_ = env.large.Run(ctx)
-	}()
-	env.t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-}
-
-// leaders returns the number of hosts that are certain to be the leader.
-func (env *transferEnv) leaders() int {
-	leaders := 0
-	for _, o := range []*Overseer{env.overseer, env.large} {
-		if _, ok := o.leaderToken(); ok {
-			leaders++
-		}
-	}
-	return leaders
-}
-
 // observe returns the changes of leader within a time, and the longest time without one. It
 // fails the test if two hosts are certain to be the leader.
 func (env *transferEnv) observe(d time.Duration) (changes int, longestGap time.Duration) {
@@ -108,23 +84,25 @@
 	gap := time.Duration(0)
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
 		synctest.Wait()
-		switch env.leaders() {
-		case 0:
+		token, leads := env.overseer.leaderToken()
+		if other, ok := env.large.leaderToken(); ok {
+			if leads {
+				env.t.Fatal("two hosts are certain to be the leader")
+			}
+			token, leads = other, true
+		}
+		if !leads {
 			gap += step
-		case 1:
-			gap = 0
-		default:
-			env.t.Fatal("two hosts are certain to be the leader")
+			longestGap = max(longestGap, gap)
+			continue
 		}
-		longestGap = max(longestGap, gap)
-		for _, o := range []*Overseer{env.overseer, env.large} {
-			if token, ok := o.leaderToken(); ok && token != former {
-				if token < former {
-					env.t.Errorf("got fencing token %d after %d, want a higher one", token, former)
-				}
-				former = token
-				changes++
-			}
+		gap = 0
+		if token < former {
+			env.t.Errorf("got fencing token %d after %d, want a higher one", token, former)
+		}
+		if token != former {
+			former = token
+			changes++
 		}
 	}
 	return changes, longestGap
@@ -135,7 +113,7 @@
 func TestSmallLeaderTransfersLeadership(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTransferEnv(t)
-		env.startLarge()
+		env.run(env.large)
 		env.update(func() { env.fleetSize = 30 })
 		changes, gap := env.observe(2 * time.Minute)
 		if _, ok := env.large.leaderToken(); !ok || changes != 1 {
@@ -173,7 +151,7 @@
 				env := newTransferEnv(t)
 				env.update(func() { env.fleetSize = 30 })
 				test.begin(env)
-				env.startLarge()
+				env.run(env.large)
 				if changes, gap := env.observe(30 * time.Second); changes != 0 || gap != 0 {
 					t.Errorf("got %d changes of leader and no leader for %v, want the small host to lead", changes, gap)
 				}
@@ -196,14 +174,16 @@
 }
 
 // TestOfferIsNotAccepted guards against a fleet that stays without a leader, or changes its
-// leader again and again, because the successor does not reach the store.
+// leader again and again, because no successor reaches the store.
 func TestOfferIsNotAccepted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTransferEnv(t)
-		env.update(func() { env.fleetSize = 30 })
-		changes, gap := env.observe(formerLeaderPause)
-		if _, ok := env.overseer.leaderToken(); !ok || changes != 1 {
-			t.Errorf("got %d changes of leader, small host is the leader: %v, want it to lead again once", changes, ok)
+		env.update(func() { env.fleetSize, env.secondLarge = 30, true })
+		changes, gap := env.observe(transferPause)
+		later, laterGap := env.observe(formerLeaderPause - transferPause)
+		gap = max(gap, laterGap)
+		if _, ok := env.overseer.leaderToken(); !ok || changes != 1 || later != 1 {
+			t.Errorf("got %d and %d changes of leader, small host is the leader: %v, want it to lead again after one offer to each large host, a minute apart", changes, later, ok)
 		}
 		if limit := offerTimeout + 2*evaluateInterval; gap > limit {
 			t.Errorf("no leader for %v, want at most %v", gap, limit)
@@ -218,7 +198,7 @@
 		env := newTransferEnv(t)
 		began := time.Now()
 		env.overseer.RecentlyStarted = func() bool { return time.Since(began) < 15*time.Second }
-		env.startLarge()
+		env.run(env.large)
 		env.update(func() { env.fleetSize = 30 })
 		env.observe(transferSettleTime + time.Second)
 		if _, ok := env.large.leaderToken(); !ok {
