--- a/cataloger/placement.go
+++ b/cataloger/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
 	"slices"
 )
@@ -48,10 +49,10 @@
 	services = slices.Sorted(slices.Values(services))
 	candidates := poolCandidates(hosts, lastResort)
 	assignPlacementLimits(candidates, len(services))
-	scores := placementScores(services, candidates)
-	first := placeByScore(scores, len(services))
+	ranked := rankCandidates(services, candidates)
+	first := placeByScore(ranked)
 	for i, service := range services {
-		placed[service] = orderedPoolHosts(i, first[i], scores)
+		placed[service] = orderedPoolHosts(first[i], &ranked[i])
 	}
 	return placed
 }
@@ -105,55 +106,115 @@
 	}
 }
 
-// placementScores returns the scores of all candidates that may pool services, the best
-// first, those of last resort at the end.
-func placementScores(services []string, candidates []*poolCandidate) []placementScore {
-	scores := make([]placementScore, 0, len(services)*len(candidates))
+// compare orders scores: the best first, those of last resort at the end.
+func (s placementScore) compare(other placementScore) int {
+	if s.candidate.lastResort != other.candidate.lastResort {
+		if other.candidate.lastResort {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(other.score, s.score), cmp.Compare(s.candidate.name, other.candidate.name), cmp.Compare(s.service, other.service))
+}
+
+// A scoreHeap is a heap of scores with the best on top.
+type scoreHeap []placementScore
+
+// Len implements heap.Interface.
+func (h scoreHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h scoreHeap) Less(i, j int) bool { return h[i].compare(h[j]) < 0 }
+
+// Swap implements heap.Interface.
+func (h scoreHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *scoreHeap) Push(score any) { *h = append(*h, score.(placementScore)) }
+
+// Pop implements heap.Interface.
+func (h *scoreHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// A ranking is the candidates of a service in the order of their scores. It orders only those
+// that are asked for, since most services need a few of hundreds.
+type ranking struct {
+	best []placementScore
+	rest scoreHeap
+}
+
+// at returns the candidate with the given rank; ok is false if there are fewer.
+func (r *ranking) at(rank int) (score placementScore, ok bool) {
+	for len(r.best) <= rank && len(r.rest) > 0 {
+		r.best = append(r.best, heap.Pop(&r.rest).(placementScore))
+	}
+	if rank >= len(r.best) {
+		return placementScore{}, false
+	}
+	return r.best[rank], true
+}
+
+// rankCandidates ranks, for each service, all candidates that may pool services.
+func rankCandidates(services []string, candidates []*poolCandidate) []ranking {
+	rankings := make([]ranking, len(services))
 	for i, service := range services {
+		scores := make(scoreHeap, 0, len(candidates))
 		for _, c := range candidates {
 			if c.limit > 0 {
 				scores = append(scores, placementScore{service: i, candidate: c, score: rendezvousScore(service, c.name, c.weight)})
 			}
 		}
+		heap.Init(&scores)
+		rankings[i].rest = scores
 	}
-	slices.SortFunc(scores, func(a, b placementScore) int {
-		if a.candidate.lastResort != b.candidate.lastResort {
-			if b.candidate.lastResort {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.candidate.name, b.candidate.name), cmp.Compare(a.service, b.service))
-	})
-	return scores
+	return rankings
 }
 
-// placeByScore gives each service the host with the best score that has room for it. A
-// host that is lost leaves the pairs of other hosts in their order, so that a service of
-// another one moves only if a moved service with a better score fills its host.
-func placeByScore(scores []placementScore, services int) []*poolCandidate {
-	first := make([]*poolCandidate, services)
+// placeByScore gives each service the host with the best score that has room for it, in the
+// order of the scores of all services. A host that is lost leaves the pairs of other hosts in
+// their order, so that a service of another one moves only if a moved service with a better
+// score fills its host.
+func placeByScore(rankings []ranking) []*poolCandidate {
+	first := make([]*poolCandidate, len(rankings))
 	used := make(map[*poolCandidate]int)
-	for _, s := range scores {
-		if first[s.service] == nil && used[s.candidate] < s.candidate.limit {
+	ranks := make([]int, len(rankings))
+	var next scoreHeap
+	for i := range rankings {
+		if score, ok := rankings[i].at(0); ok {
+			next = append(next, score)
+		}
+	}
+	heap.Init(&next)
+	for len(next) > 0 {
+		s := heap.Pop(&next).(placementScore)
+		if used[s.candidate] < s.candidate.limit {
 			first[s.service] = s.candidate
 			used[s.candidate]++
+			continue
+		}
+		ranks[s.service]++
+		if score, ok := rankings[s.service].at(ranks[s.service]); ok {
+			heap.Push(&next, score)
 		}
 	}
 	return first
 }
 
 // orderedPoolHosts returns the pool host of a service and the next best ones by score.
-func orderedPoolHosts(service int, first *poolCandidate, scores []placementScore) []string {
+func orderedPoolHosts(first *poolCandidate, ranked *ranking) []string {
 	var names []string
 	if first != nil {
 		names = append(names, first.name)
 	}
-	for _, s := range scores {
-		if len(names) == maxPoolHosts {
+	for rank := 0; len(names) < maxPoolHosts; rank++ {
+		s, ok := ranked.at(rank)
+		if !ok {
 			break
 		}
-		if s.service == service && s.candidate != first {
+		if s.candidate != first {
 			names = append(names, s.candidate.name)
 		}
 	}
--- a/cataloger/placement_test.go
+++ b/cataloger/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"testing"
 )
@@ -136,8 +137,63 @@
 
 // BenchmarkPoolHosts measures the placement, which each host computes with each catalog.
 func BenchmarkPoolHosts(b *testing.B) {
-	hosts, services := mixedHosts(6, 189), serviceNames(8)
-	for b.Loop() {
-		PoolHosts(services, hosts, neverLastResort)
+	for _, size := range []struct{ services, large, small int }{{8, 6, 189}, {8, 0, 300}, {32, 0, 100}, {96, 0, 300}} {
+		b.Run(fmt.Sprintf("%d_services_%d_large_%d_small", size.services, size.large, size.small), func(b *testing.B) {
+			hosts, services := mixedHosts(size.large, size.small), serviceNames(size.services)
+			for b.Loop() {
+				PoolHosts(services, hosts, neverLastResort)
+			}
+		})
+	}
+}
+
+// sortedPoolHosts returns the same as PoolHosts by sorting all pairs of services and hosts.
+func sortedPoolHosts(services []string, hosts []Host, lastResort func(host string) bool) map[string][]string {
+	services = slices.Sorted(slices.Values(services))
+	candidates := poolCandidates(hosts, lastResort)
+	assignPlacementLimits(candidates, len(services))
+	var scores []placementScore
+	for _, r := range rankCandidates(services, candidates) {
+		scores = append(scores, r.rest...)
+	}
+	slices.SortFunc(scores, placementScore.compare)
+	first, used := make([]*poolCandidate, len(services)), make(map[*poolCandidate]int)
+	for _, s := range scores {
+		if first[s.service] == nil && used[s.candidate] < s.candidate.limit {
+			first[s.service] = s.candidate
+			used[s.candidate]++
+		}
+	}
+	placed := make(map[string][]string)
+	for i, service := range services {
+		var names []string
+		if first[i] != nil {
+			names = append(names, first[i].name)
+		}
+		for _, s := range scores {
+			if s.service == i && s.candidate != first[i] && len(names) < maxPoolHosts {
+				names = append(names, s.candidate.name)
+			}
+		}
+		placed[service] = names
+	}
+	return placed
+}
+
+// TestPoolHostsAgreeWithSorting guards against hosts of different versions that disagree on
+// the pool hosts, since the placement no longer sorts all pairs of services and hosts.
+func TestPoolHostsAgreeWithSorting(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		hosts := mixedHosts(random.IntN(4), 1+random.IntN(40))
+		if random.IntN(2) == 0 {
+			hosts[0].Capacity = int64(random.IntN(200_000))
+		}
+		services := serviceNames(1 + random.IntN(60))
+		starting := random.IntN(len(hosts))
+		lastResort := func(host string) bool { return host == hosts[starting].Name || host == "small1" }
+		if got, want := PoolHosts(services, hosts, lastResort), sortedPoolHosts(services, hosts, lastResort); !reflect.DeepEqual(got, want) {
+			t.Fatalf("seed %d: got %v, want %v", seed, got, want)
+		}
 	}
 }
