--- a/exchanger/delivery.go
+++ b/exchanger/delivery.go
@@ -1,6 +1,9 @@
 package exchanger
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 // A delivery tracks which records have reached a process that is complete up to a later
 // revision: a host sends its own writes of the last seconds regardless of that revision,
@@ -14,25 +17,29 @@
 	confirmed, sent map[string]int64
 }
 
-// next returns the records to send to a process that is complete up to revision. They are
-// the given ones without those that it has. Records later than revision are always sent,
-// since a message without them does not show that it is complete.
-func (d *delivery) next(records []Record, revision int64) []Record {
+// next returns the records to send, with a report of ownRevision, to a process that is complete
+// up to revision. They are the given ones without those that it has.
+func (d *delivery) next(records []Record, revision, ownRevision int64) []Record {
 	confirmed := make(map[string]int64)
 	d.sent = make(map[string]int64)
 	kept := make([]Record, 0, len(records))
+	var known []Record
 	for _, record := range records {
-		switch {
-		case record.Revision > revision:
-		case d.confirmed[record.Key] == record.Revision:
+		if d.confirmed[record.Key] == record.Revision {
 			confirmed[record.Key] = record.Revision
+			known = append(known, record)
 			continue
-		default:
+		}
+		if record.Revision <= revision || record.Revision > ownRevision {
 			d.sent[record.Key] = record.Revision
 		}
 		kept = append(kept, record)
 	}
 	d.confirmed = confirmed
+	if len(kept) == 0 && len(known) > 0 && ownRevision > revision {
+		// Without any record the message would not show that it is complete.
+		kept = append(kept, slices.MinFunc(known, func(a, b Record) int { return len(a.Value) - len(b.Value) }))
+	}
 	return kept
 }
 
--- a/exchanger/delivery_test.go
+++ b/exchanger/delivery_test.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"cmp"
 	"io"
 	"log/slog"
 	"testing"
@@ -13,10 +14,10 @@
 func TestOwnWritesAreSentOnce(t *testing.T) {
 	now := time.Unix(100, 0)
 	own := Record{Key: "voters", Revision: 31}
-	age := time.Duration(0)
+	age, ownRevision := time.Duration(0), int64(40)
 	e := &Exchanger{
 		Host: "hub", Now: func() time.Time { return now }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), OnMessage: func(Message, time.Time) {},
-		Report:       func(string) Report { return Report{Host: "hub", Incarnation: "1", Revision: 40, Age: age} },
+		Report:       func(string) Report { return Report{Host: "hub", Incarnation: "1", Revision: ownRevision, Age: age} },
 		RecordsSince: func(int64) []Record { return []Record{own} },
 	}
 	last := uint64(0)
@@ -28,6 +29,8 @@
 		lost bool
 		// neverComplete is set if the host ignores the reply.
 		neverComplete bool
+		// ownRevision is the revision up to which the sender is complete, 40 if it is 0.
+		ownRevision int64
 		// written is the revision of the record.
 		written int64
 		want    int
@@ -39,13 +42,17 @@
 		{name: "written again", incarnation: "a", revision: 40, written: 38, want: 1},
 		{name: "that received", incarnation: "a", revision: 40, written: 38, want: 0},
 		{name: "not complete up to it", incarnation: "a", revision: 30, written: 38, want: 1},
+		{name: "written after what both know", incarnation: "a", revision: 40, written: 41, want: 1},
+		{name: "that received before the sender knows it", incarnation: "a", revision: 40, written: 41, want: 0},
+		{name: "needed to show completeness", incarnation: "a", revision: 40, ownRevision: 41, written: 41, want: 1},
+		{name: "complete", incarnation: "a", revision: 41, ownRevision: 41, written: 41, want: 0},
 		{name: "next process", incarnation: "b", revision: 40, written: 38, neverComplete: true, want: 1},
 		{name: "reply was ignored", incarnation: "b", revision: 40, written: 38, want: 1},
 		{name: "reply received by the next process", incarnation: "b", revision: 40, written: 38, want: 0},
 	}
 	for _, step := range steps {
 		now = now.Add(time.Second)
-		own.Revision, age = step.written, 0
+		own.Revision, age, ownRevision = step.written, 0, cmp.Or(step.ownRevision, 40)
 		if step.neverComplete {
 			age = -1
 		}
@@ -64,9 +71,9 @@
 // TestDeliveryForgets guards against a host that keeps the keys of all writes that it ever sent.
 func TestDeliveryForgets(t *testing.T) {
 	var d delivery
-	d.next([]Record{{Key: "a", Revision: 1}}, 5)
+	d.next([]Record{{Key: "a", Revision: 1}}, 5, 5)
 	d.confirm()
-	d.next(nil, 5)
+	d.next(nil, 5, 5)
 	if got := len(d.confirmed) + len(d.sent); got != 0 {
 		t.Errorf("got %d keys after they are sent no longer, want none", got)
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -318,7 +318,7 @@
 		request.compress = e.compressor.compress
 	}
 	if peerRevision > 0 {
-		request.Records = c.delivery.next(e.RecordsSince(peerRevision), peerRevision)
+		request.Records = c.delivery.next(e.RecordsSince(peerRevision), peerRevision, request.Report.Revision)
 	}
 	var reply Message
 	sent := e.Now()
@@ -419,7 +419,7 @@
 	if request.AcceptsCompression {
 		reply.compress = e.compressor.compress
 	}
-	reply.Records = records.next(e.RecordsSince(request.Report.Revision), request.Report.Revision)
+	reply.Records = records.next(e.RecordsSince(request.Report.Revision), request.Report.Revision, reply.Report.Revision)
 	if reply.Report.Age < 0 {
 		// The receiver ignores the records of a host that has never been complete.
 		records.forgetSent()
