--- a/flooder/platform_host_test.go
+++ b/flooder/platform_host_test.go
@@ -3,24 +3,14 @@
 package flooder
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
-	"strings"
 	"testing"
-	"time"
-)
 
-// platformConfiguration lets through what the databases can serve, so that tests
-// do not measure the rate limits.
-const platformConfiguration = `{"version":1,"routes":[` +
-	`{"name":"pay","host":"pay","kind":"primary","timeout_ms":20000,"target_latency_ms":20000,"priority":1,"service":"s","public":false}],` +
-	`"services":[{"name":"s","max_conns":30,"sync_replicas":0}],"limits":{"tx_idle_ms":10000},` +
-	`"tenants":[{"name":"ordinary","api_keys":["key-1"],"priority":1,"rate_per_s":10000,"burst":10000},` +
-	`{"name":"crowd","api_keys":["key-2"],"priority":1,"rate_per_s":10000,"burst":10000}]}`
+	"github.com/endiveturn/endiveturn/platform/standin"
+)
 
 // A platformHost is a host of the platform, "endiveturn host", with its stand-ins.
 type platformHost struct {
@@ -30,18 +20,23 @@
 
 func startPlatformHost(t *testing.T) *platformHost {
 	t.Helper()
-	store := newPlatformStore(t)
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
 	for i, role := range []string{"primary", "replica", "replica"} {
-		database := newPlatformDatabase(t, fmt.Sprint("d", i), role)
-		store.put("servers/"+database.id, database.registration(fmt.Sprint("z", i)))
+		database, err := standin.NewDatabase(fmt.Sprint("d", i), role)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(database.Close)
+		store.Register(database, fmt.Sprint("z", i))
 	}
-	store.put("op/config", platformConfiguration)
+	store.PutConfiguration(standin.Configuration)
 	addresses := reserveAddresses(t, 4)
 	h := &platformHost{client: addresses[0], readiness: addresses[1], peer: addresses[2], metrics: addresses[3]}
 	settings, err := json.Marshal(map[string]any{
 		"host": "h1", "data_centre": "z0", "client_address": h.client, "readiness_address": h.readiness,
-		"peer_address": h.peer, "metrics_address": h.metrics, "store_address": store.address(),
-		"promotion_address": store.address(), "stop_timeout_s": 6, "memory_mb": machineMemory,
+		"peer_address": h.peer, "metrics_address": h.metrics, "store_address": store.Address(),
+		"promotion_address": store.Address(), "stop_timeout_s": 6, "memory_mb": machineMemory,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -59,12 +54,12 @@
 func (h *platformHost) awaitServing(t *testing.T) {
 	t.Helper()
 	eventually(t, "ordinary request on a new connection", func() error {
-		client, err := dialPlatform(h.client, "key-1")
+		client, err := dialOrdinary(h.client)
 		if err != nil {
 			return err
 		}
-		defer client.close()
-		return client.query("READ one")
+		defer client.Close()
+		return client.Query("READ one")
 	})
 }
 
@@ -73,18 +68,18 @@
 func (h *platformHost) flood(t *testing.T, c crowd) {
 	t.Helper()
 	const ordinary = 5
-	var clients []*platformClient
+	var clients []*standin.Client
 	for range ordinary {
-		client, err := dialPlatform(h.client, "key-1")
+		client, err := dialOrdinary(h.client)
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer client.close()
+		defer client.Close()
 		clients = append(clients, client)
 	}
 	c.run(t, func() {
 		for _, client := range clients {
-			eventually(t, "ordinary request while the crowd is there", func() error { return client.query("READ one") })
+			eventually(t, "ordinary request while the crowd is there", func() error { return client.Query("READ one") })
 		}
 		h.check(t)
 	})
@@ -92,53 +87,7 @@
 	h.check(t)
 }
 
-// A platformClient is an ordinary client of a host of the platform.
-type platformClient struct {
-	conn   net.Conn
-	reader *bufio.Reader
-	// err is set once the connection is broken.
-	err error
-}
-
-func dialPlatform(address, key string) (*platformClient, error) {
-	conn, err := net.DialTimeout("tcp", address, 5*time.Second) //nolint:noctx // bounded by the timeout
-	if err != nil {
-		return nil, err
-	}
-	c := &platformClient{conn: conn, reader: bufio.NewReader(conn)}
-	if err := c.exchange("STARTUP pay " + key); err != nil {
-		c.close()
-		return nil, err
-	}
-	return c, nil
-}
-
-// query runs a statement; a refusal by the host is an error, too.
-func (c *platformClient) query(text string) error { return c.exchange("QUERY 1 " + text) }
-
-func (c *platformClient) exchange(message string) error {
-	if c.err != nil {
-		return c.err
-	}
-	_ = c.conn.SetDeadline(time.Now().Add(maxWait))
-	if _, err := fmt.Fprint(c.conn, message, "\r\n"); err != nil {
-		c.err = err
-		return err
-	}
-	var refusal error
-	for {
-		line, err := c.reader.ReadString('\n')
-		if err != nil {
-			c.err = err
-			return err
-		}
-		if strings.HasPrefix(line, "ERROR") {
-			refusal = fmt.Errorf("refused: %s", strings.TrimSpace(line))
-		}
-		if strings.HasPrefix(line, "READY") {
-			return refusal
-		}
-	}
+// dialOrdinary connects as an ordinary client, whose waits are bounded by maxWait.
+func dialOrdinary(address string) (*standin.Client, error) {
+	return standin.Dial(address, standin.OrdinaryKey, maxWait)
 }
-
-func (c *platformClient) close() { _ = c.conn.Close() }
--- a/flooder/platform_test.go
+++ b/flooder/platform_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/endiveturn/endiveturn/platform/standin"
 )
 
 // maxMessage is the size in bytes up to which the platform's protocol allows
@@ -17,7 +19,7 @@
 const maxMessage = 1 << 20
 
 // startSession is the startup message of a member of the crowd.
-const startSession = "STARTUP pay key-2\r\n"
+var startSession = standin.Startup()
 
 // platformMessage returns a message of the given size without its line ending.
 func platformMessage(start string, size int) []byte {
@@ -164,9 +166,9 @@
 	for _, name := range []string{"readiness", "metrics"} {
 		t.Run(name, func(t *testing.T) {
 			h := startPlatformHost(t)
-			address, path := h.readiness, "/endiveturn/readyz"
+			address, path := h.readiness, standin.ReadinessPath
 			if name == "metrics" {
-				address, path = h.metrics, "/metrics"
+				address, path = h.metrics, standin.MetricsPath
 			}
 			request := "GET " + path + " HTTP/1.1\r\nHost: h\r\n"
 			h.flood(t, crowd{address: address, size: 900, act: func(conn net.Conn, member int) error {
@@ -181,15 +183,15 @@
 // startup message of that size, which is answered although no such key exists.
 func TestUncontrolledClientsHostCalm(t *testing.T) {
 	h := startPlatformHost(t)
-	client, err := dialPlatform(h.client, "key-1")
+	client, err := dialOrdinary(h.client)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer client.close()
-	if err := writeAll(client.conn, platformMessage("QUERY 1 WRITE k ", maxMessage-2), 1000); err != nil {
+	defer client.Close()
+	if err := writeAll(client.Conn, platformMessage("QUERY 1 WRITE k ", maxMessage-2), 1000); err != nil {
 		t.Fatal(err)
 	}
-	if err := client.exchange(""); err != nil {
+	if err := client.Exchange(""); err != nil {
 		t.Errorf("message of %d bytes: %v", maxMessage, err)
 	}
 	conn, err := net.Dial("tcp", h.client) //nolint:noctx // loopback
--- a/imports_test.go
+++ b/imports_test.go
@@ -22,6 +22,10 @@
 // modulePrefix is the start of the import path of every module but the root.
 const modulePrefix = "github.com/endiveturn/endiveturn/"
 
+// platformStandin is the package with stand-ins of the platform for tests. It is listed by
+// itself, since it is no part of the adapter.
+const platformStandin = "platform/standin"
+
 // An importTable maps each module to the sorted names of the sibling modules that it
 // imports.
 type importTable map[string][]string
@@ -94,6 +98,9 @@
 		}
 		if rest, ok := strings.CutPrefix(imported, modulePrefix); ok {
 			module, _, _ := strings.Cut(rest, "/")
+			if rest == platformStandin {
+				module = platformStandin
+			}
 			siblings[module] = true
 		}
 	}
@@ -191,6 +198,9 @@
 		if module != rootModule && slices.Contains(siblings, "platform") {
 			t.Errorf("%s imports platform, which only the commands may import", module)
 		}
+		if module != "flooder" && slices.Contains(siblings, platformStandin) {
+			t.Errorf("%s imports %s, which only the tests of flooder may import", module, platformStandin)
+		}
 	}
 	actual := readImports(t, false)
 	reached := map[string]bool{"platform": true}
