--- a/exchanger/codec.go
+++ b/exchanger/codec.go
@@ -44,6 +44,7 @@
 	// fieldStoppingHost and fieldUnreachable are repeated.
 	fieldStoppingHost
 	fieldUnreachable
+	fieldCompleteAfter
 )
 
 // Field numbers of the nested messages.
@@ -126,6 +127,7 @@
 	b = appendNumber(b, fieldDigest, r.Digest)
 	b = appendNumber(b, fieldSequence, m.Sequence)
 	b = appendNumber(b, fieldEcho, m.Echo)
+	b = appendNumber(b, fieldCompleteAfter, uint64(m.CompleteAfter))
 	b = appendNumber(b, fieldHosts, uint64(max(0, r.Hosts)))
 	b = appendNumber(b, fieldUptime, encodeDuration(r.Uptime))
 	b = appendNumber(b, fieldMajorityHeardAge, encodeDuration(r.MajorityHeardAge))
@@ -203,7 +205,7 @@
 // of a nested one. Fields from them on are ignored. A message has up to hundreds of nested
 // ones; arrays of fieldLimit for each took 15 % longer (BenchmarkExchange).
 const (
-	fieldLimit       = fieldUnreachable + 1
+	fieldLimit       = fieldCompleteAfter + 1
 	nestedFieldLimit = fieldFifth + 1
 )
 
@@ -263,6 +265,7 @@
 		return Message{}, err
 	}
 	m.Sequence, m.Echo = f.numbers[fieldSequence], f.numbers[fieldEcho]
+	m.CompleteAfter = int64(f.numbers[fieldCompleteAfter])
 	r := &m.Report
 	r.Host, r.Incarnation = f.text(fieldHost), f.text(fieldIncarnation)
 	r.Address, r.DataCentre = f.text(fieldAddress), f.text(fieldDataCentre)
--- a/exchanger/codec_test.go
+++ b/exchanger/codec_test.go
@@ -27,7 +27,7 @@
 				ReleasedRevisions: map[string]int64{"s1": 9}, Counts: []byte{8, 0, 255},
 				Unreachable: map[string][]string{"s1": {"d3", "d4"}},
 			},
-			Sequence: 7, Echo: 8, AcceptsCompression: true,
+			Sequence: 7, Echo: 8, AcceptsCompression: true, CompleteAfter: 75,
 			Records: []Record{{Key: "k", Value: []byte{0, 255}, Revision: 3}, {Key: "gone", Revision: 4, Deleted: true}},
 		}},
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -318,6 +318,7 @@
 		request.compress = e.compressor.compress
 	}
 	if peerRevision > 0 {
+		request.CompleteAfter = peerRevision
 		request.Records = c.delivery.next(e.RecordsSince(peerRevision), peerRevision, request.Report.Revision)
 	}
 	var reply Message
@@ -415,7 +416,7 @@
 	records := peer.delivery
 	e.mu.Unlock()
 	e.RecordMessage(*request, sent)
-	reply := &Message{Report: e.Report(name), AcceptsCompression: true}
+	reply := &Message{Report: e.Report(name), AcceptsCompression: true, CompleteAfter: request.Report.Revision}
 	if request.AcceptsCompression {
 		reply.compress = e.compressor.compress
 	}
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -272,3 +272,29 @@
 		t.Errorf("got HeardAt %v after %d calls, want %v after 1", got, calls, sentAt)
 	}
 }
+
+// TestCompletes guards against views that are never confirmed while the revision of the store
+// advances without a record, as with a key that hosts do not mirror.
+func TestCompletes(t *testing.T) {
+	records := []Record{{Key: "k", Revision: 8}}
+	tests := []struct {
+		name     string
+		message  Message
+		revision int64
+		want     bool
+	}{
+		{"nothing new", Message{Report: Report{Revision: 7}}, 7, true},
+		{"newer, without records", Message{Report: Report{Revision: 9}, CompleteAfter: 7}, 7, true},
+		{"newer, with records", Message{Report: Report{Revision: 9}, CompleteAfter: 7, Records: records}, 7, true},
+		{"records missing between", Message{Report: Report{Revision: 9}, CompleteAfter: 8, Records: records}, 7, false},
+		{"request without records", Message{Report: Report{Revision: 9}}, 7, false},
+		{"former release", Message{Report: Report{Revision: 9}, Records: records}, 7, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.message.Completes(test.revision); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/exchanger/report.go
+++ b/exchanger/report.go
@@ -83,6 +83,18 @@
 	Deleted  bool
 }
 
+// Completes reports whether a host whose records are complete up to a revision has all
+// records up to the revision of the sender once it has added those of the message.
+func (m Message) Completes(revision int64) bool {
+	if m.Report.Revision <= revision {
+		return true
+	}
+	if m.CompleteAfter == 0 {
+		return len(m.Records) > 0
+	}
+	return m.CompleteAfter <= revision
+}
+
 // A Message carries a report, and records that the receiver lacks.
 type Message struct {
 	Report Report
@@ -92,6 +104,10 @@
 	// request was sent after it.
 	Echo    uint64
 	Records []Record
+	// CompleteAfter is the revision after which Records has all records of the sender, 0 if
+	// that is not known. Revisions can pass without a record, as hosts do not mirror all
+	// keys. The former release leaves it out.
+	CompleteAfter int64
 	// AcceptsCompression is set if the sender accepts records with compressed values,
 	// as all but former versions do.
 	AcceptsCompression bool
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -117,9 +117,7 @@
 	for _, record := range message.Records {
 		records = append(records, informer.Record(record))
 	}
-	ownRevision := h.mirror.Revision()
-	complete := report.Revision <= ownRevision || len(records) > 0
-	if !complete || report.Age < 0 {
+	if !message.Completes(h.mirror.Revision()) || report.Age < 0 {
 		return
 	}
 	completeAsOf := time.Time{}
--- a/hoster/peers_test.go
+++ b/hoster/peers_test.go
@@ -69,3 +69,18 @@
 		t.Errorf("got unreachable databases %v, want b of s alone", report.Unreachable)
 	}
 }
+
+// TestFreshnessWithoutRecords guards against views of a large fleet that grow old behind a
+// working hub while only keys that hosts do not mirror change in the store.
+func TestFreshnessWithoutRecords(t *testing.T) {
+	h := newTestHost(20)
+	own := h.mirror.Revision()
+	sent := timekeeper.Now()
+	h.handleMessage(exchanger.Message{Report: exchanger.Report{Host: "h1", Revision: own + 3}, CompleteAfter: own}, sent)
+	if got := h.mirror.CompleteAsOf(); !got.Equal(sent) {
+		t.Errorf("view complete as of %v before the message, want its sending", sent.Sub(got))
+	}
+	if got, want := h.mirror.Revision(), own+3; got != want {
+		t.Errorf("revision: got %d, want %d", got, want)
+	}
+}
