--- a/acceptor/budget.go
+++ b/acceptor/budget.go
@@ -19,7 +19,7 @@
 	// so that ordinary requests take no lock.
 	uncountedRequest = 8 << 10
 	// messageOverhead is the memory in bytes that a message of a batch takes besides its
-	// text: decoded, and as a statement or portal of the batch (measured: up to 232).
+	// text: decoded, and as a statement or portal of the batch, up to 232 bytes.
 	messageOverhead = 256
 	// textCopies is how often the text of a prepared statement that is sent again is in
 	// memory besides the session's: as it is sent to a database or to another host, and in
--- a/accountant/checkpointer.go
+++ b/accountant/checkpointer.go
@@ -14,12 +14,12 @@
 
 const (
 	// checkpointInterval is the time between two checkpoints of counts that change. A kill
-	// of all hosts spoils the window in which it happens in any case, since the counts of
+	// of all hosts makes the window in which it happens wrong in any case, since the counts of
 	// the last 180 ms are not reported, so that a shorter interval would save no window.
 	checkpointInterval = time.Second
 	// boundaryInterval is the same from just before the end of a window until its counts no
 	// longer change. It is added to the interval of reports, 180 ms, as the time after the
-	// end of a window in which a kill of all hosts may spoil that window and the next one.
+	// end of a window in which a kill of all hosts may make that window and the next one wrong.
 	boundaryInterval = 100 * time.Millisecond
 	// readTimeout bounds reading the checkpoint.
 	readTimeout = 1200 * time.Millisecond
