--- a/main_test.go
+++ b/main_test.go
@@ -172,10 +172,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
 	defer cancel()
 	got, err := query(ctx, args[0], args[1])
-	for isCutOff(err) && ctx.Err() == nil {
-		time.Sleep(pauseBetweenAttempts)
-		got, err = query(ctx, args[0], args[1])
-	}
 	if neg {
 		if err == nil || !strings.Contains(err.Error(), args[2]) {
 			ts.Fatalf("error: got %v, want one with %q", err, args[2])
@@ -188,13 +184,6 @@
 	}
 }
 
-// isCutOff reports whether a host refused a connection since it had no contact with the store
-// or other hosts, as all hosts of a script do while the machine runs none of them for seconds.
-// Nothing was checked or run then. No script partitions hosts.
-func isCutOff(err error) bool {
-	return err != nil && strings.Contains(err.Error(), "host is cut off and may not check keys")
-}
-
 // awaitSQL is the command "await URL STATEMENT": it repeats a statement until it
 // succeeds, for example until a host has started. It logs each distinct error.
 func awaitSQL(ts *testscript.TestScript, _ bool, args []string) {
