--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -54,18 +55,28 @@
 	return f, kv.Addr().String(), cloud.Addr().String(), nil
 }
 
+// firstPort and ports are the range from which hosts get their ports. It is below the one from
+// which the kernel takes those of outgoing connections.
+const (
+	firstPort = 12000
+	ports     = 18000
+)
+
 // freeAddresses returns addresses that were free a moment ago.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 * n {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		if addresses = append(addresses, address); len(addresses) == n {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, errors.New("no free ports")
 }
 
 // startHosts starts the hosts with the command of the deploy file.
