Count the grace period of a planned change from its record

Cause: a host counted the grace period of 1.2 s from when it learned of the change, the leader waited 1.15 s from a quorum of acknowledgements. The trace shows the record at 46.913, the notice at the suspended host at 47.863, the end of the wait at 48.095, the promotion at 48.42 and commits at the former primary until 48.431; the host's statements name the revision of the change.

Change: the assignment names the leader's process and its uptime at the record. A host converts that by the last report of this process to an instant that is not later than the record, and checks each statement against the end of the period on a clock that counts suspensions. Without such a report it grants no grace. The period is now 1 s, the age at which views expire, so that the leader waits no longer than before; it waits longer for a record with a longer one.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -49,9 +49,12 @@
 	// Changing is set while the primary is being replaced. No host may then use
 	// a primary of the service.
 	Changing bool
-	// GracePeriod is how long open transactions may continue while Changing is
-	// set.
+	// GracePeriod is how long after RecordedAt open transactions may continue while
+	// Changing is set.
 	GracePeriod time.Duration
+	// RecordedAt is when the leader began to record the change that grants GracePeriod. It is
+	// not later than the record. Its zero value stands for unknown.
+	RecordedAt ProcessTime
 	// Pending is the last promotion that was requested or is about to be, and that may
 	// still take effect.
 	Pending PendingPromotion
@@ -59,6 +62,15 @@
 	Revision int64
 }
 
+// A ProcessTime is an instant by the clock of one process of a host: hosts have no common
+// clock.
+type ProcessTime struct {
+	Host        string
+	Incarnation string
+	// Uptime is how long the process had run.
+	Uptime time.Duration
+}
+
 // A PendingPromotion is a promotion that may still take effect. Its zero value stands for
 // none.
 type PendingPromotion struct {
--- a/director/director.go
+++ b/director/director.go
@@ -50,6 +50,9 @@
 	// ViewCompleteAsOf returns the latest time, on the clock of SinceBoot, at
 	// which this host's view of the primaries is known to have been complete.
 	ViewCompleteAsOf func() time.Time
+	// LocalTime returns an instant on the clock of SinceBoot that is not later than the given
+	// one of another process; ok is false if none is known.
+	LocalTime func(t cataloger.ProcessTime) (local time.Time, ok bool)
 	// BeginRequest is called when a request of a customer is sent to a database, and
 	// returns the window in which it counts; EndRequest is called with its outcome. Both
 	// are nil where requests are not counted.
--- a/director/service.go
+++ b/director/service.go
@@ -43,6 +43,9 @@
 	primarySince time.Time
 	// assignment is the primary assignment by which primary was chosen.
 	assignment cataloger.PrimaryAssignment
+	// graceUntil is until when transactions may continue with the primary that is being
+	// replaced, on the clock of Director.SinceBoot. It is zero if they may not.
+	graceUntil time.Time
 	history    PositionHistory
 	// primaryRefs are the references of operations to the primary or to a
 	// former primary.
@@ -170,7 +173,7 @@
 }
 
 // setPrimary sets the primary from the primary assignment. References to a
-// former primary are ended: at once if the primary was replaced, or after the
+// former primary are ended: at once if the primary was replaced, or at the end of the
 // assignment's grace period if it is being replaced.
 func (s *service) setPrimary(catalog *cataloger.Catalog) {
 	s.assignment = catalog.Assignments[s.name]
@@ -190,15 +193,34 @@
 		close(s.primaryChanged)
 	}
 	s.primaryChanged = make(chan struct{})
+	s.graceUntil = s.endOfGrace()
+	remaining := max(0, s.graceUntil.Sub(s.director.SinceBoot()))
 	s.director.Logger.Info("primary_changed", "service", s.name, "from", endpointIDOf(former), "to", endpointIDOf(next),
-		"lead_revision", s.assignment.Revision, "moving", s.assignment.Changing, "term", s.assignment.Term)
-	gracePeriod := time.Duration(0)
-	if s.assignment.Changing {
-		gracePeriod = s.assignment.GracePeriod
-	}
+		"lead_revision", s.assignment.Revision, "moving", s.assignment.Changing, "term", s.assignment.Term,
+		"references", len(s.primaryRefs), "grace", remaining)
 	if len(s.primaryRefs) > 0 {
-		time.AfterFunc(gracePeriod, s.closeFormerPrimaryConns)
+		time.AfterFunc(remaining, s.closeFormerPrimaryConns)
+	}
+}
+
+// endOfGrace returns until when transactions may continue with the primary that is being
+// replaced, or the zero time. The leader waits from when it recorded the change, so this host
+// does not count from when it learned of it, which may be much later.
+func (s *service) endOfGrace() time.Time {
+	if !s.assignment.Changing || s.assignment.GracePeriod == 0 || s.director.LocalTime == nil {
+		return time.Time{}
 	}
+	recordedAt, ok := s.director.LocalTime(s.assignment.RecordedAt)
+	if now := s.director.SinceBoot(); !ok || recordedAt.After(now) {
+		return time.Time{}
+	}
+	return recordedAt.Add(s.assignment.GracePeriod)
+}
+
+// inGracePeriod reports whether transactions may continue with a database that is being
+// replaced as the primary.
+func (s *service) inGracePeriod(db *database) bool {
+	return s.assignment.Changing && s.assignment.ID == db.id && s.director.SinceBoot().Before(s.graceUntil)
 }
 
 func endpointIDOf(db *database) string {
@@ -213,11 +235,16 @@
 func (s *service) closeFormerPrimaryConns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	closed := 0
 	for ref := range s.primaryRefs {
 		if ref.database != s.primary && ref.conn != nil {
 			_ = ref.conn.Close()
+			closed++
 		}
 	}
+	if closed > 0 {
+		s.director.Logger.Info("former_primary_connections_closed", "service", s.name, "lead_revision", s.assignment.Revision, "connections", closed)
+	}
 }
 
 // acquirePrimary returns a new reference to the primary, or nil and a channel
@@ -266,8 +293,7 @@
 	if !s.viewIsCurrent() {
 		return errViewTooOld
 	}
-	inGracePeriod := s.assignment.Changing && s.assignment.ID == ref.database.id && s.assignment.GracePeriod > 0
-	if ref.database != s.primary && !inGracePeriod {
+	if ref.database != s.primary && !s.inGracePeriod(ref.database) {
 		return errFenced
 	}
 	return nil
--- a/director/service_test.go
+++ b/director/service_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/endiveturn/endiveturn/balancer"
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
@@ -186,3 +188,43 @@
 		}
 	})
 }
+
+// TestGracePeriod guards against an operation that uses a former primary for longer than the
+// leader waits, which counts from the record of the change: because this host learned of it late,
+// or because the operation got its connection late.
+func TestGracePeriod(t *testing.T) {
+	tests := []struct {
+		name string
+		// recorded is how long before this host learned of the change it was recorded, if that
+		// is known, and after how long after that the operation continues.
+		recorded, after time.Duration
+		unknown         bool
+		want            error
+	}{
+		{name: "at once"},
+		{name: "within the period", recorded: 100 * time.Millisecond, after: 800 * time.Millisecond},
+		{name: "after the period", recorded: 100 * time.Millisecond, after: 900 * time.Millisecond, want: errFenced},
+		{name: "learned late", recorded: time.Second, want: errFenced},
+		{name: "leader is unknown", unknown: true, want: errFenced},
+		{name: "recorded in the future", recorded: -time.Hour, want: errFenced},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(cataloger.Primary)
+			f.director.ViewCompleteAsOf = f.director.SinceBoot
+			s := f.director.service("s")
+			ref, _ := s.acquirePrimary()
+			recordedAt := cataloger.ProcessTime{Host: "leader", Incarnation: "i", Uptime: time.Minute}
+			f.director.LocalTime = func(at cataloger.ProcessTime) (time.Time, bool) {
+				return time.Unix(1000, 0).Add(-test.recorded), at == recordedAt && !test.unknown
+			}
+			f.updateCatalog(func(c *cataloger.Catalog) {
+				c.Assignments["s"] = cataloger.PrimaryAssignment{Service: "s", ID: "p", Changing: true, GracePeriod: time.Second, RecordedAt: recordedAt, Revision: 9}
+			})
+			f.now = f.now.Add(test.after)
+			if got := s.bindPrimaryRef(ref, nil); !errors.Is(got, test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -45,6 +45,10 @@
 	// HeardListed is Listed of the report that HeardAt belongs to. Report may be an older
 	// one that was held up on the way.
 	HeardListed bool
+	// HeardIncarnation and HeardUptime are Incarnation and Uptime of that report: at HeardAt
+	// that process had run for HeardUptime at most.
+	HeardIncarnation string
+	HeardUptime      time.Duration
 	// ReceivedAt is when the last report was received.
 	ReceivedAt time.Time
 	// repliedAt is when this host last replied to a request of the peer, and
@@ -248,6 +252,7 @@
 	peer := e.peers[message.Report.Host]
 	if sent.After(peer.HeardAt) {
 		peer.HeardAt, peer.HeardListed = sent, message.Report.Listed
+		peer.HeardIncarnation, peer.HeardUptime = message.Report.Incarnation, message.Report.Uptime
 		if peer.Report.Incarnation != message.Report.Incarnation {
 			peer.formerIncarnation = peer.Report.Incarnation
 		}
--- a/hoster/forwarding.go
+++ b/hoster/forwarding.go
@@ -39,7 +39,7 @@
 func (h *Host) newForwardingClient() *forwarder.Client {
 	count := func(name string) { gometrics.GetOrRegisterCounter(name, h.Registry).Inc(1) }
 	return &forwarder.Client{
-		Detector: &forwarder.FailureDetector{Now: time.Now}, Now: time.Now, SinceBoot: timekeeper.Now,
+		Detector: &forwarder.FailureDetector{Now: time.Now}, Now: time.Now, SinceBoot: timekeeper.Now, Dial: h.Dial,
 		OnSuspect: func(target forwarder.Target, reason error) {
 			count("pool_hosts_suspected")
 			h.Logger.Warn("pool_host_suspected", "host", target.Name, "incarnation", target.Incarnation, "address", target.Address, "error", reason.Error())
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -62,8 +62,7 @@
 	// Listen opens the listener of an address of the settings. If it is nil, the
 	// host listens on TCP.
 	Listen func(ctx context.Context, address string) (net.Listener, error)
-	// Dial connects to another host for the exchange of reports. If it is nil, the host
-	// connects over TCP.
+	// Dial connects to another host. If it is nil, the host connects over TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	incarnation string
@@ -184,7 +183,7 @@
 	h.director = &director.Director{
 		Host: h.Settings.Host, DataCentre: h.Settings.DataCentre, Dial: h.Platform.Databases.Dial, Balance: h.Settings.Balance, Limits: h.limits, Now: time.Now,
 		StartupTimeout: h.Settings.StartupTimeout,
-		SinceBoot:      timekeeper.Now, ViewCompleteAsOf: h.viewCompleteAsOf, Logger: h.Logger,
+		SinceBoot:      timekeeper.Now, ViewCompleteAsOf: h.viewCompleteAsOf, LocalTime: h.localTime, Logger: h.Logger,
 		Metrics: &director.Metrics{Registry: h.Registry}, Forwarder: h.newForwardingClient(),
 	}
 	h.forwarder = &forwarder.Server{
@@ -209,7 +208,7 @@
 			return h.Platform.Promote(ctx, h.Settings.Host, promotion)
 		},
 		ViewCompleteAsOf: h.viewCompleteAsOf, MaxViewAge: director.MaxViewAge, MajorityExpiry: majorityExpiry, FleetExpiry: fleetExpiry,
-		RecentlyStarted: h.recentlyStarted, CountEvent: func(name string) { gometrics.GetOrRegisterCounter(name, h.Registry).Inc(1) }, Now: timekeeper.Now, Logger: h.Logger,
+		RecentlyStarted: h.recentlyStarted, Uptime: h.uptime, CountEvent: func(name string) { gometrics.GetOrRegisterCounter(name, h.Registry).Inc(1) }, Now: timekeeper.Now, Logger: h.Logger,
 	}
 	if h.Settings.UsageAddress != "" {
 		h.accounting = newAccounting(h)
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -32,7 +32,7 @@
 	revision, completeAsOf := h.mirror.Revision(), h.mirror.CompleteAsOf()
 	r := exchanger.Report{
 		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
-		Revision: revision, Age: -1, Uptime: timekeeper.Now().Sub(h.started),
+		Revision: revision, Age: -1, Uptime: h.uptime(),
 		Digest: h.mirror.Digest(), Stopping: h.stopping.Load(), Usages: usages, Hosts: hosts,
 		Listed: h.knowsChanges(), MajorityHeardAge: -1, StoppingHosts: h.stoppingHostsToReport(),
 		Counts: h.accounting.changes(receiver),
--- a/hoster/start_network_test.go
+++ b/hoster/start_network_test.go
@@ -102,6 +102,24 @@
 	s.changed = make(chan struct{})
 }
 
+// change writes a key as its owner does.
+func (s *startStore) change(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value)
+}
+
+// expire removes a key whose lease has ended.
+func (s *startStore) expire(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.entries, key)
+	s.history = append(s.history, storer.Change{Entry: storer.Entry{Key: key, ModRevision: s.revision}, Deleted: true})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // A startNetwork connects hosts within the process and counts the bytes of each.
 type startNetwork struct {
 	mu        sync.Mutex
@@ -123,6 +141,31 @@
 
 	mu        sync.Mutex
 	busyUntil time.Time
+	// released is closed when the link is not held any more, nil if it is not held.
+	released chan struct{}
+}
+
+// setHeld makes the link keep what arrives, or deliver it.
+func (l *startLink) setHeld(held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case held && l.released == nil:
+		l.released = make(chan struct{})
+	case !held && l.released != nil:
+		close(l.released)
+		l.released = nil
+	}
+}
+
+// await waits while the link is held.
+func (l *startLink) await() {
+	l.mu.Lock()
+	released := l.released
+	l.mu.Unlock()
+	if released != nil {
+		<-released
+	}
 }
 
 // startLinkRate is in bytes per second: 10 Mbit/s.
@@ -191,6 +234,7 @@
 func (c linkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.link.bytes.Add(int64(n))
+	c.link.await()
 	return n, err
 }
 
--- a/overseer/decide.go
+++ b/overseer/decide.go
@@ -24,9 +24,10 @@
 	// partialFailureShare is the fraction of hosts that must be affected to justify a
 	// change of primary, which interrupts the clients of all hosts.
 	partialFailureShare = 0.3
-	// switchoverGrace is how long open transactions may continue while a working
-	// primary is replaced.
-	switchoverGrace = 1200 * time.Millisecond
+	// switchoverGrace is how long open transactions may continue once the replacement of a
+	// working primary is recorded. It is the age at which views expire, so that the leader
+	// waits no longer for transactions than for hosts that do not reply.
+	switchoverGrace = time.Second
 )
 
 // Reason is why a primary is replaced.
--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -105,7 +105,7 @@
 		Store:   storer.KeyValueStore{Write: env.write, Grant: env.grant, Renew: env.renew, Revoke: env.revoke, Era: env.currentEra},
 		Members: env.otherMembers, Self: env.self, TriggerExchanges: func() {}, Status: env.status, Demote: env.demote, Promote: env.promote,
 		ViewCompleteAsOf: func() time.Time { return env.viewCompleteAsOf },
-		MaxViewAge:       time.Second, MajorityExpiry: testMajorityExpiry, FleetExpiry: testFleetExpiry, RecentlyStarted: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Uptime:           func() time.Duration { return time.Minute }, MaxViewAge: time.Second, MajorityExpiry: testMajorityExpiry, FleetExpiry: testFleetExpiry, RecentlyStarted: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 }
 
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -102,6 +102,8 @@
 	ViewCompleteAsOf func() time.Time
 	// MaxViewAge is the age of a host's view at which it stops using primaries.
 	MaxViewAge time.Duration
+	// Uptime returns how long this host's process has run, as in its reports to other hosts.
+	Uptime func() time.Duration
 	// CountEvent increments the metric with the given name. It may be nil.
 	CountEvent func(name string)
 	// Now returns a monotonic time that includes the time the machine is suspended.
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -65,6 +65,8 @@
 func TestFenceWaitsForUnreachableHost(t *testing.T) {
 	tests := []struct {
 		name string
+		// grace is the grace period of the change if a former leader has recorded it.
+		grace time.Duration
 		// restartedAfter is when a new process of the host acknowledges the change, 0 if none
 		// does.
 		restartedAfter time.Duration
@@ -72,6 +74,7 @@
 		atLeast, atMost time.Duration
 	}{
 		{name: "no reports", atLeast: time.Second, atMost: 2000 * time.Millisecond},
+		{name: "longer grace period", grace: 3 * time.Second, atLeast: 3 * time.Second, atMost: 4000 * time.Millisecond},
 		{name: "new process acknowledges", restartedAfter: 400 * time.Millisecond, atLeast: 400 * time.Millisecond, atMost: 700 * time.Millisecond},
 	}
 	for _, test := range tests {
@@ -84,11 +87,18 @@
 					delete(env.statuses, "p")
 					env.members = []Member{memberReporting(failedObservation, func() int64 { return 0 })}
 				})
+				if test.grace > 0 {
+					record := encodeAssignment(cataloger.PrimaryAssignment{Service: service, ID: "p", Changing: true, GracePeriod: test.grace}, 0)
+					if _, err := env.write(t.Context(), storer.Put{Key: assignmentsPrefix + service, Value: record, ExpectedRevision: env.assignment().Revision}); err != nil {
+						t.Fatal(err)
+					}
+					env.listStore()
+				}
 				if test.restartedAfter > 0 {
 					time.Sleep(test.restartedAfter)
 					env.update(func() { env.members = []Member{memberReporting(failedObservation, func() int64 { return 1 << 40 })} })
 				}
-				time.Sleep(4 * time.Second)
+				time.Sleep(5 * time.Second)
 				synctest.Wait()
 				got := env.promotions()
 				if len(got) != 1 {
@@ -333,14 +343,15 @@
 func TestRecords(t *testing.T) {
 	assignment := cataloger.PrimaryAssignment{
 		Service: service, ID: "p", StartedAtMillis: 7, Term: 3, Changing: true, GracePeriod: time.Second, Revision: 4,
-		Pending: cataloger.PendingPromotion{ID: "a", StartedAtMillis: 8, FormerTerm: 3},
+		RecordedAt: cataloger.ProcessTime{Host: "h1", Incarnation: "i1", Uptime: 5 * time.Second},
+		Pending:    cataloger.PendingPromotion{ID: "a", StartedAtMillis: 8, FormerTerm: 3},
 	}
 	got, ok, err := DecodeAssignment(assignmentsPrefix+service, encodeAssignment(assignment, 0), 4)
 	if !ok || err != nil || got != assignment {
 		t.Errorf("got %+v, %v, %v, want %+v", got, ok, err, assignment)
 	}
 	former := `{"id":"p","born":7,"term":3,"moving":true,"grace":"1s","era":0}`
-	assignment.Pending = cataloger.PendingPromotion{}
+	assignment.Pending, assignment.RecordedAt = cataloger.PendingPromotion{}, cataloger.ProcessTime{}
 	if got, ok, err := DecodeAssignment(assignmentsPrefix+service, []byte(former), 4); !ok || err != nil || got != assignment {
 		t.Errorf("record of a former version: got %+v, %v, %v, want %+v", got, ok, err, assignment)
 	}
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -20,7 +20,7 @@
 	catchUpTimeout = 800 * time.Millisecond
 	// pollInterval is the pause between two checks of a condition that is awaited.
 	pollInterval = 20 * time.Millisecond
-	// fenceMargin is added to the view age at which hosts stop using primaries by
+	// fenceMargin is added to the time after which hosts stop using a former primary by
 	// themselves.
 	fenceMargin = 150 * time.Millisecond
 )
@@ -145,7 +145,8 @@
 		return reason
 	}
 	assignment := c.assignment
-	assignment.Changing, assignment.GracePeriod, assignment.Pending = false, 0, c.fencedPending
+	assignment.Changing, assignment.Pending = false, c.fencedPending
+	assignment.GracePeriod, assignment.RecordedAt = 0, cataloger.ProcessTime{}
 	written, err := c.overseer.writeAssignment(ctx, assignment)
 	if err != nil {
 		return errors.Wrap(err, "restore the former primary")
@@ -164,7 +165,7 @@
 	assignment := c.assignment
 	assignment.Changing = true
 	if !c.assignment.Changing && c.reason.Planned() {
-		assignment.GracePeriod = switchoverGrace
+		assignment.GracePeriod, assignment.RecordedAt = switchoverGrace, o.processTime()
 	}
 	written, err := o.writeAssignment(ctx, assignment)
 	if err != nil {
@@ -178,9 +179,21 @@
 	return c.awaitRelease(ctx)
 }
 
+// processTime returns the present instant by the clock of this host's process.
+func (o *Overseer) processTime() cataloger.ProcessTime {
+	return cataloger.ProcessTime{Host: o.Host.Name, Incarnation: o.Host.Incarnation, Uptime: o.Uptime()}
+}
+
+// useTimeout returns how long hosts may use the former primary after enough have
+// acknowledged the change: as long as a view without the change, or as the grace period,
+// which runs from before that.
+func (c *primaryChange) useTimeout() time.Duration {
+	return max(c.overseer.MaxViewAge, c.assignment.GracePeriod)
+}
+
 // awaitRelease waits until no host uses the former primary any more: either all
-// hosts have acknowledged the change, or all views without it have expired. Hosts
-// may confirm the freshness of views without the change until enough have
+// hosts have acknowledged the change, or all views without it and the grace period have
+// expired. Hosts may confirm the freshness of views without the change until enough have
 // acknowledged it.
 func (c *primaryChange) awaitRelease(ctx context.Context) error {
 	o := c.overseer
@@ -193,12 +206,15 @@
 		// In a large fleet a host that is not in the view of this one may still
 		// receive reports from other hosts.
 		if quorum && len(unreleased) == 0 && !o.largeFleet() && c.knowsAllHosts() {
+			o.Logger.Info("former_primary_released", "service", c.service, "lead_revision", c.assignment.Revision, "took", now.Sub(began))
 			return nil
 		}
 		if quorumAt.IsZero() && quorum {
 			quorumAt = now
 		}
-		if !quorumAt.IsZero() && now.Sub(quorumAt) > o.MaxViewAge+fenceMargin {
+		if !quorumAt.IsZero() && now.Sub(quorumAt) > c.useTimeout()+fenceMargin {
+			o.Logger.Info("former_primary_expired", "service", c.service, "lead_revision", c.assignment.Revision, "took", now.Sub(began),
+				"quorum_after", quorumAt.Sub(began))
 			if len(unreleased) > 0 {
 				o.Logger.Warn("hosts_did_not_confirm", "service", c.service, "hosts", unreleased, "lead_revision", c.assignment.Revision)
 			}
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -31,7 +31,10 @@
 	Born   int64  `json:"born"`
 	Term   uint64 `json:"term"`
 	Moving bool   `json:"moving"`
-	Grace  string `json:"grace"`
+	// Grace is how long after Recorded open transactions may continue.
+	Grace string `json:"grace"`
+	// Recorded is left out if no grace period is granted, and by leaders of a former version.
+	Recorded *processTimeRecord `json:"recorded,omitempty"`
 	// Era is the era of the store in which the leader wrote the record. Leaders of a
 	// former version leave it out.
 	Era *int64 `json:"era"`
@@ -39,6 +42,12 @@
 	Pending *pendingRecord `json:"pending,omitempty"`
 }
 
+type processTimeRecord struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	Uptime      string `json:"uptime"`
+}
+
 type pendingRecord struct {
 	ID         string `json:"id"`
 	Born       int64  `json:"born"`
@@ -66,6 +75,9 @@
 
 func encodeAssignment(a cataloger.PrimaryAssignment, era int64) []byte {
 	record := assignmentRecord{ID: a.ID, Born: a.StartedAtMillis, Term: a.Term, Moving: a.Changing, Grace: a.GracePeriod.String(), Era: &era}
+	if t := a.RecordedAt; t != (cataloger.ProcessTime{}) {
+		record.Recorded = &processTimeRecord{Host: t.Host, Incarnation: t.Incarnation, Uptime: t.Uptime.String()}
+	}
 	if p := a.Pending; p != (cataloger.PendingPromotion{}) {
 		record.Pending = &pendingRecord{ID: p.ID, Born: p.StartedAtMillis, FormerTerm: p.FormerTerm}
 	}
@@ -178,6 +190,13 @@
 	assignment = cataloger.PrimaryAssignment{
 		Service: service, ID: record.ID, StartedAtMillis: record.Born, Term: record.Term, Changing: record.Moving, GracePeriod: gracePeriod, Revision: revision,
 	}
+	if t := record.Recorded; t != nil {
+		uptime, err := time.ParseDuration(t.Uptime)
+		if err != nil {
+			return cataloger.PrimaryAssignment{}, true, errors.Wrapf(err, "primary assignment of %s", service)
+		}
+		assignment.RecordedAt = cataloger.ProcessTime{Host: t.Host, Incarnation: t.Incarnation, Uptime: uptime}
+	}
 	if p := record.Pending; p != nil {
 		assignment.Pending = cataloger.PendingPromotion{ID: p.ID, StartedAtMillis: p.Born, FormerTerm: p.FormerTerm}
 	}
