Name prepared statements by a cryptographic digest of their text

Cause: a statement's name on connections to databases was the 64-bit FNV-1a hash of its text, and the name alone decides whether it is prepared there. Two texts with the same hash are found in about a minute. The record of the database shows one PREPARE and two EXECUTEs of w10gckugqewmfh.

A pool host derives it from the text instead of taking it from the entry host, since hosts of a former version send the short one. The bytes of the name count for the session. The statement moves to a file of its own.

--- a/director/fake_test.go
+++ b/director/fake_test.go
@@ -60,7 +60,7 @@
 	inTransaction bool
 	pendingWrites int
 	variables     map[string]string
-	prepared      map[string]bool
+	prepared      map[string]string
 	closed        bool
 	// sendError, if not nil, is the error of Send.
 	sendError error
@@ -136,9 +136,9 @@
 	case executor.VerbSet:
 		t.variables[r.Name] = r.Arguments
 	case executor.VerbDiscard:
-		t.variables, t.prepared = make(map[string]string), make(map[string]bool)
+		t.variables, t.prepared = make(map[string]string), make(map[string]string)
 	case executor.VerbPrepare:
-		t.prepared[r.Name] = true
+		t.prepared[r.Name] = r.Arguments
 	}
 }
 
@@ -193,7 +193,7 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.lastAddress = e.Address
-			f.lastTransport = &fakeTransport{db: db, variables: make(map[string]string), prepared: make(map[string]bool)}
+			f.lastTransport = &fakeTransport{db: db, variables: make(map[string]string), prepared: make(map[string]string)}
 			return f.lastTransport, nil
 		},
 	}
--- a/director/forwarded.go
+++ b/director/forwarded.go
@@ -112,7 +112,9 @@
 	}
 	var p *prepared
 	if request.Prepared != nil {
-		p = &prepared{name: request.Prepared.Name, text: request.Prepared.Text, writes: request.Prepared.Writes}
+		// Hosts of a former version give two statements the same name.
+		resolved := newPrepared(request.Prepared.Text, request.Prepared.Writes)
+		p, statement.Name = &resolved, resolved.name
 	}
 	writes := forwardedWrites(request)
 	if s.tx != nil {
--- a/director/session.go
+++ b/director/session.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -28,15 +27,6 @@
 	maxLoggedName = 128
 )
 
-// A prepared is a prepared statement of a session.
-type prepared struct {
-	// name is the statement's name on connections to databases. It depends only
-	// on text and writes.
-	name   string
-	text   string
-	writes bool
-}
-
 // A Session is one client connection.
 type Session struct {
 	director  *Director
@@ -242,22 +232,6 @@
 	return s.keep(-p.size(statement.Name))
 }
 
-// newPrepared derives the name of a prepared statement from its text and
-// whether it writes, so that sessions that prepare the same statement share it
-// on a connection.
-func newPrepared(text string, writes bool) prepared {
-	const offset, prime = 14695981039346656037, 1099511628211
-	hash := uint64(offset)
-	for i := range len(text) {
-		hash = (hash ^ uint64(text[i])) * prime
-	}
-	name := "r"
-	if writes {
-		name = "w"
-	}
-	return prepared{name: name + strconv.FormatUint(hash, 36), text: text, writes: writes}
-}
-
 // resolve returns the statement with the name under which it is prepared on
 // connections to databases, whether it writes, and the prepared statement that
 // it refers to, if any. It returns false if that prepared statement does not
--- a/director/session_memory.go
+++ b/director/session_memory.go
@@ -16,7 +16,7 @@
 )
 
 // size returns the memory in bytes that a session takes to keep the statement.
-func (p prepared) size(name string) int { return len(name) + len(p.text) + keptOverhead }
+func (p prepared) size(name string) int { return len(name) + len(p.name) + len(p.text) + keptOverhead }
 
 // keep makes room for a change of the bytes that the session keeps. A response other
 // than with CodeNone says why it can't.
--- a/director/session_test.go
+++ b/director/session_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/executor"
+	"github.com/endiveturn/endiveturn/forwarder"
 )
 
 // TestLostResponses guards against wrong results after the response to a
@@ -176,23 +177,55 @@
 }
 
 // TestPreparedStatementNamesAreDistinct guards against prepared statements of
-// different clients that collide on a shared connection.
+// different clients that collide on a shared connection, also if clients choose texts with the
+// same hash by a function for which such texts can be found, or if an entry host sends the
+// same name for both.
 func TestPreparedStatementNamesAreDistinct(t *testing.T) {
-	f := newFixture(cataloger.Primary)
-	first, second := f.newSession(), f.newSession()
-	prepare := executor.Request{ID: "id", Verb: executor.VerbPrepare, Name: "s1"}
-	read, write := prepare, prepare
-	read.Arguments = "shape"
-	write.Arguments, write.Writes = "shape", true
-	first.execute(t.Context(), read)
-	second.execute(t.Context(), write)
-	runVerb(first, executor.VerbExecute, "s1", "x")
-	runVerb(second, executor.VerbExecute, "s1", "x data")
-	ran := f.primary.statements()
-	if len(ran) != 2 || ran[0].Name == ran[1].Name {
-		t.Fatalf("got %+v, want two executions under different names", ran)
+	// These texts have the same 64-bit FNV-1a hash.
+	const text, sameHash = "qg4uhkbrbjkzdi", "qam2xvqcczv26d"
+	tests := []struct {
+		name                  string
+		first, second         string
+		firstWrites, forwards bool
+		// shared is set if both are the same statement, which is then prepared once.
+		shared bool
+	}{
+		{name: "read and write", first: text, second: text},
+		{name: "same hash", first: text, second: sameHash, firstWrites: true},
+		{name: "same hash, forwarded", first: text, second: sameHash, firstWrites: true, forwards: true},
+		{name: "same statement", first: text, second: text, firstWrites: true, shared: true},
+		{name: "same statement, forwarded", first: text, second: text, firstWrites: true, forwards: true, shared: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(cataloger.Primary)
+			run := func(text string, writes bool) {
+				prepare := executor.Request{ID: "id", Verb: executor.VerbPrepare, Name: "s1", Arguments: text, Writes: writes}
+				execute := executor.Request{ID: "id", Verb: executor.VerbExecute, Name: "s1", Arguments: "x data"}
+				if !test.forwards {
+					s := f.newSession()
+					s.execute(t.Context(), prepare)
+					s.execute(t.Context(), execute)
+					return
+				}
+				operation := &forwarder.Operation{Customer: "c", Route: f.catalog.Configuration.Routes["db"]}
+				execution := f.director.BeginForwarded(operation)
+				execution.Run(t.Context(), &forwarder.Request{Operation: operation, Statement: execute, Prepared: &forwarder.Prepared{Name: "s1", Text: text, Writes: writes}})
+			}
+			run(test.first, test.firstWrites)
+			run(test.second, true)
+			ran := f.primary.statements()
+			if len(ran) != 2 || (ran[0].Name == ran[1].Name) != test.shared {
+				t.Fatalf("got %+v, want two executions, under one name: %v", ran, test.shared)
+			}
+			for i, want := range []string{test.first, test.second} {
+				if got := f.lastTransport.prepared[ran[i].Name]; got != want {
+					t.Errorf("execution %d ran %q, want %q", i, got, want)
+				}
+			}
+		})
 	}
-	if got := runVerb(first, executor.VerbExecute, "s2", "x").Code; got != executor.CodeNoSuchStatement {
+	if got := runVerb(newFixture(cataloger.Primary).newSession(), executor.VerbExecute, "s2", "x").Code; got != executor.CodeNoSuchStatement {
 		t.Errorf("got %v for an unknown name, want %v", got, executor.CodeNoSuchStatement)
 	}
 }
