Use the whole digest in the names of statements at endpoints

Clients choose the texts, and two with the same half take about 2^64 trials.

Change: the name has the whole digest, in base64: 46 bytes, of the 63 that databases take. TestBatch expects the lengths of the longer names, and so fails if the digest is cut.

--- a/acceptor/batch_test.go
+++ b/acceptor/batch_test.go
@@ -45,7 +45,7 @@
 			"write that is only prepared",
 			[]string{"Parse w DELETE FROM t", "Describe S w", "Sync"},
 			executor.Batch{Class: executor.ClassRead},
-			[]string{"P\x00\x00\x00\x38et_", "D\x00\x00\x00\x29Set_"},
+			[]string{"P\x00\x00\x00\x43et_", "D\x00\x00\x00\x34Set_"},
 		},
 		{
 			"closed statement stays at the endpoint",
--- a/acceptor/statements.go
+++ b/acceptor/statements.go
@@ -2,8 +2,8 @@
 
 import (
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/binary"
-	"encoding/hex"
 	"unique"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -51,8 +51,9 @@
 }
 
 // endpointName returns the name of the statement at endpoints: a hash, so that
-// the same text and types have the same name on every connection. It is
-// computed on demand because many unnamed statements need none.
+// the same text and types have the same name on every connection. It has the whole digest,
+// as clients choose the texts and could find two with the same half. Databases take names of
+// up to 63 bytes. It is computed on demand because many unnamed statements need none.
 func (p *preparedStatement) endpointName() string {
 	if p.cachedEndpointName == "" {
 		text := p.text.Value()
@@ -60,7 +61,7 @@
 		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text.types))))
 		h.Write([]byte(text.types))
 		h.Write([]byte(text.query))
-		p.cachedEndpointName = endpointNamePrefix + hex.EncodeToString(h.Sum(nil)[:16])
+		p.cachedEndpointName = endpointNamePrefix + base64.RawURLEncoding.EncodeToString(h.Sum(nil))
 	}
 	return p.cachedEndpointName
 }
