Build the leader's view as soon as it shows a recorded change

Cause: in a small fleet the leader goes on as soon as all hosts have confirmed a change and its view is as recent as the record. The response of the store that shows the record has no change for the leader, which wrote it, so that the view was built again only when some other key changed, up to a second later. Found by a test of planned changes in virtual time.

Change: the leader requests a new view once its mirror is recent enough.

--- a/hoster/host.go
+++ b/hoster/host.go
@@ -202,7 +202,7 @@
 			Name: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
 			Capacity: h.Settings.capacity(),
 		},
-		Store: h.Platform.Store, Mirror: h.mirror, Catalog: h.latestCatalog, Members: h.members, Self: h.self,
+		Store: h.Platform.Store, Mirror: h.mirror, Catalog: h.latestCatalog, RebuildCatalog: func() { h.notifyChange(false) }, Members: h.members, Self: h.self,
 		TriggerExchanges: h.exchanger.TriggerExchanges, Status: h.Platform.Databases.Status, Demote: h.Platform.Databases.Demote,
 		Promote: func(ctx context.Context, promotion overseer.Promotion) error {
 			return h.Platform.Promote(ctx, h.Settings.Host, promotion)
--- a/hoster/switchover_test.go
+++ b/hoster/switchover_test.go
@@ -15,6 +15,7 @@
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/connector"
 	"github.com/endiveturn/endiveturn/director"
+	"github.com/endiveturn/endiveturn/exchanger"
 	"github.com/endiveturn/endiveturn/executor"
 	"github.com/endiveturn/endiveturn/overseer"
 	"github.com/endiveturn/endiveturn/storer"
@@ -286,6 +287,34 @@
 	}
 }
 
+// TestPromotionFollowsRelease guards against a planned change in a small fleet that waits longer
+// than until all hosts have reported the end of their transactions on the former primary: for
+// a view that is built only once some other key changes.
+func TestPromotionFollowsRelease(t *testing.T) {
+	const ends = 300 * time.Millisecond
+	for entry := range 4 {
+		t.Run(fmt.Sprint("host ", entry), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer timekeeper.Replace(func() time.Time { return time.Now().Round(0) })()
+				f := newSwitchoverFleet(t, 5)
+				c := openTransaction(t, f.followers()[entry])
+				drained := time.Now()
+				f.store.change("servers/0", []byte("draining"))
+				time.Sleep(ends)
+				if got := c.run(executor.VerbCommit); got.Code != executor.CodeNone {
+					t.Errorf("commit: got %v %q, want success", got.Code, got.Text)
+				}
+				time.Sleep(6 * time.Second)
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				if got, limit := f.requestedAt.Sub(drained)-ends, exchanger.Interval+100*time.Millisecond; f.requestedAt.IsZero() || got > limit {
+					t.Errorf("the promotion was requested %v after the commit, want at most %v", got, limit)
+				}
+			})
+		})
+	}
+}
+
 // playSwitchover opens a transaction on a host, drains the primary while the host that runs the
 // transaction is held up, and then sends statements until one fails. It returns when the primary
 // was drained.
--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -101,7 +101,7 @@
 
 func (env *testEnv) newOverseer(name string) *Overseer {
 	return &Overseer{
-		Host: cataloger.Host{Name: name, Incarnation: "i1"}, Mirror: env.mirror, Catalog: env.catalog,
+		Host: cataloger.Host{Name: name, Incarnation: "i1"}, Mirror: env.mirror, Catalog: env.catalog, RebuildCatalog: func() {},
 		Store:   storer.KeyValueStore{Write: env.write, Grant: env.grant, Renew: env.renew, Revoke: env.revoke, Era: env.currentEra},
 		Members: env.otherMembers, Self: env.self, TriggerExchanges: func() {}, Status: env.status, Demote: env.demote, Promote: env.promote,
 		ViewCompleteAsOf: func() time.Time { return env.viewCompleteAsOf },
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -75,6 +75,8 @@
 	Mirror *informer.Mirror
 	// Catalog returns the current view, or nil.
 	Catalog func() *cataloger.Catalog
+	// RebuildCatalog has the current view built again from the mirror.
+	RebuildCatalog func()
 	// Members returns the other hosts, without this one.
 	Members func() []Member
 	// Self returns this host as a member.
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -227,10 +227,17 @@
 }
 
 // knowsAllHosts reports whether this host's view has every host that registered before the
-// change was recorded.
+// change was recorded. The response of the store that shows this has no change for this host,
+// which wrote it, so that no view is built for it unless it is requested.
 func (c *primaryChange) knowsAllHosts() bool {
-	catalog := c.overseer.Catalog()
-	return catalog != nil && catalog.Revision >= c.assignment.Revision
+	o := c.overseer
+	if catalog := o.Catalog(); catalog != nil && catalog.Revision >= c.assignment.Revision {
+		return true
+	}
+	if o.Mirror.Revision() >= c.assignment.Revision {
+		o.RebuildCatalog()
+	}
+	return false
 }
 
 // confirmationExpiry returns how long after the record of the change a host may still confirm
