Use no primary while the mirror has a newer assignment than the view

Callers could see acknowledged commits that are lost: a host that was held up during a change of primary went on with the former primary once its mirror of the store was fresh again, until the view was built from it.

Cause: the age of the view was that of the mirror.

Change: an operation uses the primary only if the assignment in the view is as recent as that in the mirror. New operations wait as during a change, statements of open ones for up to 200 ms.

--- a/director/director.go
+++ b/director/director.go
@@ -53,6 +53,10 @@
 	// LocalTime returns an instant on the clock of SinceBoot that is not later than the given
 	// one of another process; ok is false if none is known.
 	LocalTime func(t cataloger.ProcessTime) (local time.Time, ok bool)
+	// AssignmentRevision returns the revision of the newest primary assignment of a service that
+	// this host has received, which the catalog in force may not have yet. ViewCompleteAsOf
+	// counts it as known. If it is nil, the catalog always has it.
+	AssignmentRevision func(service string) int64
 	// BeginRequest is called when a request of a customer is sent to a database, and
 	// returns the window in which it counts; EndRequest is called with its outcome. Both
 	// are nil where requests are not counted.
--- a/director/service.go
+++ b/director/service.go
@@ -43,6 +43,9 @@
 	primarySince time.Time
 	// assignment is the primary assignment by which primary was chosen.
 	assignment cataloger.PrimaryAssignment
+	// assignmentChanged is closed and replaced when a catalog with another assignment comes
+	// into force.
+	assignmentChanged chan struct{}
 	// graceUntil is until when transactions may continue with the primary that is being
 	// replaced, on the clock of Director.SinceBoot. It is zero if they may not.
 	graceUntil time.Time
@@ -176,7 +179,7 @@
 // former primary are ended: at once if the primary was replaced, or at the end of the
 // assignment's grace period if it is being replaced.
 func (s *service) setPrimary(catalog *cataloger.Catalog) {
-	s.assignment = catalog.Assignments[s.name]
+	s.setAssignment(catalog.Assignments[s.name])
 	var next *database
 	if endpoint, ok := catalog.PrimaryOf(s.name); ok && !catalog.Evacuated[endpoint.DataCentre] {
 		next = s.databases[endpointKeyOf(endpoint)]
@@ -203,6 +206,22 @@
 	}
 }
 
+func (s *service) setAssignment(assignment cataloger.PrimaryAssignment) {
+	if s.assignmentChanged == nil || assignment.Revision != s.assignment.Revision {
+		if s.assignmentChanged != nil {
+			close(s.assignmentChanged)
+		}
+		s.assignmentChanged = make(chan struct{})
+	}
+	s.assignment = assignment
+}
+
+// awaitsAssignment reports whether this host has received a primary assignment that the catalog
+// in force does not have, so that the primary in it may be a former one.
+func (s *service) awaitsAssignment() bool {
+	return s.director.AssignmentRevision != nil && s.director.AssignmentRevision(s.name) > s.assignment.Revision
+}
+
 // endOfGrace returns until when transactions may continue with the primary that is being
 // replaced, or the zero time. The leader waits from when it recorded the change, so this host
 // does not count from when it learned of it, which may be much later.
@@ -248,7 +267,7 @@
 }
 
 // acquirePrimary returns a new reference to the primary, or nil and a channel
-// that is closed when the primary changes. The channel is nil too if this
+// that is closed when the primary or its assignment changes. The channel is nil too if this
 // host's view is out of date, because it is not known when the view will be
 // current again.
 func (s *service) acquirePrimary() (*primaryRef, chan struct{}) {
@@ -272,6 +291,9 @@
 	if s.primary == nil {
 		return nil, s.primaryChanged
 	}
+	if s.awaitsAssignment() {
+		return nil, s.assignmentChanged
+	}
 	if !s.viewIsCurrent() {
 		return nil, nil
 	}
@@ -284,12 +306,44 @@
 	return s.director.SinceBoot().Sub(s.director.ViewCompleteAsOf()) < MaxViewAge
 }
 
+// maxAssignmentWait is how long a statement of an open operation waits until the catalog in
+// force has the assignment that this host has received.
+const maxAssignmentWait = 200 * time.Millisecond
+
 // bindPrimaryRef binds the connection to the reference. It returns errFenced or
 // errViewTooOld if no further statement may be sent under it.
 func (s *service) bindPrimaryRef(ref *primaryRef, conn *connector.Conn) error {
+	changed, err := s.tryBindPrimaryRef(ref, conn)
+	if changed == nil {
+		return err
+	}
+	timer := time.NewTimer(maxAssignmentWait)
+	defer timer.Stop()
+	for changed != nil {
+		select {
+		case <-changed:
+			changed, err = s.tryBindPrimaryRef(ref, conn)
+		case <-timer.C:
+			return errViewTooOld
+		}
+	}
+	return err
+}
+
+// tryBindPrimaryRef returns the result of bindPrimaryRef, or a channel that is closed when it can
+// be called again.
+func (s *service) tryBindPrimaryRef(ref *primaryRef, conn *connector.Conn) (changed chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ref.conn = conn
+	if s.awaitsAssignment() {
+		return s.assignmentChanged, nil
+	}
+	return nil, s.checkPrimaryRef(ref)
+}
+
+// checkPrimaryRef returns why no further statement may be sent under the reference, or nil.
+func (s *service) checkPrimaryRef(ref *primaryRef) error {
 	if !s.viewIsCurrent() {
 		return errViewTooOld
 	}
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -183,7 +183,7 @@
 	h.director = &director.Director{
 		Host: h.Settings.Host, DataCentre: h.Settings.DataCentre, Dial: h.Platform.Databases.Dial, Balance: h.Settings.Balance, Limits: h.limits, Now: time.Now,
 		StartupTimeout: h.Settings.StartupTimeout,
-		SinceBoot:      timekeeper.Now, ViewCompleteAsOf: h.viewCompleteAsOf, LocalTime: h.localTime, Logger: h.Logger,
+		SinceBoot:      timekeeper.Now, ViewCompleteAsOf: h.viewCompleteAsOf, LocalTime: h.localTime, AssignmentRevision: h.assignmentRevision, Logger: h.Logger,
 		Metrics: &director.Metrics{Registry: h.Registry}, Forwarder: h.newForwardingClient(),
 	}
 	h.forwarder = &forwarder.Server{
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -227,6 +227,17 @@
 	return byStore
 }
 
+// assignmentRevision returns the revision of the primary assignment of a service in the mirror,
+// 0 if there is none. viewCompleteAsOf dates the mirror, and the catalog in force is built from
+// it a moment later.
+func (h *Host) assignmentRevision(service string) int64 {
+	record, ok := h.mirror.Get(overseer.AssignmentKey(service))
+	if !ok {
+		return 0
+	}
+	return record.Revision
+}
+
 // registered reports whether the view has a key of this host.
 func (h *Host) registered() bool {
 	catalog := h.latestCatalog()
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -157,6 +157,9 @@
 	}, true, nil
 }
 
+// AssignmentKey returns the key of the record that assigns a service's primary.
+func AssignmentKey(service string) string { return assignmentsPrefix + service }
+
 // maxGracePeriod is the longest time for which transactions may continue with a primary that
 // is being replaced.
 const maxGracePeriod = time.Minute
