Count a position only for the primary to which its statement was sent

Cause: the position in a response of the database that is the primary when the response arrives counted as one of the primary, also if the database had run the statement as a replica.

Change: references to the primary have an epoch, which rises with each change of primary on this host. Positions, and refusals of writes as evidence, count only within the epoch in which the statement was sent; those that a pool host reports, only if both hosts have the same assignment.

--- a/director/attempt.go
+++ b/director/attempt.go
@@ -172,13 +172,13 @@
 		}
 		return executor.Response{}, err
 	}
-	a.operation.fromPrimary = a.primaryRef != nil
-	a.operation.service.recordSuccess(a.database, a.sent, response.Position)
+	a.operation.service.recordSuccess(a.database)
+	a.operation.fromPrimary, a.operation.primaryRevision = a.operation.service.recordPrimaryPosition(a.primaryRef, a.sent, response.Position)
 	if statement.ID != "" && response.Code == executor.CodeNone {
 		a.operation.service.recordLatency(a.database, a.operation.session.director.Now().Sub(began))
 	}
 	a.recordLag(statement, response)
-	if a.primaryRef != nil && response.Code == executor.CodeReadOnly {
+	if a.operation.fromPrimary && response.Code == executor.CodeReadOnly {
 		a.operation.service.recordReadOnly(a.database)
 	}
 	switch {
--- a/director/database.go
+++ b/director/database.go
@@ -169,17 +169,47 @@
 	}
 }
 
-// recordPosition records the position of the primary from a response that another host
-// received. The statement was sent to that host at the given time.
-func (s *service) recordPosition(sent time.Time, position executor.Position) {
+// A viewpoint is what a host knew about the primary of a service when it sent a statement.
+type viewpoint struct {
+	epoch uint64
+	// sent is when the statement was sent, on the clock of Director.SinceBoot.
+	sent time.Time
+}
+
+func (s *service) viewpoint() viewpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Record(sent, position)
+	return viewpoint{epoch: s.epoch, sent: s.director.SinceBoot()}
 }
 
-// recordSuccess records a response to a statement that was sent at the given
-// time.
-func (s *service) recordSuccess(db *database, sent time.Time, position executor.Position) {
+// recordRemotePosition records the position of the primary from a response that another host
+// received, with a primary assignment of the given revision in force there. It does not count
+// unless the same primary has been in force on both hosts since the statement was sent to that
+// host.
+func (s *service) recordRemotePosition(from viewpoint, revision int64, position executor.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from.epoch == s.epoch && revision == s.assignment.Revision && s.primary != nil && !position.IsZero() {
+		s.history.Record(from.sent, position)
+	}
+}
+
+// recordPrimaryPosition records the position in a response to a statement that was sent to the
+// primary under the reference, and reports whether it counts, with the revision of the
+// assignment in force. A response to a statement that the database ran as a replica, or in an
+// earlier term, lacks commits that were acknowledged before.
+func (s *service) recordPrimaryPosition(ref *primaryRef, sent time.Time, position executor.Position) (counts bool, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts = ref != nil && ref.database == s.primary && ref.epoch == s.epoch
+	if counts && !position.IsZero() {
+		s.history.Record(sent, position)
+	}
+	return counts, s.assignment.Revision
+}
+
+// recordSuccess records a response.
+func (s *service) recordSuccess(db *database) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	db.consecutiveFailures = 0
@@ -187,12 +217,6 @@
 	db.avoidUntil = time.Time{}
 	db.lastSuccess = s.director.Now()
 	db.awaitingResponseSince = db.lastSuccess
-	if position.IsZero() {
-		return
-	}
-	if db == s.primary {
-		s.history.Record(sent, position)
-	}
 }
 
 // recordReadOnly records that the database refused a statement because it is not the primary.
--- a/director/fake_test.go
+++ b/director/fake_test.go
@@ -237,6 +237,12 @@
 	return s.databases[endpointKey{id: id}]
 }
 
+// seedPosition makes the position of the primary known, so that replicas may serve reads.
+func (f *fixture) seedPosition() {
+	s := f.director.service("s")
+	s.recordRemotePosition(s.viewpoint(), s.assignmentRevision(), executor.Position{Term: 1, Offset: 10})
+}
+
 // newSession returns a new session of the only customer.
 func (f *fixture) newSession() *Session {
 	return &Session{
--- a/director/forward.go
+++ b/director/forward.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		op.setElapsed(request)
-		sent := d.SinceBoot()
+		from := op.service.viewpoint()
 		reply, err := stream.Run(request, deadline, abandonSilent)
 		switch {
 		case errors.Is(err, forwarder.ErrNotSent):
@@ -67,7 +67,7 @@
 			localReason = localRefused
 		default:
 			op.poolHost = target.Name
-			op.recordForwarded(sent, &reply)
+			op.recordForwarded(from, &reply)
 			d.Metrics.increment("operations_forwarded.answered")
 			return stream, reply, nil
 		}
@@ -84,14 +84,14 @@
 }
 
 // recordForwarded records what the reply of a pool host says about the operation.
-func (op *operation) recordForwarded(sent time.Time, reply *forwarder.Reply) {
+func (op *operation) recordForwarded(from viewpoint, reply *forwarder.Reply) {
 	op.attempts += reply.Attempts
 	op.remoteRevision = reply.AssignmentRevision
 	if reply.MayHaveRun {
 		op.markMayHaveRun()
 	}
-	if reply.FromPrimary && !reply.Response.Position.IsZero() {
-		op.service.recordPosition(sent, reply.Response.Position)
+	if reply.FromPrimary {
+		op.service.recordRemotePosition(from, reply.AssignmentRevision, reply.Response.Position)
 	}
 }
 
@@ -192,7 +192,7 @@
 // executeForwarded runs a further statement of the transaction on its pool host.
 func (t *transaction) executeForwarded(statement executor.Request, writes bool, p *prepared, deadline time.Time) executor.Response {
 	op := t.operation
-	sent := op.session.director.SinceBoot()
+	from := op.service.viewpoint()
 	reply, err := t.remote.Run(op.newStatementRequest(statement, p), deadline.Add(forwardedReplyMargin), false)
 	if errors.Is(err, forwarder.ErrTooLarge) {
 		response := op.session.errorResponse(executor.CodeMalformed, "statement is too large for this transaction")
@@ -206,7 +206,7 @@
 		t.closeRemote()
 		return t.fail(executor.Response{Code: executor.CodeAborted, Text: "connection to the pool host was lost"}, "", err.Error())
 	}
-	op.recordForwarded(sent, &reply)
+	op.recordForwarded(from, &reply)
 	return t.afterForwarded(reply, writes)
 }
 
@@ -226,7 +226,7 @@
 // commitForwarded commits the transaction on its pool host.
 func (t *transaction) commitForwarded(statement executor.Request, deadline time.Time) executor.Response {
 	op := t.operation
-	sent := op.session.director.SinceBoot()
+	from := op.service.viewpoint()
 	// A COMMIT uses no session variables, which might be too large to be forwarded.
 	request := &forwarder.Request{Statement: statement}
 	reply, err := t.remote.Run(request, deadline.Add(forwardedReplyMargin), false)
@@ -236,7 +236,7 @@
 		op.finish("", err.Error(), response)
 		return response
 	}
-	op.recordForwarded(sent, &reply)
+	op.recordForwarded(from, &reply)
 	response := reply.Response
 	response.State = executor.StateIdle
 	if response.Code == executor.CodeNone {
--- a/director/forward_test.go
+++ b/director/forward_test.go
@@ -409,7 +409,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			f := newPoolFixture(t, test.consistency)
 			// The pool host knows a position, so that it reads from the replica.
-			f.pool.director.service("s").recordPosition(f.pool.now, executor.Position{Term: 1, Offset: 10})
+			f.pool.seedPosition()
 			f.pool.viewConfirmedAt = f.pool.now.Add(-test.age)
 			if got := runVerb(f.entry.newSession(), executor.VerbRead, "x"); got.Code != executor.CodeNone {
 				t.Errorf("got %v %q, want %v", got.Code, got.Text, executor.CodeNone)
--- a/director/forwarded.go
+++ b/director/forwarded.go
@@ -51,6 +51,9 @@
 	if op := s.forwarded.operation; op != nil {
 		reply.MayHaveRun, reply.FromPrimary, reply.Attempts = op.mayHaveRun, op.fromPrimary, op.attempts-attemptsBefore
 		reply.AssignmentRevision = op.assignmentRevision
+		if op.fromPrimary {
+			reply.AssignmentRevision = op.primaryRevision
+		}
 	}
 	return reply
 }
--- a/director/service.go
+++ b/director/service.go
@@ -39,8 +39,9 @@
 	// primary is the database that may be used as primary, or nil if there is
 	// none.
 	primary *database
-	// primarySince is when primary was set.
+	// primarySince is when primary was set, and epoch counts how often it was.
 	primarySince time.Time
+	epoch        uint64
 	// assignment is the primary assignment by which primary was chosen.
 	assignment cataloger.PrimaryAssignment
 	// assignmentChanged is closed and replaced when a catalog with another assignment comes
@@ -72,6 +73,8 @@
 // Once the reference is fenced, the operation must send nothing more.
 type primaryRef struct {
 	database *database
+	// epoch is that of the service when the database was the primary.
+	epoch uint64
 	// conn is closed to abort the operation when a former primary must no
 	// longer be used.
 	conn *connector.Conn
@@ -188,7 +191,7 @@
 		return
 	}
 	former := s.primary
-	s.primary, s.primarySince = next, s.director.Now()
+	s.primary, s.primarySince, s.epoch = next, s.director.Now(), s.epoch+1
 	if next != nil {
 		s.history.Reset()
 	}
@@ -277,7 +280,7 @@
 	if primary == nil {
 		return nil, changed
 	}
-	ref := &primaryRef{database: primary}
+	ref := &primaryRef{database: primary, epoch: s.epoch}
 	if s.primaryRefs == nil {
 		s.primaryRefs = make(map[*primaryRef]struct{})
 	}
--- a/director/service_test.go
+++ b/director/service_test.go
@@ -228,3 +228,91 @@
 		})
 	}
 }
+
+// TestPositionCountsForItsPrimary guards against reads that are too old because the position in a
+// late response counts as one of the primary: the database ran the statement as a replica, or
+// another one is the primary by now.
+func TestPositionCountsForItsPrimary(t *testing.T) {
+	promote := func(id string, revision int64) func(*fixture) {
+		return func(f *fixture) {
+			f.updateCatalog(func(c *cataloger.Catalog) {
+				c.Assignments["s"] = cataloger.PrimaryAssignment{Service: "s", ID: id, Revision: revision}
+			})
+		}
+	}
+	tests := []struct {
+		name string
+		// database runs the statement.
+		database string
+		// meanwhile is what happens until the response.
+		meanwhile []func(*fixture)
+		want      bool
+	}{
+		{name: "primary stays", database: "p", want: true},
+		{name: "replica", database: "r"},
+		{name: "replica is promoted", database: "r", meanwhile: []func(*fixture){promote("r", 4)}},
+		{name: "primary is replaced", database: "p", meanwhile: []func(*fixture){promote("r", 4)}},
+		{name: "primary is replaced and promoted again", database: "p", meanwhile: []func(*fixture){promote("r", 4), promote("p", 5)}},
+		{name: "primary is confirmed", database: "p", meanwhile: []func(*fixture){promote("p", 4)}, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(cataloger.BoundedStaleness)
+				s := f.director.service("s")
+				if test.database == "r" {
+					f.seedPosition()
+				}
+				f.primary.responseTime, f.replica.responseTime = time.Second, time.Second
+				done := make(chan executor.Response)
+				go func() { done <- runVerb(f.newSession(), executor.VerbRead, "x") }()
+				time.Sleep(500 * time.Millisecond)
+				s.mu.Lock()
+				s.history.Reset()
+				s.mu.Unlock()
+				for _, change := range test.meanwhile {
+					change(f)
+				}
+				if got := <-done; got.Signature != test.database {
+					t.Fatalf("got a response of %q, want %q", got.Signature, test.database)
+				}
+				if _, got := s.floor(0); got != test.want {
+					t.Errorf("position counts: got %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+// TestForwardedPositionCountsForItsPrimary guards against the same with the response of a pool
+// host.
+func TestForwardedPositionCountsForItsPrimary(t *testing.T) {
+	tests := []struct {
+		name string
+		// revision is that of the assignment in force on the pool host, and changes are the
+		// assignments that come into force on this host meanwhile.
+		revision int64
+		changes  []cataloger.PrimaryAssignment
+		want     bool
+	}{
+		{name: "same assignment", revision: 3, want: true},
+		{name: "earlier assignment on the pool host", revision: 2},
+		{name: "later assignment on the pool host", revision: 4},
+		{name: "primary is replaced", revision: 4, changes: []cataloger.PrimaryAssignment{{Service: "s", ID: "r", Revision: 4}}},
+		{name: "primary is changing", revision: 4, changes: []cataloger.PrimaryAssignment{{Service: "s", ID: "p", Changing: true, Revision: 4}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(cataloger.BoundedStaleness)
+			s := f.director.service("s")
+			from := s.viewpoint()
+			for _, assignment := range test.changes {
+				f.updateCatalog(func(c *cataloger.Catalog) { c.Assignments["s"] = assignment })
+			}
+			s.recordRemotePosition(from, test.revision, executor.Position{Term: 1, Offset: 10})
+			if _, got := s.floor(0); got != test.want {
+				t.Errorf("position counts: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/director/session.go
+++ b/director/session.go
@@ -273,8 +273,10 @@
 	assignmentRevision int64
 	// mayHaveRun is set once a database may have run a statement of the client.
 	mayHaveRun bool
-	// fromPrimary is set if the last statement ran on the primary.
-	fromPrimary bool
+	// fromPrimary is set if the last statement ran on the primary, which was still in force
+	// when it responded, by the assignment with primaryRevision.
+	fromPrimary     bool
+	primaryRevision int64
 	// poolHost is the host to which the operation was last forwarded, empty if there is
 	// none, and remoteRevision the revision of the primary assignment in force there.
 	poolHost       string
--- a/director/transaction_test.go
+++ b/director/transaction_test.go
@@ -295,7 +295,7 @@
 				configuration.Routes = map[string]cataloger.Route{"db": route}
 				c.Configuration = &configuration
 			})
-			f.director.service("s").recordPosition(f.now, executor.Position{Term: 1, Offset: 10})
+			f.seedPosition()
 			s := f.newSession()
 			if test.open != executor.VerbUnknown {
 				runVerb(s, test.open)
