Tell a completed promotion from one that may still take effect

Cause: the record that is written ahead of the request made every request look like a repeated one, so that each completed assignment kept its promotion as pending, and each new leader waited 5 s for it again, before it began a planned change and once more within it.

Change: a request counts as repeated only if a change before this one may have made it. The 5 s of a promotion in a completed assignment run from when a host first saw that record, whoever leads.

--- a/overseer/evidence.go
+++ b/overseer/evidence.go
@@ -65,8 +65,8 @@
 	assignment cataloger.PrimaryAssignment
 	// assignedAt is when this host first saw that the primary is assigned.
 	assignedAt time.Time
-	// pendingSince is when this host first saw the pending promotion, or when it last
-	// requested it.
+	// pendingSince is when this host first saw the pending promotion or that the change which
+	// requested it is complete, or when it last requested it.
 	pendingSince time.Time
 }
 
@@ -88,10 +88,11 @@
 	}
 	now := o.Now()
 	same := assignment.ID == seen.assignment.ID && assignment.StartedAtMillis == seen.assignment.StartedAtMillis
-	if !ok || !same || seen.assignment.Changing && !assignment.Changing {
+	completed := seen.assignment.Changing && !assignment.Changing
+	if !ok || !same || completed {
 		seen.assignedAt = now
 	}
-	if !ok || assignment.Pending != seen.assignment.Pending {
+	if !ok || assignment.Pending != seen.assignment.Pending || completed {
 		seen.pendingSince = now
 	}
 	seen.assignment = assignment
@@ -115,12 +116,13 @@
 }
 
 // pendingExpired reports whether the pending promotion of a service would have taken effect. A
-// former leader may have requested it until this host became the leader.
-func (o *Overseer) pendingExpired(service string) bool {
+// former leader may have requested it until this host became the leader, unless the change that
+// requested it was complete before this leader recorded the next one.
+func (o *Overseer) pendingExpired(service string, complete bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	since := o.observed[service].pendingSince
-	if o.ledSince.After(since) {
+	if !complete && o.ledSince.After(since) {
 		since = o.ledSince
 	}
 	return o.Now().Sub(since) >= promotionEffectTimeout
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -280,7 +280,7 @@
 	if reason.Planned() && !o.quorumReachable(service, reason, members) {
 		return
 	}
-	change := &primaryChange{overseer: o, service: service, assignment: assignment, former: state.Primary, registered: state.Registered, reason: reason, state: state}
+	change := &primaryChange{overseer: o, service: service, assignment: assignment, afterComplete: !assignment.Changing, former: state.Primary, registered: state.Registered, reason: reason, state: state}
 	change.run(ctx)
 }
 
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -47,6 +47,8 @@
 	// fenceRevision is the revision of the assignment that first fenced the former
 	// primary.
 	fenceRevision int64
+	// afterComplete is set if the change before was complete when this one was decided.
+	afterComplete bool
 	// fencedPending is the pending promotion of a former change when this one was recorded.
 	fencedPending cataloger.PendingPromotion
 	// highestTerm is the highest term seen in the service: in the assignment and in the
@@ -93,7 +95,7 @@
 	if err != nil {
 		return expected, err
 	}
-	if c.reason.Planned() && c.assignment.Pending != (cataloger.PendingPromotion{}) && !c.overseer.pendingExpired(c.service) {
+	if c.reason.Planned() && c.assignment.Pending != (cataloger.PendingPromotion{}) && !c.overseer.pendingExpired(c.service, c.afterComplete) {
 		return expected, errPromotionPending
 	}
 	byHosts := c.reason == ReasonFailing || c.reason == ReasonPartitioned
--- a/overseer/promotion.go
+++ b/overseer/promotion.go
@@ -112,7 +112,7 @@
 		if current, ok := o.leaderToken(); !ok || current != c.token {
 			return false, errLeadershipLost
 		}
-		expired := o.pendingExpired(c.service)
+		expired := o.pendingExpired(c.service, c.afterComplete)
 		if expired && !c.resumed() {
 			settled("expired")
 			return false, nil
@@ -166,8 +166,9 @@
 func (c *primaryChange) promote(ctx context.Context, endpoint cataloger.Endpoint) (promoted Candidate, err error) {
 	o := c.overseer
 	pending := c.pendingPromotion(endpoint)
-	if c.repeats(endpoint) {
-		// The request before may already have raised the term.
+	if c.repeats(endpoint) && c.fencedPending != (cataloger.PendingPromotion{}) {
+		// A change before this one may have requested it, which may already have raised the
+		// term. One that this change recorded ahead has not been requested yet.
 		pending.FormerTerm = c.assignment.Pending.FormerTerm
 		c.requests++
 	}
--- a/overseer/promotion_test.go
+++ b/overseer/promotion_test.go
@@ -422,3 +422,74 @@
 		t.Error("the partition of the former primary counts for the next one")
 	}
 }
+
+// TestCompletedChangeLeavesNothingPending guards against a planned change that is put off for
+// seconds, until the database has left, since the promotion before, which was requested once and
+// has taken effect, counts as one that may still do so.
+func TestCompletedChangeLeavesNothingPending(t *testing.T) {
+	tests := []struct {
+		name string
+		// lostResponse is set if requests have no response and are repeated.
+		lostResponse bool
+		want         cataloger.PendingPromotion
+	}{
+		{name: "one request"},
+		{name: "repeated requests", lostResponse: true, want: cataloger.PendingPromotion{ID: "b", FormerTerm: 2}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t)
+				env.promotionDelay, env.lostResponse = 300*time.Millisecond, test.lostResponse
+				env.start()
+				env.failPrimary("p")
+				time.Sleep(4 * time.Second)
+				synctest.Wait()
+				if got := env.assignment(); got.ID != "b" || got.Changing || got.Pending != test.want {
+					t.Errorf("got assignment %+v, want b with pending %+v", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+// TestNewLeaderKnowsPendingPromotion guards against a planned change that each new leader puts off
+// for seconds again, because of a promotion that was requested long ago.
+func TestNewLeaderKnowsPendingPromotion(t *testing.T) {
+	tests := []struct {
+		name string
+		// ago is how long before this host becomes the leader the change was recorded as complete.
+		ago, atLeast, atMost time.Duration
+	}{
+		{name: "long ago", ago: 6 * time.Second, atMost: time.Second},
+		{name: "just completed", ago: 2 * time.Second, atLeast: 2500 * time.Millisecond, atMost: 4 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t)
+				env.entries[leaderKey] = storer.Entry{Key: leaderKey, Value: encode(leaderRecord{Host: "h2"}), ModRevision: 5}
+				env.listStore()
+				env.assign(cataloger.PrimaryAssignment{Service: service, ID: "p", Term: 1, Pending: cataloger.PendingPromotion{ID: "p", FormerTerm: 1}})
+				env.start()
+				time.Sleep(test.ago)
+				env.update(func() {
+					delete(env.entries, leaderKey)
+					env.endpoints[2].Draining = true
+					env.revision++
+				})
+				env.listStore()
+				began := time.Now()
+				time.Sleep(7 * time.Second)
+				synctest.Wait()
+				got := env.promotions()
+				if len(got) != 1 || got[0].id != "b" {
+					t.Fatalf("got promotions %+v, want one of b", got)
+				}
+				if took := got[0].at.Sub(began); took < test.atLeast || took > test.atMost {
+					t.Errorf("promoted after %v, want between %v and %v", took, test.atLeast, test.atMost)
+				}
+			})
+		})
+	}
+}
