Acknowledge a write only if its primary is still in force

Callers could lose acknowledged writes: a host that was suspended between its check of the primary and a COMMIT, or whose statement took long, passed on the success of a database that another one had replaced.

Cause: the right to use the primary was checked before each statement, not when the database had acknowledged it.

Change: the response to a COMMIT or a single write is checked too; if the view has expired or shows another primary, the client gets "outcome unknown", as when the connection is closed because the primary is replaced.

Result: three of the six cases of TestLateAcknowledgement failed before and pass now.

--- a/director/attempt.go
+++ b/director/attempt.go
@@ -50,6 +50,11 @@
 // primaryRef, which may still be in force.
 var errViewTooOld = errors.New("view of the primaries is too old")
 
+// errUnconfirmed reports that a database acknowledged a write when it may have been the primary
+// no more: this host's view expired meanwhile, or shows another primary. The statement may have
+// been sent late, by a host that was suspended after it had checked its view.
+var errUnconfirmed = errors.New("primary was not in force any more when it acknowledged")
+
 // isFenced reports whether a statement was not sent because its primary must not
 // be used.
 func isFenced(err error) bool { return errors.Is(err, errFenced) || errors.Is(err, errViewTooOld) }
@@ -188,9 +193,18 @@
 	default:
 		a.operation.markMayHaveRun()
 	}
+	if a.acknowledges(statement, response) && a.operation.service.bindPrimaryRef(a.primaryRef, a.conn) != nil {
+		return executor.Response{}, errUnconfirmed
+	}
 	return response, nil
 }
 
+// acknowledges reports whether the response tells the client that what it has written is kept.
+func (a *attempt) acknowledges(statement executor.Request, response executor.Response) bool {
+	written := statement.ID != "" && a.operation.writes && response.State == executor.StateIdle
+	return written && a.primaryRef != nil && response.Code == executor.CodeNone
+}
+
 // startWait records that the attempt waits for the database.
 func (a *attempt) startWait() {
 	if !a.awaiting {
--- a/director/single.go
+++ b/director/single.go
@@ -15,6 +15,10 @@
 // connection or a permit.
 const busyText = "databases are busy, retry in 200ms"
 
+// unconfirmedText is the text of the response to a write that may be lost, since the database may
+// not have been the primary any more.
+const unconfirmedText = "primary was being replaced; outcome unknown"
+
 // executeData runs a read, a write or a prepared statement.
 func (s *Session) executeData(ctx context.Context, statement executor.Request) executor.Response {
 	resolved, writes, p, ok := s.resolve(statement)
@@ -189,6 +193,9 @@
 	if isFenced(err) {
 		return fencedResponse(err), true
 	}
+	if errors.Is(err, errUnconfirmed) {
+		return executor.Response{Code: executor.CodeInDoubt, Text: unconfirmedText}, false
+	}
 	r.operation.service.recordFailure(a.database, err)
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	if timedOut && !r.writes && r.operation.session.director.Now().Before(r.deadline) {
--- a/director/transaction_end.go
+++ b/director/transaction_end.go
@@ -103,12 +103,14 @@
 		a.returnOrDiscardConn(executor.StateTransaction)
 		return executor.Response{Code: executor.CodeBusy, Text: busyTextOf(err), State: executor.StateIdle}
 	}
-	if !isFenced(err) {
+	if !isFenced(err) && !errors.Is(err, errUnconfirmed) {
 		t.operation.service.recordFailure(a.database, err)
 	}
 	a.discardConn()
 	response := executor.Response{State: executor.StateIdle}
 	switch {
+	case errors.Is(err, errUnconfirmed) && t.wrote:
+		response.Code, response.Text = executor.CodeInDoubt, unconfirmedText
 	case a.clientStatementSent && t.wrote:
 		response.Code, response.Text = executor.CodeInDoubt, "connection to the database was lost; outcome unknown"
 	case a.clientStatementSent:
--- a/director/transaction_test.go
+++ b/director/transaction_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -321,3 +322,57 @@
 		})
 	}
 }
+
+// TestLateAcknowledgement guards against an acknowledged write that is lost: the host was suspended
+// between its check of the primary and the statement, and the former primary ran it.
+func TestLateAcknowledgement(t *testing.T) {
+	tests := []struct {
+		name string
+		verb executor.Verb
+		// expires and replaced say what happens while the statement runs.
+		expires, replaced bool
+		want              executor.Code
+	}{
+		{name: "commit", verb: executor.VerbCommit},
+		{name: "commit, view expires", verb: executor.VerbCommit, expires: true, want: executor.CodeInDoubt},
+		{name: "commit, primary replaced", verb: executor.VerbCommit, replaced: true, want: executor.CodeInDoubt},
+		{name: "write", verb: executor.VerbWrite},
+		{name: "write, view expires", verb: executor.VerbWrite, expires: true, want: executor.CodeInDoubt},
+		{name: "read, view expires", verb: executor.VerbRead, expires: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(cataloger.Primary)
+				var expired atomic.Bool
+				f.director.ViewCompleteAsOf = func() time.Time {
+					if expired.Load() {
+						return f.now.Add(-MaxViewAge)
+					}
+					return f.now
+				}
+				s := f.newSession()
+				if test.verb == executor.VerbCommit {
+					runVerb(s, executor.VerbBegin)
+					runVerb(s, executor.VerbWrite, "a x")
+				}
+				primary := f.database("p")
+				f.primary.responseTime = 300 * time.Millisecond
+				// Opening a connection takes no time, so that the statement runs then.
+				time.AfterFunc(200*time.Millisecond, func() {
+					expired.Store(test.expires)
+					if test.replaced {
+						f.replacePrimary()
+					}
+				})
+				got := runVerb(s, test.verb, "a x")
+				if got.Code != test.want || got.State != executor.StateIdle {
+					t.Errorf("got %v %q, state %c, want %v, state I", got.Code, got.Text, got.State, test.want)
+				}
+				if primary.consecutiveFailures != 0 {
+					t.Errorf("recorded %d failures of the primary, want 0", primary.consecutiveFailures)
+				}
+			})
+		})
+	}
+}
