Begin a new epoch when the same primary leads another term

Cause: a host that missed both changes of a primary that was replaced and promoted again kept the epoch, so that a late response from before counted.

Change: a higher term of the assigned primary begins a new epoch and empties the history of positions.

Result: the case "the same, in one step" of TestPositionCountsForItsPrimary failed before and passes now.

--- a/director/primary.go
+++ b/director/primary.go
@@ -22,12 +22,18 @@
 // former primary are ended: at once if the primary was replaced, or at the end of the
 // assignment's grace period if it is being replaced.
 func (s *service) setPrimary(catalog *cataloger.Catalog) {
+	formerTerm := s.assignment.Term
 	s.setAssignment(catalog.Assignments[s.name])
 	var next *database
 	if endpoint, ok := catalog.PrimaryOf(s.name); ok && !catalog.Evacuated[endpoint.DataCentre] {
 		next = s.databases[endpointKeyOf(endpoint)]
 	}
 	if next == s.primary && s.primaryChanged != nil {
+		if s.assignment.Term != formerTerm {
+			// It was replaced and promoted again since the catalog before.
+			s.epoch++
+			s.history.Reset()
+		}
 		return
 	}
 	former := s.primary
--- a/director/service_test.go
+++ b/director/service_test.go
@@ -233,10 +233,10 @@
 // late response counts as one of the primary: the database ran the statement as a replica, or
 // another one is the primary by now.
 func TestPositionCountsForItsPrimary(t *testing.T) {
-	promote := func(id string, revision int64) func(*fixture) {
+	assign := func(id string, term uint64, revision int64) func(*fixture) {
 		return func(f *fixture) {
 			f.updateCatalog(func(c *cataloger.Catalog) {
-				c.Assignments["s"] = cataloger.PrimaryAssignment{Service: "s", ID: id, Revision: revision}
+				c.Assignments["s"] = cataloger.PrimaryAssignment{Service: "s", ID: id, Term: term, Revision: revision}
 			})
 		}
 	}
@@ -250,10 +250,11 @@
 	}{
 		{name: "primary stays", database: "p", want: true},
 		{name: "replica", database: "r"},
-		{name: "replica is promoted", database: "r", meanwhile: []func(*fixture){promote("r", 4)}},
-		{name: "primary is replaced", database: "p", meanwhile: []func(*fixture){promote("r", 4)}},
-		{name: "primary is replaced and promoted again", database: "p", meanwhile: []func(*fixture){promote("r", 4), promote("p", 5)}},
-		{name: "primary is confirmed", database: "p", meanwhile: []func(*fixture){promote("p", 4)}, want: true},
+		{name: "replica is promoted", database: "r", meanwhile: []func(*fixture){assign("r", 1, 4)}},
+		{name: "primary is replaced", database: "p", meanwhile: []func(*fixture){assign("r", 1, 4)}},
+		{name: "primary is replaced and promoted again", database: "p", meanwhile: []func(*fixture){assign("r", 1, 4), assign("p", 2, 5)}},
+		{name: "the same, in one step", database: "p", meanwhile: []func(*fixture){assign("p", 2, 5)}},
+		{name: "primary is confirmed", database: "p", meanwhile: []func(*fixture){assign("p", 0, 4)}, want: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
