Measure leases of the PostgreSQL side by a clock that counts suspensions

Cause: a holder whose machine was suspended after a poll took its lease for valid when it continued, as the monotonic clock had stood still, although another host could have taken over.

Change: the default clock of server.Server is timekeeper.Now. The incarnation of a process stays the time of day, which a reboot does not set back.

--- a/server/peers.go
+++ b/server/peers.go
@@ -25,7 +25,9 @@
 		Self: gossiper.Host{
 			Name: s.Settings.Host, DataCentre: s.Settings.DataCentre,
 			PeerAddress: s.PeerListener.Addr().String(), ClientAddress: s.ClientListener.Addr().String(),
-			Incarnation: uint64(s.Now().UnixNano()),
+			// A process that starts after a reboot has to have a later incarnation, which the
+			// clock of Now would not give it.
+			Incarnation: uint64(time.Now().UnixNano()),
 		},
 		Send: s.peerClient.Heartbeat,
 		Probe: func(ctx context.Context, address string, target gossiper.Host) (bool, error) {
--- a/server/server.go
+++ b/server/server.go
@@ -25,6 +25,7 @@
 	"github.com/endiveturn/endiveturn/messenger"
 	"github.com/endiveturn/endiveturn/promoter"
 	"github.com/endiveturn/endiveturn/storer"
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 const (
@@ -52,7 +53,8 @@
 	DialPeer func(ctx context.Context, address string) (net.Conn, error)
 	// DialEndpoint opens connections to databases; optional.
 	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
-	// Now returns the time with a monotonic clock reading; optional.
+	// Now returns the time by which leases, freshness and rates are measured. The default is
+	// timekeeper.Now, since a suspension of the machine must end the lease of a holder.
 	Now func() time.Time
 	// Logger is optional.
 	Logger *slog.Logger
@@ -202,7 +204,7 @@
 
 func (s *Server) setDefaults() {
 	if s.Now == nil {
-		s.Now = time.Now
+		s.Now = timekeeper.Now
 	}
 	if s.Logger == nil {
 		s.Logger = slog.Default()
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
 // TestStopBeforeRun guards against a host that panics, or serves, when it is stopped
@@ -37,3 +39,32 @@
 		}
 	}
 }
+
+// TestClockCountsSuspensions guards against a holder that takes its lease for valid after its machine
+// was suspended, when another host may have taken over, and against an incarnation that a reboot
+// sets back.
+func TestClockCountsSuspensions(t *testing.T) {
+	sinceBoot := time.Unix(3600, 0)
+	defer timekeeper.Replace(func() time.Time { return sinceBoot })()
+	s := &Server{Logger: slog.New(slog.DiscardHandler)}
+	s.setDefaults()
+	began := s.Now()
+	sinceBoot = sinceBoot.Add(10 * time.Second)
+	if got := s.Now().Sub(began); got != 10*time.Second {
+		t.Errorf("got %v across a suspension of 10s", got)
+	}
+	var config net.ListenConfig
+	for _, listener := range []*net.Listener{&s.ClientListener, &s.PeerListener} {
+		var err error
+		if *listener, err = config.Listen(t.Context(), "tcp", "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		defer (*listener).Close()
+	}
+	if err := s.createComponents(); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.gossip.Self.Incarnation; got < uint64(time.Now().Add(-time.Minute).UnixNano()) {
+		t.Errorf("got incarnation %d, want the time of day", got)
+	}
+}
