--- a/director/database.go
+++ b/director/database.go
@@ -169,24 +169,24 @@
 	}
 }
 
-// A viewpoint is what a host knew about the primary of a service when it sent a statement.
-type viewpoint struct {
+// A primarySnapshot is the epoch of a service when a statement was sent.
+type primarySnapshot struct {
 	epoch uint64
 	// sent is when the statement was sent, on the clock of Director.SinceBoot.
 	sent time.Time
 }
 
-func (s *service) viewpoint() viewpoint {
+func (s *service) snapshot() primarySnapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return viewpoint{epoch: s.epoch, sent: s.director.SinceBoot()}
+	return primarySnapshot{epoch: s.epoch, sent: s.director.SinceBoot()}
 }
 
 // recordRemotePosition records the position of the primary from a response that another host
 // received, with a primary assignment of the given revision in force there. It does not count
 // unless the same primary has been in force on both hosts since the statement was sent to that
 // host.
-func (s *service) recordRemotePosition(from viewpoint, revision int64, position executor.Position) {
+func (s *service) recordRemotePosition(from primarySnapshot, revision int64, position executor.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if from.epoch == s.epoch && revision == s.assignment.Revision && s.primary != nil && !position.IsZero() {
--- a/director/fake_test.go
+++ b/director/fake_test.go
@@ -240,7 +240,7 @@
 // seedPosition makes the position of the primary known, so that replicas may serve reads.
 func (f *fixture) seedPosition() {
 	s := f.director.service("s")
-	s.recordRemotePosition(s.viewpoint(), s.assignmentRevision(), executor.Position{Term: 1, Offset: 10})
+	s.recordRemotePosition(s.snapshot(), s.assignmentRevision(), executor.Position{Term: 1, Offset: 10})
 }
 
 // newSession returns a new session of the only customer.
--- a/director/forward.go
+++ b/director/forward.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		op.setElapsed(request)
-		from := op.service.viewpoint()
+		from := op.service.snapshot()
 		reply, err := stream.Run(request, deadline, abandonSilent)
 		switch {
 		case errors.Is(err, forwarder.ErrNotSent):
@@ -84,7 +84,7 @@
 }
 
 // recordForwarded records what the reply of a pool host says about the operation.
-func (op *operation) recordForwarded(from viewpoint, reply *forwarder.Reply) {
+func (op *operation) recordForwarded(from primarySnapshot, reply *forwarder.Reply) {
 	op.attempts += reply.Attempts
 	op.remoteRevision = reply.AssignmentRevision
 	if reply.MayHaveRun {
@@ -192,7 +192,7 @@
 // executeForwarded runs a further statement of the transaction on its pool host.
 func (t *transaction) executeForwarded(statement executor.Request, writes bool, p *prepared, deadline time.Time) executor.Response {
 	op := t.operation
-	from := op.service.viewpoint()
+	from := op.service.snapshot()
 	reply, err := t.remote.Run(op.newStatementRequest(statement, p), deadline.Add(forwardedReplyMargin), false)
 	if errors.Is(err, forwarder.ErrTooLarge) {
 		response := op.session.errorResponse(executor.CodeMalformed, "statement is too large for this transaction")
@@ -226,7 +226,7 @@
 // commitForwarded commits the transaction on its pool host.
 func (t *transaction) commitForwarded(statement executor.Request, deadline time.Time) executor.Response {
 	op := t.operation
-	from := op.service.viewpoint()
+	from := op.service.snapshot()
 	// A COMMIT uses no session variables, which might be too large to be forwarded.
 	request := &forwarder.Request{Statement: statement}
 	reply, err := t.remote.Run(request, deadline.Add(forwardedReplyMargin), false)
--- a/director/service_test.go
+++ b/director/service_test.go
@@ -306,7 +306,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			f := newFixture(cataloger.BoundedStaleness)
 			s := f.director.service("s")
-			from := s.viewpoint()
+			from := s.snapshot()
 			for _, assignment := range test.changes {
 				f.updateCatalog(func(c *cataloger.Catalog) { c.Assignments["s"] = assignment })
 			}
