Make the checks of the primary easier to read

The check of a reference has a name of its own, verifyPrimaryRef, since it is made before a statement and after a write; the records of a response move out of roundTrip; the predicate that also requests a view is called refreshCatalog; comments say in usual terms what epoch, name and assignment are.

--- a/director/attempt.go
+++ b/director/attempt.go
@@ -50,10 +50,10 @@
 // primaryRef, which may still be in force.
 var errViewTooOld = errors.New("view of the primaries is too old")
 
-// errUnconfirmed reports that a database acknowledged a write when it may have been the primary
-// no more: this host's view expired meanwhile, or shows another primary. The statement may have
-// been sent late, by a host that was suspended after it had checked its view.
-var errUnconfirmed = errors.New("primary was not in force any more when it acknowledged")
+// errUnconfirmed reports that a database acknowledged a write when it may no longer have been
+// the primary: this host's view expired meanwhile, or shows another primary. The statement may
+// have been sent late, by a host that was suspended after it had checked its view.
+var errUnconfirmed = errors.New("primary was no longer in force when it acknowledged the write")
 
 // isFenced reports whether a statement was not sent because its primary must not
 // be used.
@@ -177,6 +177,16 @@
 		}
 		return executor.Response{}, err
 	}
+	a.recordResponse(statement, response, began)
+	if a.acknowledgesWrite(statement, response) && a.operation.service.verifyPrimaryRef(a.primaryRef) != nil {
+		return executor.Response{}, errUnconfirmed
+	}
+	return response, nil
+}
+
+// recordResponse records what the response to a statement shows about the database. began is
+// when the statement was sent.
+func (a *attempt) recordResponse(statement executor.Request, response executor.Response, began time.Time) {
 	a.operation.service.recordSuccess(a.database)
 	a.operation.fromPrimary, a.operation.primaryRevision = a.operation.service.recordPrimaryPosition(a.primaryRef, a.sent, response.Position)
 	if statement.ID != "" && response.Code == executor.CodeNone {
@@ -193,14 +203,10 @@
 	default:
 		a.operation.markMayHaveRun()
 	}
-	if a.acknowledges(statement, response) && a.operation.service.bindPrimaryRef(a.primaryRef, a.conn) != nil {
-		return executor.Response{}, errUnconfirmed
-	}
-	return response, nil
 }
 
-// acknowledges reports whether the response tells the client that what it has written is kept.
-func (a *attempt) acknowledges(statement executor.Request, response executor.Response) bool {
+// acknowledgesWrite reports whether the response acknowledges a committed write to the client.
+func (a *attempt) acknowledgesWrite(statement executor.Request, response executor.Response) bool {
 	written := statement.ID != "" && a.operation.writes && response.State == executor.StateIdle
 	return written && a.primaryRef != nil && response.Code == executor.CodeNone
 }
--- a/director/database.go
+++ b/director/database.go
@@ -176,6 +176,7 @@
 	sent time.Time
 }
 
+// snapshot returns the present epoch and time.
 func (s *service) snapshot() primarySnapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/director/explain.go
+++ b/director/explain.go
@@ -204,7 +204,7 @@
 	}
 	if len(e.PoolHosts) > 0 {
 		e.Decision, e.Code, e.Database, e.Connection = DecisionForward, executor.CodeNone, "", ""
-		e.Reason = "the pool host chooses the database; ask it for its choice"
+		e.Reason = "the pool host chooses the database; run the command there"
 	}
 }
 
--- a/director/prepared.go
+++ b/director/prepared.go
@@ -16,8 +16,8 @@
 
 // newPrepared derives the name of a prepared statement from its text and
 // whether it writes, so that sessions that prepare the same statement share it
-// on a connection. The name is all that tells statements apart there, and clients choose the
-// texts, so it has the whole digest of a cryptographic hash function.
+// on a connection. Statements are distinguished by their names alone there, and clients choose
+// the texts, so the name has the whole digest of a cryptographic hash function.
 func newPrepared(text string, writes bool) prepared {
 	digest := sha256.Sum256([]byte(text))
 	kind := "r"
--- a/director/primary.go
+++ b/director/primary.go
@@ -55,6 +55,7 @@
 	}
 }
 
+// setAssignment puts an assignment into force and signals that to operations that wait for a newer one.
 func (s *service) setAssignment(assignment cataloger.PrimaryAssignment) {
 	if s.assignmentChanged == nil || assignment.Revision != s.assignment.Revision {
 		if s.assignmentChanged != nil {
@@ -159,10 +160,18 @@
 // force has the assignment that this host has received.
 const maxAssignmentWait = 200 * time.Millisecond
 
-// bindPrimaryRef binds the connection to the reference. It returns errFenced or
-// errViewTooOld if no further statement may be sent under it.
+// bindPrimaryRef binds the connection to the reference and verifies the reference.
 func (s *service) bindPrimaryRef(ref *primaryRef, conn *connector.Conn) error {
-	changed, err := s.tryBindPrimaryRef(ref, conn)
+	s.mu.Lock()
+	ref.conn = conn
+	s.mu.Unlock()
+	return s.verifyPrimaryRef(ref)
+}
+
+// verifyPrimaryRef returns errFenced or errViewTooOld if the database of the reference may not be
+// used as the primary now. It waits while the catalog in force lacks the newest assignment.
+func (s *service) verifyPrimaryRef(ref *primaryRef) error {
+	changed, err := s.checkPrimaryRef(ref)
 	if changed == nil {
 		return err
 	}
@@ -171,7 +180,7 @@
 	for changed != nil {
 		select {
 		case <-changed:
-			changed, err = s.tryBindPrimaryRef(ref, conn)
+			changed, err = s.checkPrimaryRef(ref)
 		case <-timer.C:
 			return errViewTooOld
 		}
@@ -179,27 +188,21 @@
 	return err
 }
 
-// tryBindPrimaryRef returns the result of bindPrimaryRef, or a channel that is closed when it can
-// be called again.
-func (s *service) tryBindPrimaryRef(ref *primaryRef, conn *connector.Conn) (changed chan struct{}, err error) {
+// checkPrimaryRef returns the result of verifyPrimaryRef, or a channel that is closed when
+// another assignment comes into force.
+func (s *service) checkPrimaryRef(ref *primaryRef) (changed chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ref.conn = conn
-	if s.awaitsAssignment() {
+	switch {
+	case s.awaitsAssignment():
 		return s.assignmentChanged, nil
+	case !s.viewIsCurrent():
+		return nil, errViewTooOld
+	case ref.database != s.primary && !s.inGracePeriod(ref.database):
+		return nil, errFenced
+	default:
+		return nil, nil
 	}
-	return nil, s.checkPrimaryRef(ref)
-}
-
-// checkPrimaryRef returns why no further statement may be sent under the reference, or nil.
-func (s *service) checkPrimaryRef(ref *primaryRef) error {
-	if !s.viewIsCurrent() {
-		return errViewTooOld
-	}
-	if ref.database != s.primary && !s.inGracePeriod(ref.database) {
-		return errFenced
-	}
-	return nil
 }
 
 func (s *service) releasePrimary(ref *primaryRef) {
--- a/director/service.go
+++ b/director/service.go
@@ -39,8 +39,8 @@
 	// primary is the database that may be used as primary, or nil if there is
 	// none.
 	primary *database
-	// primarySince is when primary was set, and epoch counts how often it was, or came to lead
-	// another term.
+	// primarySince is when primary was set. epoch is incremented whenever the primary or its
+	// term changes.
 	primarySince time.Time
 	epoch        uint64
 	// assignment is the primary assignment by which primary was chosen.
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -207,7 +207,7 @@
 		quorum := now.Sub(began) >= c.confirmationExpiry()
 		// In a large fleet a host that is not in the view of this one may still
 		// receive reports from other hosts.
-		if quorum && len(unreleased) == 0 && !o.largeFleet() && c.knowsAllHosts() {
+		if quorum && len(unreleased) == 0 && !o.largeFleet() && c.refreshCatalog() {
 			o.Logger.Info("former_primary_released", "service", c.service, "lead_revision", c.assignment.Revision, "took", now.Sub(began))
 			return nil
 		}
@@ -228,10 +228,10 @@
 	}
 }
 
-// knowsAllHosts reports whether this host's view has every host that registered before the
-// change was recorded. The response of the store that shows this has no change for this host,
-// which wrote it, so that no view is built for it unless it is requested.
-func (c *primaryChange) knowsAllHosts() bool {
+// refreshCatalog reports whether this host's view has every host that registered before the
+// change was recorded. If only the mirror has them, it requests a new view: the store sends this
+// host no change for the record, which the host wrote itself, so that none would be built.
+func (c *primaryChange) refreshCatalog() bool {
 	o := c.overseer
 	if catalog := o.Catalog(); catalog != nil && catalog.Revision >= c.assignment.Revision {
 		return true
