--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -115,6 +115,9 @@
 	// started, as far as they are known.
 	Stopping map[string]bool
 	Starting map[string]bool
+	// Ended maps the names of hosts that have left in order to the incarnation that has: it
+	// uses no primary and confirms no view any more.
+	Ended map[string]string
 	// Voters are the hosts that confirm views while the store is out of reach.
 	Voters Voters
 	// AssignmentsEra is the earliest era of the store in which the assignment of a
@@ -133,6 +136,12 @@
 // hosts.
 const MaxSmallFleetSize = 16
 
+// HasEnded reports whether the process of a host has left in order.
+func (c *Catalog) HasEnded(host Host) bool {
+	incarnation, ok := c.Ended[host.Name]
+	return ok && incarnation == host.Incarnation
+}
+
 // FleetSize returns the number of hosts. It includes hosts whose entries
 // disappeared a short while ago, because all leases may expire during an outage
 // of the store.
--- a/cataloger/voters.go
+++ b/cataloger/voters.go
@@ -1,6 +1,9 @@
 package cataloger
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 // Voters are the hosts of which a majority confirms, while the store is out of reach, that
 // a view of the primaries is complete. The leader keeps their list in the store. A host
@@ -11,11 +14,35 @@
 	Revision int64
 	// Version numbers the lists that leaders have written, from 1 on.
 	Version int64
-	// Since maps each host to the version that added it, or to 0 once every voter was known to
-	// have that version. A process of the host counts only with that version or a later one,
-	// and each of those has every host with the same or a lower Since. Before a process has
-	// read any list, it may count for a short while without one, unless its Since is 0.
+	// Since maps each host to the version that added it. A process of the host counts only
+	// with that version or a later one.
 	Since map[string]int64
+	// Former are hosts that were removed although their processes may still run, in the order
+	// of removal.
+	Former []FormerVoter
+	// Known is a version that every voter is known to have, except those with a later Since.
+	Known int64
+	// Established is set once no process without a list may count any more.
+	Established bool
+}
+
+// A FormerVoter is a host that was a voter in the versions from Since on and before Until.
+type FormerVoter struct {
+	Host         string
+	Since, Until int64
+	// Known is the latest version that the host was known to have when it was removed.
+	Known int64
+}
+
+// An Uncertainty is what a leader knows about the voters that may confirm views without a
+// change.
+type Uncertainty struct {
+	// MayConfirm reports whether a process of the host may still confirm views without the
+	// change, and the latest version of the list that it is known to have.
+	MayConfirm func(host string) (known int64, ok bool)
+	// OldestByMajority is the oldest version that a host may still count a majority of, and
+	// OldestByAll the oldest one that it may still count all hosts of.
+	OldestByMajority, OldestByAll int64
 }
 
 // Has reports whether a host is a voter.
@@ -24,9 +51,37 @@
 	return ok
 }
 
-// WithChanges returns the next list, with the given hosts added and removed.
-func (v Voters) WithChanges(added, removed []string) Voters {
-	next := Voters{Version: v.Version + 1, Since: maps.Clone(v.Since)}
+// Names returns the names of the present and former voters.
+func (v Voters) Names() []string {
+	names := slices.Collect(maps.Keys(v.Since))
+	for _, f := range v.Former {
+		if !slices.Contains(names, f.Host) {
+			names = append(names, f.Host)
+		}
+	}
+	return names
+}
+
+// KnownTo returns the latest version that a present or former voter is known to have, by the
+// list alone. One that was removed and added again may still have the list that it had before.
+func (v Voters) KnownTo(name string) int64 {
+	since, ok := v.Since[name]
+	if ok && since <= v.Known {
+		return v.Known
+	}
+	for _, f := range slices.Backward(v.Former) {
+		if f.Host == name {
+			return f.Known
+		}
+	}
+	return since
+}
+
+// WithChanges returns the next list, with the given hosts added and removed, and those removed
+// among them remembered that may still count.
+func (v Voters) WithChanges(added, removed []string, former []FormerVoter) Voters {
+	next := v
+	next.Version, next.Since = v.Version+1, maps.Clone(v.Since)
 	if next.Since == nil {
 		next.Since = make(map[string]int64, len(added))
 	}
@@ -36,69 +91,136 @@
 	for _, name := range removed {
 		delete(next.Since, name)
 	}
+	next.Former = slices.Clone(v.Former)
+	for _, f := range former {
+		f.Until = next.Version
+		next.Former = append(next.Former, f)
+		delete(next.Since, f.Host)
+	}
 	return next
 }
 
-// AllKnown reports whether each voter was known to have a list with all voters.
-func (v Voters) AllKnown() bool { return v.allKnownBut(func(string) bool { return false }) }
+// AllKnown reports whether each voter was known to have a list with all present voters only.
+func (v Voters) AllKnown() bool {
+	for _, since := range v.Since {
+		if since > v.Known {
+			return false
+		}
+	}
+	return len(v.Former) == 0 || v.Former[len(v.Former)-1].Until <= v.Known
+}
 
 // WithAllKnown returns the next list for the case that every voter has this one.
 func (v Voters) WithAllKnown() Voters {
-	next := Voters{Version: v.Version + 1, Since: make(map[string]int64, len(v.Since))}
-	for name := range v.Since {
-		next.Since[name] = 0
-	}
+	next := v
+	next.Version, next.Known = v.Version+1, v.Version
 	return next
 }
 
-// ListMissing reports whether a voter for which excluded is false may have no list yet.
-func (v Voters) ListMissing(excluded func(name string) bool) bool { return !v.allKnownBut(excluded) }
+// WithoutExpired returns the list without the former voters that were removed in the given
+// version or before.
+func (v Voters) WithoutExpired(version int64) Voters {
+	next := v
+	next.Former = slices.DeleteFunc(slices.Clone(v.Former), func(f FormerVoter) bool { return f.Until <= version })
+	return next
+}
 
-func (v Voters) allKnownBut(excluded func(name string) bool) bool {
+// ListMissing reports whether a host that may confirm views may have no list yet.
+func (v Voters) ListMissing(u Uncertainty) bool {
+	if v.Established {
+		return false
+	}
 	for name, since := range v.Since {
-		if since > 0 && !excluded(name) {
-			return false
+		if _, ok := u.MayConfirm(name); ok && since > v.Known {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
-// MajorityPossible reports whether the voters for which excluded is false may be a majority
-// of a list that one of them counts with.
-func (v Voters) MajorityPossible(excluded func(name string) bool) bool {
-	rest, oldest := v.without(excluded)
-	return rest > 0 && 2*rest > v.countUntil(oldest, func(string) bool { return true })
+// MajorityPossible reports whether hosts that may confirm views may be a majority of a list
+// that all of them count with. Hosts that hear each other have the newest list of all of them.
+func (v Voters) MajorityPossible(u Uncertainty) bool {
+	return slices.ContainsFunc(v.versionsFrom(u.OldestByMajority), func(version int64) bool { return v.majorityOf(version, u) })
 }
 
-// AllPossible reports whether the voters for which excluded is false may be all hosts of a
-// list that one of them counts with.
-func (v Voters) AllPossible(excluded func(name string) bool) bool {
-	rest, oldest := v.without(excluded)
-	return rest > 0 && v.countUntil(oldest, excluded) == 0
+// AllPossible reports whether hosts that may confirm views may be all hosts of a list that all
+// of them count with.
+func (v Voters) AllPossible(u Uncertainty) bool {
+	return slices.ContainsFunc(v.versionsFrom(u.OldestByAll), func(version int64) bool { return v.allOf(version, u) })
 }
 
-// without returns the number of voters for which excluded is false and the lowest Since of
-// those, which stands for the shortest list that one of them may count with.
-func (v Voters) without(excluded func(name string) bool) (rest int, oldest int64) {
-	for name, since := range v.Since {
-		if excluded(name) {
+// Confirming returns the hosts that may be part of a majority, or of all hosts, of a list that
+// they were voters of.
+func (v Voters) Confirming(u Uncertainty) map[string]bool {
+	confirming := make(map[string]bool)
+	for _, version := range v.versionsFrom(min(u.OldestByMajority, u.OldestByAll)) {
+		byMajority := version >= u.OldestByMajority && v.majorityOf(version, u)
+		byAll := version >= u.OldestByAll && v.allOf(version, u)
+		if !byMajority && !byAll {
 			continue
 		}
-		if rest == 0 || since < oldest {
-			oldest = since
+		v.eachOf(version, func(name string) {
+			if known, ok := u.MayConfirm(name); ok && known <= version {
+				confirming[name] = true
+			}
+		})
+	}
+	return confirming
+}
+
+// versionsFrom returns, of each run of versions with the same hosts, the last one, without runs
+// that end before the oldest version. The later a version, the more hosts may count with it.
+func (v Voters) versionsFrom(oldest int64) []int64 {
+	versions := []int64{v.Version}
+	add := func(changed int64) {
+		if last := changed - 1; last >= max(oldest, 1) {
+			versions = append(versions, last)
 		}
-		rest++
 	}
-	return rest, oldest
+	for _, since := range v.Since {
+		add(since)
+	}
+	for _, former := range v.Former {
+		add(former.Since)
+		add(former.Until)
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
 }
 
-// countUntil returns the number of voters up to a Since for which counts is true.
-func (v Voters) countUntil(since int64, counts func(name string) bool) int {
-	n := 0
-	for name, other := range v.Since {
-		if other <= since && counts(name) {
-			n++
+// eachOf calls visit with the hosts of the list of a version.
+func (v Voters) eachOf(version int64, visit func(name string)) {
+	for name, since := range v.Since {
+		if since <= version {
+			visit(name)
 		}
 	}
-	return n
+	for _, f := range v.Former {
+		if f.Since <= version && version < f.Until {
+			visit(f.Host)
+		}
+	}
+}
+
+// count returns how many hosts the list of a version has, and how many of them may count with
+// it.
+func (v Voters) count(version int64, u Uncertainty) (hosts, possible int) {
+	v.eachOf(version, func(name string) {
+		hosts++
+		if known, ok := u.MayConfirm(name); ok && known <= version {
+			possible++
+		}
+	})
+	return hosts, possible
+}
+
+func (v Voters) majorityOf(version int64, u Uncertainty) bool {
+	hosts, possible := v.count(version, u)
+	return 2*possible > hosts
+}
+
+func (v Voters) allOf(version int64, u Uncertainty) bool {
+	hosts, possible := v.count(version, u)
+	return hosts > 0 && possible == hosts
 }
--- a/hoster/fleet_model_test.go
+++ b/hoster/fleet_model_test.go
@@ -1,6 +1,7 @@
 package hoster
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/director"
+	"github.com/endiveturn/endiveturn/overseer"
 )
 
 // A fleetModel simulates a fleet, its store and the network between them in discrete steps.
@@ -37,6 +39,9 @@
 	// primary without the store.
 	promotions, confirmations int
 	group                     modelGroup
+	// endedAt is when each host that left in order did so.
+	endedAt map[string]time.Time
+	replacements
 }
 
 // A modelStore is the content of the store, and of a host's mirror.
@@ -45,8 +50,10 @@
 	leaderToken int64
 	leader      string
 	registry    map[string]string
-	assignment  int64
-	voters      cataloger.Voters
+	// ended holds the incarnations that have left in order.
+	ended      map[string]string
+	assignment int64
+	voters     cataloger.Voters
 }
 
 // A modelHost is one process.
@@ -70,7 +77,8 @@
 	// list of voters, and voters that list.
 	token, votersToken int64
 	voters             cataloger.Voters
-	absentSince        map[string]time.Time
+	silentSince        map[string]time.Time
+	history            overseer.VoterHistory
 	// fencing is the assignment that the host writes to replace a primary, written
 	// at fencedAt and acknowledged by enough hosts at quorumAt.
 	fencing            int64
@@ -83,6 +91,9 @@
 	pendingSince time.Time
 }
 
+// fleetModelSeeds is how many random simulations of each size of fleet are run.
+var fleetModelSeeds = flag.Int("fleet-model-seeds", 14, "simulations of each size of TestFormerPrimaryIsNotConfirmedFresh")
+
 const (
 	stepDuration = 50 * time.Millisecond
 	// modelHostLease is how long a registration lasts in the store.
@@ -92,8 +103,8 @@
 func newFleetModel(seed uint64, hosts int) *fleetModel {
 	m := &fleetModel{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), hosts: make(map[string]*modelHost),
-		partition: make(map[string]int), store: modelStore{revision: 1, registry: make(map[string]string)}, registeredAt: make(map[string]time.Time),
-		group: newModelGroup(),
+		partition: make(map[string]int), store: modelStore{revision: 1, registry: make(map[string]string), ended: make(map[string]string)}, registeredAt: make(map[string]time.Time),
+		group: newModelGroup(), endedAt: make(map[string]time.Time),
 	}
 	for i := range hosts {
 		m.start(fmt.Sprint("h", i))
@@ -107,9 +118,10 @@
 		m.names = append(m.names, name)
 	}
 	m.hosts[name] = &modelHost{
-		name: name, incarnation: fmt.Sprint(m.store.revision), startedAt: m.now, mirror: modelStore{registry: make(map[string]string)},
+		name: name, incarnation: fmt.Sprint(m.store.revision), startedAt: m.now, mirror: modelStore{registry: make(map[string]string), ended: make(map[string]string)},
 		heard: make(map[string]voter), acknowledged: make(map[string]int64), votersRevisions: make(map[string]int64),
-		departedAt: make(map[string]time.Time), absentSince: make(map[string]time.Time),
+		departedAt: make(map[string]time.Time),
+		history:    overseer.VoterHistory{MajorityExpiry: majorityExpiry, FleetExpiry: fleetExpiry, RecentlyHeard: director.MaxViewAge},
 	}
 }
 
@@ -126,7 +138,7 @@
 // injectFault partitions or heals the network, stops the store, loses its registrations,
 // suspends or restarts hosts, or replaces or adds some.
 func (m *fleetModel) injectFault() {
-	switch m.random.IntN(10) {
+	switch m.random.IntN(12) {
 	case 0, 1:
 		share := m.random.Float64()
 		for _, name := range m.names {
@@ -162,6 +174,14 @@
 			m.remove(m.names[m.random.IntN(len(m.names))])
 			m.start(fmt.Sprint("n", m.store.revision))
 		}
+	case 10:
+		if m.random.IntN(6) == 0 {
+			m.leave(m.names[m.random.IntN(len(m.names))])
+		}
+	case 11:
+		if m.random.IntN(12) == 0 {
+			m.replaceFleet()
+		}
 	case 9:
 		if len(m.names) < 34 && m.random.IntN(8) == 0 {
 			for range m.random.IntN(len(m.names)) {
@@ -187,6 +207,13 @@
 		m.injectFault()
 	}
 	m.stepDatabases()
+	m.stepReplacements()
+	for name, at := range m.endedAt {
+		if !m.storeDown && m.now.Sub(at) > modelHostLease {
+			delete(m.store.ended, name)
+			delete(m.endedAt, name)
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(m.store.registry)) {
 		// The registration of a host that does not reach the store expires.
 		if h := m.hosts[name]; h != nil && m.reachesStore(name) && h.listed {
@@ -201,6 +228,7 @@
 		if m.now.Before(h.suspendedUntil) {
 			continue
 		}
+		h.history.Observe(h.mirror.voters, m.now)
 		if m.reachesStore(name) && m.random.IntN(4) == 0 {
 			m.readStore(h)
 		}
@@ -215,6 +243,8 @@
 func (m *fleetModel) readStore(h *modelHost) {
 	if h.listed && m.random.IntN(3) > 0 {
 		m.store.registry[h.name], m.registeredAt[h.name] = h.incarnation, m.now
+		delete(m.store.ended, h.name)
+		delete(m.endedAt, h.name)
 	}
 	h.setMirror(m.store, m.now)
 	h.listed = true
@@ -227,7 +257,7 @@
 			h.departedAt[name] = readAt
 		}
 	}
-	s.registry = maps.Clone(s.registry)
+	s.registry, s.ended = maps.Clone(s.registry), maps.Clone(s.ended)
 	s.assignment = max(s.assignment, h.mirror.assignment)
 	if h.mirror.voters.Revision > s.voters.Revision {
 		s.voters = h.mirror.voters
@@ -253,7 +283,7 @@
 
 // report makes a host receive the report of another one.
 func (m *fleetModel) report(h, other *modelHost) {
-	h.heard[other.name] = voter{listed: other.listed, reportedAt: m.now}
+	h.heard[other.name] = voter{listed: other.mayCount(), reportedAt: m.now}
 	h.acknowledged[other.name] = 0
 	if h.mirror.registry[other.name] == other.incarnation {
 		h.acknowledged[other.name], h.votersRevisions[other.name] = other.mirror.assignment, other.mirror.voters.Revision
@@ -275,14 +305,15 @@
 	}
 }
 
-func (h *modelHost) registered() bool { _, ok := h.mirror.registry[h.name]; return ok }
+// mayCount reports whether the process counts towards a majority.
+func (h *modelHost) mayCount() bool { return h.listed && h.mirror.registry[h.name] == h.incarnation }
 
 func (h *modelHost) majorityReportedAsOf(now time.Time) time.Time {
 	if h.mirror.voters.Version == 0 {
 		return h.allReportedAsOf(now)
 	}
 	needed, ok := votersNeeded(len(h.mirror.voters.Since), now.Sub(h.storeReadAt))
-	if !ok || !h.listed || !h.registered() || !h.mirror.voters.Has(h.name) {
+	if !ok || !h.mayCount() || !h.mirror.voters.Has(h.name) {
 		return time.Time{}
 	}
 	var voters []voter
@@ -298,7 +329,7 @@
 
 // allReportedAsOf counts before the host has a list of voters.
 func (h *modelHost) allReportedAsOf(now time.Time) time.Time {
-	if !h.listed || !h.registered() || now.Sub(h.storeReadAt) > maxMajorityViewAge {
+	if !h.mayCount() || now.Sub(h.storeReadAt) > maxMajorityViewAge {
 		return time.Time{}
 	}
 	var voters []voter
@@ -314,16 +345,17 @@
 
 // viewAsOf returns as of when the view of a host is confirmed.
 func (h *modelHost) viewAsOf(now time.Time) time.Time {
-	if !h.registered() {
+	if _, registered := h.mirror.registry[h.name]; !registered {
 		return time.Time{}
 	}
-	asOf := h.storeReadAt
-	for _, at := range []time.Time{h.majorityReportedAsOf(now), h.majorityFreshAsOf} {
-		if at.After(asOf) {
-			asOf = at
-		}
+	byHosts := h.majorityReportedAsOf(now)
+	if h.majorityFreshAsOf.After(byHosts) {
+		byHosts = h.majorityFreshAsOf
+	}
+	if byHosts.After(h.storeReadAt) {
+		return byHosts
 	}
-	return asOf
+	return h.storeReadAt
 }
 
 // runLeader makes a host take leadership, renew it, keep the list of voters, and replace the
@@ -340,7 +372,7 @@
 		m.store.leaderToken, m.store.leader, m.renewedAt = m.store.revision, h.name, m.now
 		h.token, h.fencing = m.store.leaderToken, 0
 		h.requested, h.repeated, h.pendingSince = false, false, m.now
-		clear(h.absentSince)
+		clear(h.silentSince)
 		return
 	default:
 		return
@@ -361,36 +393,47 @@
 // maintainVoters makes the leader write the list of voters.
 func (m *fleetModel) maintainVoters(h *modelHost) {
 	current := m.store.voters
-	var added, removed []string
-	for name := range h.mirror.registry {
-		delete(h.absentSince, name)
-		if !current.Has(name) {
-			added = append(added, name)
-		}
-	}
-	haveList := true
+	silent := make(map[string]time.Time)
 	for name := range current.Since {
-		haveList = haveList && (name == h.name || h.votersRevisions[name] >= current.Revision)
-		if _, ok := h.mirror.registry[name]; ok {
+		if name == h.name {
 			continue
 		}
-		if since, ok := h.absentSince[name]; !ok {
-			h.absentSince[name] = m.now
-		} else if m.now.Sub(since) > fleetExpiry {
-			removed = append(removed, name)
+		since, ok := h.silentSince[name]
+		if !ok {
+			since = m.now
 		}
+		if heardAt := h.heard[name].reportedAt; heardAt.After(since) || len(m.names) <= cataloger.MaxSmallFleetSize && !heardAt.IsZero() {
+			since = heardAt
+		}
+		silent[name] = since
 	}
-	next := current.WithChanges(added, removed)
-	switch {
-	case len(added)+len(removed) > 0 || h.votersToken != h.token:
-	case !current.AllKnown() && haveList:
-		next = current.WithAllKnown()
-	default:
+	h.silentSince = silent
+	for name, revision := range h.votersRevisions {
+		h.history.RecordReport(name, revision, m.now)
+	}
+	hosts := make(map[string]cataloger.Host)
+	for name := range h.mirror.registry {
+		hosts[name] = cataloger.Host{Name: name}
+	}
+	next, due := h.history.Next(overseer.FleetState{
+		Own: h.name, Voters: current, Hosts: hosts, Ended: h.mirror.ended, SilentSince: silent, Now: m.now,
+		HeardAt: func(name string) time.Time { return h.heard[name].reportedAt },
+	})
+	if !due && h.votersToken == h.token {
 		return
 	}
 	m.store.revision++
 	next.Revision = m.store.revision
 	m.store.voters, h.mirror.voters, h.voters, h.votersToken = next, next, next, h.token
+	h.history.Observe(next, m.now)
+}
+
+// uncertainty returns what the leader knew at an instant about the voters that may confirm views.
+func (m *fleetModel) uncertainty(h *modelHost, at time.Time, acknowledged func(string) bool) cataloger.Uncertainty {
+	return h.history.Uncertainty(h.voters, at, func(name string) bool {
+		_, ended := h.mirror.ended[name]
+		return name == h.name || acknowledged(name) || ended && h.storeReadAt.After(h.fencedAt)
+	})
 }
 
 // continueChange promotes a database once no host confirms a view without the change.
@@ -399,10 +442,10 @@
 		return name == h.name || h.acknowledged[name] >= h.fencing
 	}
 	waited, quorum := m.now.Sub(h.fencedAt), false
-	switch {
-	case h.voters.AllPossible(acknowledged):
+	switch u := m.uncertainty(h, m.now, acknowledged); {
+	case h.voters.AllPossible(u):
 		quorum = waited > fleetExpiry
-	case h.voters.MajorityPossible(acknowledged), h.voters.ListMissing(acknowledged):
+	case h.voters.MajorityPossible(u), h.voters.ListMissing(u):
 		quorum = waited > majorityExpiry
 	default:
 		quorum = true
@@ -422,20 +465,20 @@
 
 // allReleased reports whether all hosts that the leader knows have acknowledged the change.
 func (m *fleetModel) allReleased(h *modelHost, acknowledged func(string) bool) bool {
-	for name := range h.mirror.registry {
-		if !acknowledged(name) {
-			return false
+	members := maps.Clone(h.mirror.registry)
+	for name, at := range h.departedAt {
+		if _, ended := h.mirror.ended[name]; m.now.Sub(at) < departureTolerance && !ended {
+			members[name] = ""
 		}
 	}
-	for name, at := range h.departedAt {
-		if m.now.Sub(at) < departureTolerance && !acknowledged(name) {
+	for name := range members {
+		if !acknowledged(name) {
 			return false
 		}
 	}
-	for name, since := range h.voters.Since {
-		absentSince, absent := h.absentSince[name]
-		expired := absent && m.now.Sub(absentSince) > majorityExpiry && h.voters.Since[h.name] <= since
-		if !acknowledged(name) && !expired {
+	u := m.uncertainty(h, m.now.Add(-director.MaxViewAge-stepDuration), func(string) bool { return false })
+	for name := range h.voters.Confirming(u) {
+		if _, member := members[name]; !member {
 			return false
 		}
 	}
@@ -469,7 +512,8 @@
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
 			t.Parallel()
 			promotions, confirmations, resumed := 0, 0, 0
-			for seed := range uint64(fleetModelSeeds) {
+			var changed replacements
+			for seed := range uint64(*fleetModelSeeds) {
 				m := newFleetModel(seed, hosts)
 				for range 2400 {
 					m.step()
@@ -484,16 +528,17 @@
 				promotions += m.promotions
 				resumed += m.group.resumed
 				confirmations += m.confirmations
+				changed.left, changed.died, changed.replaced = changed.left+m.left, changed.died+m.died, changed.replaced+m.replaced
 			}
-			if promotions < 4*fleetModelSeeds || confirmations < 100 {
+			if promotions < 4**fleetModelSeeds || confirmations < 100 {
 				t.Errorf("only %d promotions and %d confirmations without the store were simulated", promotions, confirmations)
 			}
+			if hosts > 1 && (changed.left == 0 || changed.died == 0 || changed.replaced == 0) {
+				t.Errorf("only %d hosts that left, %d that died and %d replacements were simulated", changed.left, changed.died, changed.replaced)
+			}
 			if resumed == 0 {
 				t.Error("no change was simulated that another leader resumed")
 			}
 		})
 	}
 }
-
-// fleetModelSeeds is how many random simulations of each size of fleet are run.
-const fleetModelSeeds = 14
--- a/hoster/host.go
+++ b/hoster/host.go
@@ -90,6 +90,8 @@
 	majorityInstant  atomic.Pointer[majorityInstant]
 	stoppingReported atomic.Pointer[stoppingNames]
 	stopping         atomic.Bool
+	// ended is set once this process uses no primary and confirms no view any more.
+	ended atomic.Bool
 
 	// mu guards the fields below. While it is held, no lock but the mirror's is
 	// acquired.
@@ -203,6 +205,7 @@
 			Capacity: h.Settings.capacity(),
 		},
 		Store: h.Platform.Store, Mirror: h.mirror, Catalog: h.latestCatalog, RebuildCatalog: func() { h.notifyChange(false) }, Members: h.members, Self: h.self,
+		HeardAt:          func(host string) time.Time { return h.exchanger.Peer(host).HeardAt },
 		TriggerExchanges: h.exchanger.TriggerExchanges, Status: h.Platform.Databases.Status, Demote: h.Platform.Databases.Demote,
 		Promote: func(ctx context.Context, promotion overseer.Promotion) error {
 			return h.Platform.Promote(ctx, h.Settings.Host, promotion)
--- a/hoster/pacing_test.go
+++ b/hoster/pacing_test.go
@@ -131,7 +131,7 @@
 				m.Merge([]informer.Record{changed}, revision, now)
 				list, _ := m.Records()
 				catalog, _ := builder.build(list, revision)
-				recent.update(catalog.Hosts, now)
+				recent.update(catalog, now)
 			}
 			b.ReportMetric(float64((processorTime()-began).Nanoseconds())/float64(b.N), "processor-ns/op")
 		})
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -34,7 +34,7 @@
 		Host: h.Settings.Host, Incarnation: h.incarnation, Address: h.Settings.PeerAddress, DataCentre: h.Settings.DataCentre,
 		Revision: revision, Age: -1, Uptime: h.uptime(),
 		Digest: h.mirror.Digest(), Stopping: h.stopping.Load(), Usages: usages, Hosts: hosts,
-		Listed: h.knowsChanges(), MajorityHeardAge: -1, StoppingHosts: h.stoppingHostsToReport(),
+		Listed: h.mayCount(), MajorityHeardAge: -1, StoppingHosts: h.stoppingHostsToReport(),
 		Counts: h.accounting.changes(receiver),
 	}
 	if catalog := h.latestCatalog(); catalog != nil {
@@ -214,7 +214,11 @@
 // Without its own key in the view a host is unknown to the leader, which would not wait for
 // it, so that the view counts as outdated.
 func (h *Host) viewCompleteAsOf() time.Time {
-	if !h.registered() {
+	catalog := h.latestCatalog()
+	if catalog == nil || h.ended.Load() {
+		return time.Time{}
+	}
+	if _, registered := catalog.Hosts[h.Settings.Host]; !registered {
 		return time.Time{}
 	}
 	byStore := h.primariesCompleteAsOf()
@@ -237,13 +241,3 @@
 	}
 	return record.Revision
 }
-
-// registered reports whether the view has a key of this host.
-func (h *Host) registered() bool {
-	catalog := h.latestCatalog()
-	if catalog == nil {
-		return false
-	}
-	_, ok := catalog.Hosts[h.Settings.Host]
-	return ok
-}
--- a/hoster/quorum.go
+++ b/hoster/quorum.go
@@ -7,6 +7,7 @@
 	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/director"
 	"github.com/endiveturn/endiveturn/exchanger"
+	"github.com/endiveturn/endiveturn/overseer"
 	"github.com/endiveturn/endiveturn/timekeeper"
 )
 
@@ -39,7 +40,7 @@
 type voter struct {
 	// listed is set if the process has every change that a former process of the same
 	// name acknowledged: it has listed the store itself since its start, before the
-	// store lost changes that are not confirmed yet.
+	// store lost changes that are not confirmed yet, and is registered.
 	listed     bool
 	reportedAt time.Time
 }
@@ -100,7 +101,7 @@
 // it, so that a leader knows whom it may count.
 func (h *Host) computeMajority() time.Time {
 	catalog := h.latestCatalog()
-	if catalog == nil || !h.mirror.Listed() || !h.registered() {
+	if catalog == nil || !h.mayCount() || !h.hasLatestVoters(catalog) {
 		return time.Time{}
 	}
 	if catalog.Voters.Version == 0 {
@@ -118,6 +119,25 @@
 	return reportedAt(votersAmong(h, catalog.Voters.Since, now), needed)
 }
 
+// mayCount reports whether this process counts towards a majority of the voters. It is
+// registered itself: a leader that knows of a former process of the same name, which may have
+// left, does not wait for this one.
+func (h *Host) mayCount() bool {
+	catalog := h.latestCatalog()
+	if catalog == nil || h.ended.Load() || !h.knowsChanges() {
+		return false
+	}
+	own, ok := catalog.Hosts[h.Settings.Host]
+	return ok && own.Incarnation == h.incarnation
+}
+
+// hasLatestVoters reports whether the list of voters of the catalog is the one in the mirror. A
+// newer one that another host has just reported applies to the reports heard with it.
+func (h *Host) hasLatestVoters(catalog *cataloger.Catalog) bool {
+	record, ok := h.mirror.Get(overseer.VotersKey)
+	return !ok || record.Revision <= catalog.Voters.Revision
+}
+
 // allReportedAsOf returns the latest instant since which all hosts have reported to this one,
 // or the zero time. It counts before the first leader has written a list of voters, and only
 // while the store is sure to keep this host's key, so that the first leader waits for it.
@@ -132,7 +152,7 @@
 func votersAmong[T any](h *Host, names map[string]T, now time.Time) []voter {
 	voters := make([]voter, 0, len(names))
 	if _, ok := names[h.Settings.Host]; ok {
-		voters = append(voters, voter{listed: h.knowsChanges(), reportedAt: now})
+		voters = append(voters, voter{listed: h.mayCount(), reportedAt: now})
 	}
 	h.exchanger.EachPeer(func(name string, peer *exchanger.Peer) bool {
 		if _, ok := names[name]; ok && name != h.Settings.Host {
--- a/hoster/refresh.go
+++ b/hoster/refresh.go
@@ -88,7 +88,7 @@
 		h.addUnlistedHosts(catalog)
 		catalog.Stopping = h.stoppingHosts(catalog)
 		h.mu.Lock()
-		catalog.RecentHosts = h.recentHosts.update(catalog.Hosts, timekeeper.Now())
+		catalog.RecentHosts = h.recentHosts.update(catalog, timekeeper.Now())
 		catalog.Starting = h.newHosts.update(catalog.Hosts, timekeeper.Now())
 		h.catalog = catalog
 		h.mu.Unlock()
@@ -110,9 +110,12 @@
 		if _, ok := catalog.Hosts[name]; ok || peer.HeardAt.IsZero() || now.Sub(peer.HeardAt) > unlistedHostRetention {
 			return true
 		}
-		catalog.Hosts[name] = cataloger.Host{
+		host := cataloger.Host{
 			Name: name, Incarnation: peer.Report.Incarnation, Address: peer.Report.Address, DataCentre: peer.Report.DataCentre,
 		}
+		if !catalog.HasEnded(host) {
+			catalog.Hosts[name] = host
+		}
 		return true
 	})
 }
@@ -135,14 +138,14 @@
 }
 
 // update records the present hosts and returns all hosts among which connections are
-// divided.
-func (s recentHosts) update(hosts map[string]cataloger.Host, now time.Time) []cataloger.Host {
-	for name, host := range hosts {
+// divided. Hosts that have left in order have closed theirs.
+func (s recentHosts) update(catalog *cataloger.Catalog, now time.Time) []cataloger.Host {
+	for name, host := range catalog.Hosts {
 		s[name] = recentHost{host: host, seenAt: now}
 	}
 	list := make([]cataloger.Host, 0, len(s))
 	for name, known := range s {
-		if now.Sub(known.seenAt) > quotaRetention {
+		if now.Sub(known.seenAt) > quotaRetention || catalog.HasEnded(known.host) {
 			delete(s, name)
 			continue
 		}
--- a/hoster/restore.go
+++ b/hoster/restore.go
@@ -60,7 +60,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for name, known := range h.recentHosts {
-		if _, ok := hosts[name]; !ok && now.Sub(known.seenAt) < tolerance {
+		if _, ok := hosts[name]; !ok && now.Sub(known.seenAt) < tolerance && !catalog.HasEnded(known.host) {
 			hosts[name] = known.host
 		}
 	}
--- a/hoster/restore_model_test.go
+++ b/hoster/restore_model_test.go
@@ -351,12 +351,12 @@
 		voters.Since[name] = 0
 		acknowledged[name] = other == h || !h.fence.newerThan(h.acknowledged[other.id])
 	}
-	isAcknowledged := func(name string) bool { return acknowledged[name] }
+	uncertainty := cataloger.Uncertainty{MayConfirm: func(name string) (int64, bool) { return 0, !acknowledged[name] }}
 	waited, expiry := m.now.Sub(h.fencedAt), time.Duration(0)
 	switch {
-	case voters.AllPossible(isAcknowledged):
+	case voters.AllPossible(uncertainty):
 		expiry = fleetExpiry
-	case voters.MajorityPossible(isAcknowledged):
+	case voters.MajorityPossible(uncertainty):
 		expiry = majorityExpiry
 	}
 	if waited < expiry {
--- a/hoster/restore_test.go
+++ b/hoster/restore_test.go
@@ -22,6 +22,7 @@
 		h.mirror.Merge(nil, storer.JoinRevision(1, 30), now.Add(-storeAge))
 	} else {
 		h.prepare()
+		h.catalog.Hosts["h0"] = cataloger.Host{Name: "h0", Incarnation: h.incarnation, Address: "127.0.0.1:1"}
 	}
 	restored := []storer.Entry{{Key: "endiveturn/leads/s", Value: []byte(`{"id":"p","grace":"0s","era":1}`), ModRevision: storer.JoinRevision(2, 12)}}
 	h.mirror.Replace(restored, storer.JoinRevision(2, 20), now)
@@ -37,7 +38,7 @@
 	h.catalog.Endpoints = map[string][]cataloger.Endpoint{"s": {{ID: "p"}}}
 	h.catalog.Assignments = map[string]cataloger.PrimaryAssignment{"s": {Service: "s", ID: "p", Revision: written}}
 	h.catalog.AssignmentsEra = assignmentsEra(h.catalog)
-	h.recentHosts.update(h.catalog.Hosts, now)
+	h.recentHosts.update(h.catalog, now)
 	for i := 1; i < hosts; i++ {
 		report := exchanger.Report{Host: fmt.Sprint("h", i), Age: time.Minute, MajorityHeardAge: -1, Listed: i <= reporting}
 		if !startedBefore && i <= reporting && 2*reporting > hosts {
--- a/hoster/start_network_test.go
+++ b/hoster/start_network_test.go
@@ -4,22 +4,34 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/endiveturn/endiveturn/overseer"
 	"github.com/endiveturn/endiveturn/storer"
 )
 
-// A startStore is a store in memory, whose leases never expire.
+// A startStore is a store in memory.
 type startStore struct {
 	mu       sync.Mutex
 	revision int64
-	leases   int64
-	entries  map[string]storer.Entry
-	history  []storer.Change
-	changed  chan struct{}
-	calls    atomic.Int64
+	leases   []*startLease
+	// down makes all calls fail.
+	down    atomic.Bool
+	entries map[string]storer.Entry
+	history []storer.Change
+	changed chan struct{}
+	calls   atomic.Int64
+}
+
+// A startLease is a lease of a startStore. Its keys are removed when it ends.
+type startLease struct {
+	ttl    time.Duration
+	expiry *time.Timer
+	ended  bool
+	keys   []string
 }
 
 // startStoreDelay is the time that a call takes.
@@ -32,25 +44,70 @@
 func (s *startStore) functions() storer.KeyValueStore {
 	return storer.KeyValueStore{
 		List: s.list, Changes: s.watch, Write: s.write, Era: func() int64 { return 0 },
-		Grant: func(context.Context, time.Duration) (storer.LeaseID, error) {
-			s.begin()
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.leases++
-			return storer.LeaseID(s.leases), nil
+		Grant: s.grant,
+		Renew: func(_ context.Context, id storer.LeaseID) error {
+			return s.withLease(id, func(l *startLease) { l.expiry.Reset(l.ttl) })
 		},
-		Renew:  func(context.Context, storer.LeaseID) error { s.begin(); return nil },
-		Revoke: func(context.Context, storer.LeaseID) error { s.begin(); return nil },
+		Revoke: func(_ context.Context, id storer.LeaseID) error { return s.withLease(id, s.endLease) },
 	}
 }
 
-func (s *startStore) begin() {
+func (s *startStore) grant(_ context.Context, ttl time.Duration) (storer.LeaseID, error) {
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lease := &startLease{ttl: ttl}
+	lease.expiry = time.AfterFunc(ttl, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.endLease(lease)
+	})
+	s.leases = append(s.leases, lease)
+	return storer.LeaseID(len(s.leases)), nil
+}
+
+// withLease calls use with a lease that has not ended.
+func (s *startStore) withLease(id storer.LeaseID, use func(lease *startLease)) error {
+	if err := s.begin(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lease := s.leases[id-1]
+	if lease.ended {
+		return storer.ErrLeaseExpired
+	}
+	use(lease)
+	return nil
+}
+
+// endLease ends a lease; its caller holds mu.
+func (s *startStore) endLease(lease *startLease) {
+	lease.expiry.Stop()
+	if lease.ended {
+		return
+	}
+	lease.ended = true
+	for _, key := range lease.keys {
+		s.remove(key)
+	}
+}
+
+func (s *startStore) begin() error {
 	s.calls.Add(1)
 	time.Sleep(startStoreDelay)
+	if s.down.Load() {
+		return storer.ErrUnavailable
+	}
+	return nil
 }
 
 func (s *startStore) list(context.Context, string, string) (storer.Page, error) {
-	s.begin()
+	if err := s.begin(); err != nil {
+		return storer.Page{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	page := storer.Page{Revision: s.revision}
@@ -61,7 +118,9 @@
 }
 
 func (s *startStore) watch(ctx context.Context, _ string, revision int64, wait time.Duration) ([]storer.Change, int64, error) {
-	s.begin()
+	if err := s.begin(); err != nil {
+		return nil, 0, err
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -82,13 +141,25 @@
 }
 
 func (s *startStore) write(_ context.Context, put storer.Put) (int64, error) {
-	s.begin()
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if current := s.entries[put.Key]; current.ModRevision != put.ExpectedRevision {
 		return 0, &storer.ConflictError{Current: storer.Entry{Key: put.Key, Value: current.Value, ModRevision: current.ModRevision}}
 	}
+	if put.Lease != 0 && s.leases[put.Lease-1].ended {
+		return 0, storer.ErrLeaseExpired
+	}
 	s.put(put.Key, put.Value)
+	for _, lease := range s.leases {
+		lease.keys = slices.DeleteFunc(lease.keys, func(key string) bool { return key == put.Key })
+	}
+	if put.Lease != 0 {
+		lease := s.leases[put.Lease-1]
+		lease.keys = append(lease.keys, put.Key)
+	}
 	return s.revision, nil
 }
 
@@ -109,10 +180,22 @@
 	s.put(key, value)
 }
 
-// expire removes a key whose lease has ended.
-func (s *startStore) expire(key string) {
+// leader returns the name of the leader, or "".
+func (s *startStore) leader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return overseer.LeaderName(s.entries[overseer.LeaderKey].Value)
+}
+
+// unregister removes the key of a database, as if its lease had ended.
+func (s *startStore) unregister(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+// remove removes a key. Its caller holds mu.
+func (s *startStore) remove(key string) {
 	s.revision++
 	delete(s.entries, key)
 	s.history = append(s.history, storer.Change{Entry: storer.Entry{Key: key, ModRevision: s.revision}, Deleted: true})
--- a/hoster/stop.go
+++ b/hoster/stop.go
@@ -54,6 +54,7 @@
 	h.accounting.flush(workCtx, deadline)
 	revoke, cancel := context.WithTimeout(workCtx, exitReserve/2)
 	defer cancel()
+	h.ended.Store(true)
 	h.overseer.Stop(revoke)
 	return errStopped
 }
--- a/hoster/switchover_fleet_test.go
+++ b/hoster/switchover_fleet_test.go
@@ -41,34 +41,53 @@
 	slow atomic.Pointer[Host]
 	// onPromotion is called when a promotion takes effect.
 	onPromotion func(leader string)
+	// stop stops each host in order.
+	stop  map[string]context.CancelFunc
+	group sync.WaitGroup
 }
 
 // newSwitchoverFleet runs a fleet until the end of the test, and returns it once a leader has
 // recorded the voters.
 func newSwitchoverFleet(t *testing.T, hosts int) *switchoverFleet {
-	f := &switchoverFleet{startFleet: newStartFleet(), primary: "i-0", term: 1, onPromotion: func(string) {}}
+	f := &switchoverFleet{
+		startFleet: newStartFleet(), primary: "i-0", term: 1, onPromotion: func(string) {}, stop: make(map[string]context.CancelFunc),
+	}
 	ctx, cancel := context.WithCancel(t.Context())
-	var group sync.WaitGroup
 	for i := range hosts {
-		h := f.newHost(i, hosts)
-		f.connect(h, f.links[i])
-		group.Go(func() {
-			// Run returns nil after a requested stop.
-			_ = h.Run(ctx)
-		})
+		f.start(ctx, i, hosts)
 	}
 	t.Cleanup(func() {
 		cancel()
 		for _, link := range f.links {
 			link.setHeld(false)
 		}
-		group.Wait()
+		f.group.Wait()
 		time.Sleep(time.Minute)
 	})
 	time.Sleep(6 * time.Second)
 	return f
 }
 
+// start runs the host with a number until it is stopped.
+func (f *switchoverFleet) start(ctx context.Context, i, hosts int) {
+	h := f.newHost(i, hosts)
+	f.connect(h, f.links[len(f.links)-1])
+	ctx, f.stop[h.Settings.Host] = context.WithCancel(ctx)
+	f.group.Go(func() {
+		// Run returns nil after a requested stop.
+		_ = h.Run(ctx)
+	})
+}
+
+// kill takes a host away without a sign: it reaches nothing any more.
+func (f *switchoverFleet) kill(name string) {
+	for i, h := range f.hosts {
+		if h.Settings.Host == name {
+			f.links[i].setHeld(true)
+		}
+	}
+}
+
 // connect makes a host use the databases, and the store over its link.
 func (f *switchoverFleet) connect(h *Host, link *startLink) {
 	store := h.Platform.Store
@@ -87,6 +106,13 @@
 		}
 		return store.Write(ctx, put)
 	}
+	h.Platform.Store.Renew = func(ctx context.Context, id storer.LeaseID) error {
+		link.await()
+		if ctx.Err() != nil {
+			return storer.ErrUnavailable
+		}
+		return store.Renew(ctx, id)
+	}
 	h.Platform.Decoder.EvacuatedDataCentre = func(key string) (string, bool) {
 		if f.slow.Load() == h && key == "op/configuration" {
 			time.Sleep(viewDelay)
@@ -135,16 +161,6 @@
 	return nil
 }
 
-// loseLeader cuts the named host off for good and ends its leadership when its lease expires.
-func (f *switchoverFleet) loseLeader(name string) {
-	for i, h := range f.hosts {
-		if h.Settings.Host == name {
-			f.links[i].setHeld(true)
-		}
-	}
-	time.AfterFunc(1800*time.Millisecond, func() { f.store.expire(overseer.LeaderKey) })
-}
-
 // A switchoverTransport is a connection to a database, which runs all statements.
 type switchoverTransport struct {
 	fleet  *switchoverFleet
--- a/hoster/switchover_test.go
+++ b/hoster/switchover_test.go
@@ -51,7 +51,7 @@
 						defer timekeeper.Replace(func() time.Time { return time.Now().Round(0) })()
 						f := newSwitchoverFleet(t, test.hosts)
 						if test.loseLeader {
-							f.onPromotion = f.loseLeader
+							f.onPromotion = f.kill
 						}
 						drained := f.drainPrimary(t, f.followers()[entry], held, test.slow)
 						f.mu.Lock()
--- a/hoster/topology_test.go
+++ b/hoster/topology_test.go
@@ -30,6 +30,9 @@
 	for i := range hosts {
 		name := fmt.Sprint("h", i)
 		catalog.Hosts[name] = cataloger.Host{Name: name, Address: "127.0.0.1:1"}
+		if name == h.Settings.Host {
+			catalog.Hosts[name] = cataloger.Host{Name: name, Incarnation: h.incarnation, Address: "127.0.0.1:1"}
+		}
 		catalog.Voters.Since[name] = 1
 	}
 	h.catalog = catalog
@@ -77,7 +80,7 @@
 			h := newTestHost(test.hosts)
 			now := timekeeper.Now()
 			h.mirror.Merge(nil, 3, now.Add(-test.storeAge))
-			h.recentHosts.update(h.catalog.Hosts, now)
+			h.recentHosts.update(h.catalog, now)
 			if test.unlisted {
 				delete(h.catalog.Voters.Since, "h0")
 			}
--- a/hoster/view.go
+++ b/hoster/view.go
@@ -49,7 +49,7 @@
 }
 
 type hostRegistration struct {
-	host     cataloger.Host
+	overseer.Registration
 	revision int64
 }
 
@@ -67,7 +67,7 @@
 func (b *catalogBuilder) build(records []informer.Record, revision int64) (catalog *cataloger.Catalog, next time.Time) {
 	c := &cataloger.Catalog{
 		Revision: revision, Endpoints: make(map[string][]cataloger.Endpoint), Assignments: make(map[string]cataloger.PrimaryAssignment),
-		Evacuated: make(map[string]bool), Hosts: make(map[string]cataloger.Host),
+		Evacuated: make(map[string]bool), Hosts: make(map[string]cataloger.Host), Ended: make(map[string]string),
 	}
 	present := make(map[string]bool)
 	for _, record := range records {
@@ -135,10 +135,10 @@
 // addHost adds the host of a record. It decodes each record once.
 func (b *catalogBuilder) addHost(c *cataloger.Catalog, record informer.Record) (ok bool) {
 	if known, ok := b.hosts[record.Key]; ok && known.revision == record.Revision {
-		c.Hosts[known.host.Name] = known.host
+		addRegistration(c, known.Registration)
 		return true
 	}
-	host, ok, err := overseer.DecodeHost(record.Key, record.Value)
+	registration, ok, err := overseer.DecodeHost(record.Key, record.Value, record.Revision)
 	if !ok {
 		return false
 	}
@@ -149,19 +149,30 @@
 	if b.hosts == nil {
 		b.hosts = make(map[string]hostRegistration)
 	}
-	b.hosts[record.Key] = hostRegistration{host: host, revision: record.Revision}
-	c.Hosts[host.Name] = host
+	b.hosts[record.Key] = hostRegistration{Registration: registration, revision: record.Revision}
+	addRegistration(c, registration)
 	return true
 }
 
+func addRegistration(c *cataloger.Catalog, r overseer.Registration) {
+	switch r.State {
+	case overseer.StateRegistered:
+		c.Hosts[r.Host.Name] = r.Host
+	case overseer.StateEnded:
+		c.Ended[r.Host.Name] = r.Host.Incarnation
+	case overseer.StateUnknown:
+	}
+}
+
 // forgetHosts drops the decoded records of hosts that are not in the catalog.
 func (b *catalogBuilder) forgetHosts(c *cataloger.Catalog) {
 	if len(b.hosts) == len(c.Hosts) {
 		return
 	}
 	maps.DeleteFunc(b.hosts, func(_ string, known hostRegistration) bool {
-		_, ok := c.Hosts[known.host.Name]
-		return !ok
+		_, registered := c.Hosts[known.Host.Name]
+		_, ended := c.Ended[known.Host.Name]
+		return !registered && !ended
 	})
 }
 
--- a/hoster/view_test.go
+++ b/hoster/view_test.go
@@ -118,8 +118,8 @@
 func TestQuotasOfAbsentHostsAreRetained(t *testing.T) {
 	s := make(recentHosts)
 	now := time.Unix(100, 0)
-	both := map[string]cataloger.Host{"b": {Name: "b"}, "a": {Name: "a"}}
-	one := map[string]cataloger.Host{"a": {Name: "a"}}
+	both := &cataloger.Catalog{Hosts: map[string]cataloger.Host{"b": {Name: "b"}, "a": {Name: "a"}}}
+	one := &cataloger.Catalog{Hosts: map[string]cataloger.Host{"a": {Name: "a"}}}
 	s.update(both, now)
 	if got := s.update(one, now.Add(quotaRetention)); len(got) != 2 || got[0].Name != "a" {
 		t.Errorf("got %v, want a and b", got)
@@ -127,4 +127,13 @@
 	if got := s.update(one, now.Add(quotaRetention+time.Second)); len(got) != 1 {
 		t.Errorf("got %v, want a alone", got)
 	}
+	// A host that has left in order uses none, but a later process of it does.
+	present := &cataloger.Catalog{Hosts: map[string]cataloger.Host{"c": {Name: "c", Incarnation: "2"}}}
+	for incarnation, want := range map[string]int{"1": 1, "2": 0} {
+		s := make(recentHosts)
+		s.update(present, now)
+		if got := s.update(&cataloger.Catalog{Ended: map[string]string{"c": incarnation}}, now); len(got) != want {
+			t.Errorf("got %v after process %s of c has left, want %d hosts", got, incarnation, want)
+		}
+	}
 }
--- a/overseer/env_test.go
+++ b/overseer/env_test.go
@@ -58,6 +58,10 @@
 	endpoints   []cataloger.Endpoint
 	evacuated   map[string]bool
 	hosts       map[string]cataloger.Host
+	// silent holds the hosts that do not report any more, and ended the incarnations of those
+	// that have left in order.
+	silent map[string]bool
+	ended  map[string]string
 
 	// era is the era of the store, seenEra that of its last response, and viewCompleteAsOf is when the other hosts last
 	// confirmed the view of the overseer's host.
@@ -101,9 +105,9 @@
 
 func (env *testEnv) newOverseer(name string) *Overseer {
 	return &Overseer{
-		Host: cataloger.Host{Name: name, Incarnation: "i1"}, Mirror: env.mirror, Catalog: env.catalog, RebuildCatalog: func() {},
+		Host: cataloger.Host{Name: name, Incarnation: "i1", Address: "127.0.0.1:1"}, Mirror: env.mirror, Catalog: env.catalog, RebuildCatalog: func() {},
 		Store:   storer.KeyValueStore{Write: env.write, Grant: env.grant, Renew: env.renew, Revoke: env.revoke, Era: env.currentEra},
-		Members: env.otherMembers, Self: env.self, TriggerExchanges: func() {}, Status: env.status, Demote: env.demote, Promote: env.promote,
+		Members: env.otherMembers, Self: env.self, HeardAt: env.heardAt, TriggerExchanges: func() {}, Status: env.status, Demote: env.demote, Promote: env.promote,
 		ViewCompleteAsOf: func() time.Time { return env.viewCompleteAsOf },
 		Uptime:           func() time.Duration { return time.Minute }, MaxViewAge: time.Second, MajorityExpiry: testMajorityExpiry, FleetExpiry: testFleetExpiry, RecentlyStarted: func() bool { return false }, Now: time.Now, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
@@ -233,6 +237,7 @@
 		Configuration: &cataloger.Configuration{Services: map[string]cataloger.Service{service: {Name: service, SyncReplicas: env.syncReplicas}}},
 		Endpoints:     map[string][]cataloger.Endpoint{service: append([]cataloger.Endpoint(nil), env.endpoints...)},
 		Assignments:   make(map[string]cataloger.PrimaryAssignment), Evacuated: make(map[string]bool), Hosts: maps.Clone(env.hosts),
+		Ended: maps.Clone(env.ended),
 	}
 	for dataCentre := range env.evacuated {
 		c.Evacuated[dataCentre] = true
@@ -242,6 +247,9 @@
 		if assignment, ok, err := DecodeAssignment(r.Key, r.Value, r.Revision); ok && err == nil {
 			c.Assignments[assignment.Service] = assignment
 		}
+		if voters, ok, err := DecodeVoters(r.Key, r.Value, r.Revision); ok && err == nil {
+			c.Voters = voters
+		}
 	}
 	return c
 }
@@ -250,6 +258,16 @@
 	return env.catalog().Assignments[service]
 }
 
+// heardAt returns the present time for hosts that report, and the zero time for others.
+func (env *testEnv) heardAt(host string) time.Time {
+	for _, member := range env.otherMembers() {
+		if member.Name == host && !env.silent[host] {
+			return time.Now()
+		}
+	}
+	return time.Time{}
+}
+
 func (env *testEnv) otherMembers() []Member {
 	env.mu.Lock()
 	defer env.mu.Unlock()
@@ -260,7 +278,7 @@
 // changes.
 func (env *testEnv) self() Member {
 	return Member{
-		Name: "h1", ReleasedRevisions: map[string]int64{service: env.assignment().Revision},
+		Name: "h1", RecentlyHeard: true, ReleasedRevisions: map[string]int64{service: env.assignment().Revision},
 	}
 }
 
@@ -348,7 +366,7 @@
 // memberReporting returns a member that reports the observation of the primary.
 func memberReporting(observation Observation, released func() int64) Member {
 	return Member{
-		Name: "h2", ReleasedRevisions: map[string]int64{service: released()},
+		Name: "h2", RecentlyHeard: true, ReleasedRevisions: map[string]int64{service: released()},
 		Observations: map[string]HostObservation{service: {ID: "p", Observation: observation}},
 	}
 }
--- a/overseer/evidence.go
+++ b/overseer/evidence.go
@@ -65,6 +65,9 @@
 	assignment cataloger.PrimaryAssignment
 	// assignedAt is when this host first saw that the primary is assigned.
 	assignedAt time.Time
+	// leavingSince is since when this host has known that the primary is to be replaced while
+	// it works, zero if it is not.
+	leavingSince time.Time
 	// pendingSince is when this host first saw the pending promotion or that the change which
 	// requested it is complete, or when it last requested it.
 	pendingSince time.Time
@@ -77,9 +80,33 @@
 	defer o.mu.Unlock()
 	for _, assignment := range catalog.Assignments {
 		o.observeAssignment(assignment)
+		o.observeLeaving(catalog, assignment)
 	}
 }
 
+// observeLeaving records since when the primary of an assignment leaves or is evacuated; the
+// caller holds the mutex.
+func (o *Overseer) observeLeaving(catalog *cataloger.Catalog, assignment cataloger.PrimaryAssignment) {
+	seen := o.observed[assignment.Service]
+	primary, ok := catalog.Endpoint(assignment.Service, seen.assignment.ID)
+	switch leaving := ok && primary.StartedAtMillis == seen.assignment.StartedAtMillis && (primary.Draining || catalog.Evacuated[primary.DataCentre]); {
+	case !leaving:
+		seen.leavingSince = time.Time{}
+	case seen.leavingSince.IsZero():
+		seen.leavingSince = o.Now()
+	}
+	o.observed[assignment.Service] = seen
+}
+
+// plannedChangeDue reports whether the primary of a service leaves so soon that its replacement
+// is begun although it may take longer than usual: no host may use it once it has left.
+func (o *Overseer) plannedChangeDue(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	since := o.observed[service].leavingSince
+	return !since.IsZero() && o.Now().Sub(since) >= maxPlannedDelay
+}
+
 // observeAssignment records an assignment; the caller holds the mutex. Older ones are ignored.
 func (o *Overseer) observeAssignment(assignment cataloger.PrimaryAssignment) {
 	seen, ok := o.observed[assignment.Service]
@@ -90,7 +117,7 @@
 	same := assignment.ID == seen.assignment.ID && assignment.StartedAtMillis == seen.assignment.StartedAtMillis
 	completed := seen.assignment.Changing && !assignment.Changing
 	if !ok || !same || completed {
-		seen.assignedAt = now
+		seen.assignedAt, seen.leavingSince = now, time.Time{}
 	}
 	if !ok || assignment.Pending != seen.assignment.Pending || completed {
 		seen.pendingSince = now
--- a/overseer/leadership.go
+++ b/overseer/leadership.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/endiveturn/endiveturn/cataloger"
@@ -69,18 +70,39 @@
 	return o.leaderLease.expiresAt
 }
 
-// Stop resigns leadership and revokes the host's lease. Leases that are being granted
-// are revoked when they arrive.
+// Stop resigns leadership and records that this process has left: from then on it must not use
+// primaries nor confirm views. Leases that are being granted are revoked when they arrive.
 func (o *Overseer) Stop(ctx context.Context) {
 	o.mu.Lock()
 	o.stopping, o.stopped = true, true
-	leases := []storer.LeaseID{o.leaderLease.id, o.offer.lease, o.hostLease.id}
+	leases, hostLease := []storer.LeaseID{o.leaderLease.id, o.offer.lease}, o.hostLease.id
 	o.leaderLease, o.offer, o.hostLease, o.token = heldLease{}, offer{}, heldLease{}, 0
 	o.mu.Unlock()
+	var group sync.WaitGroup
+	if hostLease != 0 {
+		group.Go(func() { o.recordEnd(ctx, hostLease) })
+	}
 	for _, lease := range leases {
-		if lease == 0 {
-			continue
+		if lease != 0 {
+			group.Go(func() { o.revoke(ctx, lease) })
 		}
+	}
+	group.Wait()
+}
+
+// recordEnd replaces the host's key by the record that its process has left, which stays until
+// the lease expires. A key that expires does not show that: its host may be cut off.
+func (o *Overseer) recordEnd(ctx context.Context, lease storer.LeaseID) {
+	key := hostsPrefix + o.Host.Name
+	existing, ok := o.Mirror.Get(key)
+	registration, _, err := DecodeHost(key, existing.Value, existing.Revision)
+	if !ok || err != nil || registration.Host.Incarnation != o.Host.Incarnation {
+		o.revoke(ctx, lease)
+		return
+	}
+	put := storer.Put{Key: key, Value: encodeEnded(o.Host, o.Store.Era()), ExpectedRevision: existing.Revision, Lease: lease}
+	if _, err := o.Store.Write(ctx, put); err != nil {
+		o.Logger.Warn("end_not_recorded", "error", err.Error())
 		o.revoke(ctx, lease)
 	}
 }
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -81,6 +81,9 @@
 	Members func() []Member
 	// Self returns this host as a member.
 	Self func() Member
+	// HeardAt returns the latest instant after which a report of a host is known to have been
+	// sent, or the zero time.
+	HeardAt func(host string) time.Time
 	// TriggerExchanges makes this host exchange reports with the others at once.
 	TriggerExchanges func()
 	// Status queries the state of a database.
@@ -153,6 +156,8 @@
 	observed map[string]observedAssignment
 	// voters is the list of voters that this host wrote last as the leader.
 	voters voterList
+	// voterHistory is what this process has seen of the list of voters.
+	voterHistory VoterHistory
 	// campaignAfter is the time before which this host does not campaign.
 	campaignAfter time.Time
 	// vacantSince is since when this host has seen no leader; zero while there is one.
@@ -184,6 +189,7 @@
 	o.deferred, o.unreachableAt = make(map[string]bool), make(map[string]time.Time)
 	o.primaryMissingSince, o.observed = make(map[string]time.Time), make(map[string]observedAssignment)
 	o.notBegun, o.ledAt = make(map[string]notBegun), make(map[string]time.Time)
+	o.voterHistory = VoterHistory{MajorityExpiry: o.MajorityExpiry, FleetExpiry: o.FleetExpiry, RecentlyHeard: o.MaxViewAge}
 	o.startedAt = o.Now()
 	o.keyMissing = make(chan struct{}, 1)
 	go o.evaluateLoop(ctx)
@@ -212,6 +218,7 @@
 		o.checkRegistration()
 		if catalog := o.Catalog(); catalog != nil {
 			o.observeAssignments(catalog)
+			o.observeVoters(catalog.Voters)
 		}
 		if o.campaign(ctx) && !o.transfer(ctx) {
 			o.evaluateServices(ctx)
@@ -277,7 +284,7 @@
 	case (reason == ReasonFailing || reason == ReasonReadOnly) && o.primaryResponds(ctx, state.Primary):
 		return
 	}
-	if reason.Planned() && !o.quorumReachable(service, reason, members) {
+	if reason.Planned() && !o.quorumReachable(service, reason, members) && !o.plannedChangeDue(service) {
 		return
 	}
 	change := &primaryChange{overseer: o, service: service, assignment: assignment, afterComplete: !assignment.Changing, former: state.Primary, registered: state.Registered, reason: reason, state: state}
@@ -291,7 +298,7 @@
 	for _, member := range members {
 		reported[member.Name] = member.RecentlyHeard
 	}
-	quorum := o.confirmationExpiry(func(name string) bool { return name == o.Host.Name || reported[name] }) == 0
+	quorum := o.confirmationExpiry(func(name string) bool { return reported[name] }, 0) == 0
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !quorum && !o.deferred[service] {
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -360,7 +360,7 @@
 	}
 	for _, key := range []string{assignmentsPrefix + "x", hostsPrefix + "x"} {
 		_, isAssignment, assignmentErr := DecodeAssignment(key, []byte("{"), 1)
-		_, isHost, hostErr := DecodeHost(key, []byte("{"))
+		_, isHost, hostErr := DecodeHost(key, []byte("{"), 1)
 		if (isAssignment && assignmentErr == nil) || (isHost && hostErr == nil) || isAssignment == isHost {
 			t.Errorf("%s: got %v, %v, want an error of one kind of record", key, assignmentErr, hostErr)
 		}
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -20,6 +20,10 @@
 	catchUpTimeout = 800 * time.Millisecond
 	// pollInterval is the pause between two checks of a condition that is awaited.
 	pollInterval = 20 * time.Millisecond
+	// maxPlannedDelay is the longest time from when a primary that works is known to leave, or to
+	// be evacuated, for which its replacement waits for a quorum. It leaves hosts a second to
+	// stop using the primary within the 5 s that operators allow for an evacuation.
+	maxPlannedDelay = 4 * time.Second
 	// fenceMargin is added to the time after which hosts stop using a former primary by
 	// themselves.
 	fenceMargin = 150 * time.Millisecond
@@ -203,11 +207,12 @@
 	var quorumAt time.Time
 	for {
 		now := o.Now()
+		current := c.refreshCatalog()
 		unreleased := c.unreleasedHosts()
 		quorum := now.Sub(began) >= c.confirmationExpiry()
 		// In a large fleet a host that is not in the view of this one may still
 		// receive reports from other hosts.
-		if quorum && len(unreleased) == 0 && !o.largeFleet() && c.refreshCatalog() {
+		if quorum && len(unreleased) == 0 && !o.largeFleet() && current {
 			o.Logger.Info("former_primary_released", "service", c.service, "lead_revision", c.assignment.Revision, "took", now.Sub(began))
 			return nil
 		}
@@ -249,13 +254,13 @@
 	for _, member := range append(c.overseer.Members(), c.overseer.Self()) {
 		acknowledged[member.Name] = member.ReleasedRevisions[c.service] >= c.fenceRevision
 	}
-	return c.overseer.confirmationExpiry(func(name string) bool { return acknowledged[name] })
+	return c.overseer.confirmationExpiry(func(name string) bool { return acknowledged[name] }, c.assignment.Revision)
 }
 
 // unreleasedHosts returns the hosts that may still use the former primary.
 func (c *primaryChange) unreleasedHosts() []string {
 	members := append(c.overseer.Members(), c.overseer.Self())
-	unreleased := c.overseer.silentVoters(members)
+	unreleased := c.overseer.unconfirmedVoters(members, c.assignment.Revision)
 	for _, member := range members {
 		if member.ReleasedRevisions[c.service] < c.fenceRevision {
 			unreleased = append(unreleased, member.Name)
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/endiveturn/endiveturn/cataloger"
+	"github.com/endiveturn/endiveturn/storer"
 )
 
 // Keys that hosts write to the store.
@@ -24,6 +25,16 @@
 	Address     string `json:"address"`
 	DataCentre  string `json:"data_centre"`
 	Capacity    int64  `json:"capacity"`
+	// Ended is set once the process has left in order. It is the last record of the process,
+	// which stays until the lease expires.
+	Ended bool `json:"ended,omitempty"`
+	// EndedIn is the era of the store in which it left.
+	EndedIn int64 `json:"ended_in,omitempty"`
+}
+
+// encodeEnded encodes the record of a host that has left in order.
+func encodeEnded(h cataloger.Host, era int64) []byte {
+	return encode(hostRecord{Incarnation: h.Incarnation, Address: h.Address, DataCentre: h.DataCentre, Capacity: h.Capacity, Ended: true, EndedIn: era})
 }
 
 type assignmentRecord struct {
@@ -139,22 +150,49 @@
 // other keys.
 func RegisteredHost(key string) (name string, ok bool) { return strings.CutPrefix(key, hostsPrefix) }
 
-// DecodeHost decodes a host's record; ok is false for other keys.
-func DecodeHost(key string, value []byte) (host cataloger.Host, ok bool, err error) {
+// A Registration is the decoded record of a host.
+type Registration struct {
+	Host cataloger.Host
+	// State is what the record says about the host's process.
+	State RegistrationState
+}
+
+// A RegistrationState is what the record of a host says about its process.
+type RegistrationState int
+
+const (
+	// StateRegistered is that of a process which may use primaries.
+	StateRegistered RegistrationState = iota
+	// StateEnded is that of a process which has left in order.
+	StateEnded
+	// StateUnknown is that of a record which says that a process has left, and that the store
+	// restored from a copy: a later process of the host may run.
+	StateUnknown
+)
+
+// DecodeHost decodes a host's record of a revision; ok is false for other keys.
+func DecodeHost(key string, value []byte, revision int64) (registration Registration, ok bool, err error) {
 	name, ok := RegisteredHost(key)
 	if !ok {
-		return cataloger.Host{}, false, nil
+		return Registration{}, false, nil
 	}
 	var record hostRecord
 	if err := json.Unmarshal(value, &record); err != nil {
-		return cataloger.Host{}, true, errors.Wrapf(err, "record of host %s", name)
+		return Registration{}, true, errors.Wrapf(err, "record of host %s", name)
 	}
 	if address, err := netip.ParseAddrPort(record.Address); err != nil || address.Port() == 0 || name == "" || record.Capacity < 0 {
-		return cataloger.Host{}, true, errors.Errorf("record of host %q: address %q or capacity %d can't be used", name, record.Address, record.Capacity)
+		return Registration{}, true, errors.Errorf("record of host %q: address %q or capacity %d can't be used", name, record.Address, record.Capacity)
 	}
-	return cataloger.Host{
+	registration.Host = cataloger.Host{
 		Name: name, Incarnation: record.Incarnation, Address: record.Address, DataCentre: record.DataCentre, Capacity: record.Capacity,
-	}, true, nil
+	}
+	switch {
+	case record.Ended && record.EndedIn == storer.EraOf(revision):
+		registration.State = StateEnded
+	case record.Ended:
+		registration.State = StateUnknown
+	}
+	return registration, true, nil
 }
 
 // AssignmentKey returns the key of the record that assigns a service's primary.
--- a/overseer/stop_test.go
+++ b/overseer/stop_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/endiveturn/endiveturn/cataloger"
 	"github.com/endiveturn/endiveturn/storer"
 )
 
@@ -59,6 +60,13 @@
 					env.update(func() { delete(held, id) })
 					return env.revoke(ctx, id)
 				}
+				// The lease of the record that the host has left shows no other host as registered.
+				env.overseer.Store.Write = func(ctx context.Context, put storer.Put) (int64, error) {
+					if r, ok, err := DecodeHost(put.Key, put.Value, 0); ok && err == nil && r.State == StateEnded {
+						env.update(func() { delete(held, put.Lease) })
+					}
+					return env.write(ctx, put)
+				}
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan struct{})
 				go func() {
@@ -85,3 +93,48 @@
 		})
 	}
 }
+
+// TestStoppedHostHasEnded guards against a host that has left in order and is taken for one that
+// may be cut off, and against a process that is taken for ended because a former one is.
+func TestStoppedHostHasEnded(t *testing.T) {
+	tests := []struct {
+		name string
+		// replaced is set if a later process of the host has registered, unavailable if the
+		// store can't be reached, and restored if it came back from a copy with the record.
+		replaced, unavailable, restored bool
+		want                            RegistrationState
+		revoked                         int
+	}{
+		{name: "registered", want: StateEnded, revoked: 1},
+		{name: "replaced", replaced: true, want: StateRegistered, revoked: 2},
+		{name: "store unavailable", unavailable: true, want: StateRegistered, revoked: 2},
+		{name: "store restored", restored: true, want: StateUnknown, revoked: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t)
+				env.start()
+				key := hostsPrefix + "h1"
+				if test.replaced {
+					env.update(func() {
+						env.revision++
+						record := encodeHost(cataloger.Host{Name: "h1", Incarnation: "i2", Address: "127.0.0.1:1"})
+						env.entries[key] = storer.Entry{Key: key, Value: record, ModRevision: env.revision}
+					})
+					env.listStore()
+				}
+				env.update(func() { env.storeUnavailable = test.unavailable })
+				env.overseer.Stop(t.Context())
+				entry := env.entries[key]
+				if test.restored {
+					entry.ModRevision = storer.JoinRevision(1, entry.ModRevision)
+				}
+				got, _, err := DecodeHost(key, entry.Value, entry.ModRevision)
+				if err != nil || got.State != test.want || len(env.revoked) != test.revoked {
+					t.Errorf("got state %v, %v and %d leases revoked, want %v and %d", got.State, err, len(env.revoked), test.want, test.revoked)
+				}
+			})
+		})
+	}
+}
--- a/overseer/voters.go
+++ b/overseer/voters.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,7 +15,8 @@
 )
 
 // The leader keeps the list of voters. Each leader writes it once before it replaces a
-// primary, so that a write of a former leader that the store carries out late fails.
+// primary, so that a write of a former leader that the store carries out late fails. Who counts,
+// and from when until when, is argued in docs/design/voters.md.
 
 // votersKey is the key of the list of voters.
 const votersKey = Prefix + "voters"
@@ -38,6 +41,25 @@
 type votersRecord struct {
 	Version int64            `json:"version"`
 	Hosts   map[string]int64 `json:"hosts"`
+	// The fields below are left out by leaders of an earlier version of this program.
+	Former      []formerVoterRecord `json:"former,omitempty"`
+	Known       int64               `json:"known,omitempty"`
+	Established bool                `json:"established,omitempty"`
+}
+
+type formerVoterRecord struct {
+	Host  string `json:"host"`
+	Since int64  `json:"since"`
+	Until int64  `json:"until"`
+	Known int64  `json:"known"`
+}
+
+func encodeVoters(v cataloger.Voters) []byte {
+	record := votersRecord{Version: v.Version, Hosts: v.Since, Known: v.Known, Established: v.Established}
+	for _, f := range v.Former {
+		record.Former = append(record.Former, formerVoterRecord(f))
+	}
+	return encode(record)
 }
 
 // DecodeVoters decodes the list of voters; ok is false for other keys.
@@ -54,10 +76,17 @@
 			return cataloger.Voters{}, true, errors.Errorf("list of voters: host %q since %d in version %d", name, since, record.Version)
 		}
 	}
-	if record.Version < 1 {
-		return cataloger.Voters{}, true, errors.Errorf("list of voters: version %d is not positive", record.Version)
+	if record.Version < 1 || record.Known < 0 || record.Known > record.Version {
+		return cataloger.Voters{}, true, errors.Errorf("list of voters: version %d, of which %d is known, can't be", record.Version, record.Known)
+	}
+	voters = cataloger.Voters{Revision: revision, Version: record.Version, Since: record.Hosts, Known: record.Known, Established: record.Established}
+	for _, f := range record.Former {
+		if f.Host == "" || f.Since < 0 || f.Until <= f.Since || f.Until > record.Version || f.Known < 0 {
+			return cataloger.Voters{}, true, errors.Errorf("list of voters: former host %q from %d to %d in version %d", f.Host, f.Since, f.Until, record.Version)
+		}
+		voters.Former = append(voters.Former, cataloger.FormerVoter(f))
 	}
-	return cataloger.Voters{Revision: revision, Version: record.Version, Since: record.Hosts}, true, nil
+	return voters, true, nil
 }
 
 // A voterList is the list of voters as a leader has written it.
@@ -67,9 +96,27 @@
 	// not certain that it was.
 	token     int64
 	writtenAt time.Time
-	// absentSince holds since when, in this leadership, a voter has not been part of the
-	// fleet. It is not changed once it is set.
-	absentSince map[string]time.Time
+	// silentSince holds when each voter was last heard, or since when, in this leadership, it
+	// has not been. It is not changed once it is set.
+	silentSince map[string]time.Time
+}
+
+// replacedBy returns the list after another writer has replaced it. A malformed one has no hosts.
+func (l voterList) replacedBy(stored cataloger.Voters) voterList {
+	if stored.Version <= l.voters.Version {
+		l.voters.Revision = stored.Revision
+		return l
+	}
+	l.voters = stored
+	return l
+}
+
+// observeVoters records the list of voters of a catalog. Every host does so, since any may
+// become the leader.
+func (o *Overseer) observeVoters(voters cataloger.Voters) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.voterHistory.Observe(voters, o.Now())
 }
 
 // maintainVoters keeps the list of voters up to date. It reports whether this host has
@@ -79,20 +126,28 @@
 	if !ok {
 		return false
 	}
+	stored := o.storedVoters()
 	o.mu.Lock()
 	list := o.voters
+	for _, member := range members {
+		o.voterHistory.RecordReport(member.Name, member.VotersRevision, o.Now())
+	}
 	o.mu.Unlock()
-	stored := o.storedVoters()
 	unwritten := list.token != token
 	if unwritten {
 		list = voterList{voters: stored}
 	}
 	if stored.Revision > list.voters.Revision {
 		// Another writer has replaced the list.
-		unwritten, list.voters.Revision = true, stored.Revision
+		unwritten = true
+		list = list.replacedBy(stored)
 	}
-	list.absentSince = o.absentVoters(list, catalog)
-	next, changed := o.nextVoters(list, catalog, members)
+	list.silentSince = o.silentVoters(list, catalog)
+	o.mu.Lock()
+	next, changed := o.voterHistory.Next(FleetState{
+		Own: o.Host.Name, Voters: list.voters, Hosts: catalog.Hosts, Ended: catalog.Ended, SilentSince: list.silentSince, HeardAt: o.HeardAt, Now: o.Now(),
+	})
+	o.mu.Unlock()
 	if unwritten || changed && o.votersDue(list, catalog) {
 		return o.writeVoters(ctx, list, next, token)
 	}
@@ -114,72 +169,33 @@
 	return voters
 }
 
-// absentVoters returns since when each voter that is not part of the fleet has been absent.
-func (o *Overseer) absentVoters(list voterList, catalog *cataloger.Catalog) map[string]time.Time {
-	absent := make(map[string]time.Time)
+// silentVoters returns when each other voter was last heard, or since when this leader has been
+// waiting for it. In a large fleet only the leader hears all hosts.
+func (o *Overseer) silentVoters(list voterList, catalog *cataloger.Catalog) map[string]time.Time {
+	silent := make(map[string]time.Time, len(list.voters.Since))
 	for name := range list.voters.Since {
-		if _, ok := catalog.Hosts[name]; ok || name == o.Host.Name {
+		if name == o.Host.Name {
 			continue
 		}
-		absent[name] = o.Now()
-		if since, ok := list.absentSince[name]; ok {
-			absent[name] = since
+		since, ok := list.silentSince[name]
+		if !ok {
+			since = o.Now()
 		}
-	}
-	return absent
-}
-
-// nextVoters returns the list that follows from the hosts of the fleet, and whether it
-// differs. A host that has left is removed once none of its views is recent enough to count.
-func (o *Overseer) nextVoters(list voterList, catalog *cataloger.Catalog, members []Member) (next cataloger.Voters, changed bool) {
-	var added, removed []string
-	for _, name := range hostNames(catalog, o.Host.Name) {
-		if !list.voters.Has(name) {
-			added = append(added, name)
-		}
-	}
-	for name, since := range list.absentSince {
-		if o.Now().Sub(since) > o.FleetExpiry {
-			removed = append(removed, name)
+		heardAt := o.HeardAt(name)
+		if heardAt.After(since) || !catalog.IsLargeFleet() && !heardAt.IsZero() {
+			since = heardAt
 		}
+		silent[name] = since
 	}
-	if len(added)+len(removed) == 0 && !list.voters.AllKnown() && o.allHaveVoters(list.voters, members) {
-		return list.voters.WithAllKnown(), true
-	}
-	return list.voters.WithChanges(added, removed), len(added)+len(removed) > 0
-}
-
-// hostNames returns the names of the hosts of the fleet and that of this host.
-func hostNames(catalog *cataloger.Catalog, own string) []string {
-	names := []string{own}
-	for name := range catalog.Hosts {
-		if name != own {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
-// allHaveVoters reports whether every voter has reported that it has the list.
-func (o *Overseer) allHaveVoters(voters cataloger.Voters, members []Member) bool {
-	revisions := make(map[string]int64, len(members))
-	for _, member := range members {
-		revisions[member.Name] = member.VotersRevision
-	}
-	for name := range voters.Since {
-		if name != o.Host.Name && revisions[name] < voters.Revision {
-			return false
-		}
-	}
-	return true
+	return silent
 }
 
 // writeVoters writes the next list on condition that the stored one is the given one. If the
-// outcome is unknown, the hosts that it adds already count.
+// outcome is unknown, the hosts that it adds already count, and those that it removes still do.
 func (o *Overseer) writeVoters(ctx context.Context, list voterList, next cataloger.Voters, token int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	value := encode(votersRecord{Version: next.Version, Hosts: next.Since})
+	value := encodeVoters(next)
 	written, err := o.Store.Write(ctx, storer.Put{Key: votersKey, Value: value, ExpectedRevision: list.voters.Revision})
 	if err != nil {
 		o.applyConflict(err)
@@ -188,9 +204,11 @@
 		return false
 	}
 	o.Mirror.ApplyWrite(informer.Record{Key: votersKey, Value: value, Revision: written})
-	o.Logger.Info("voters_recorded", "version", next.Version, "hosts", len(next.Since), "all_known", next.AllKnown(), "revision", written)
+	o.Logger.Info("voters_recorded", "version", next.Version, "hosts", len(next.Since), "former", len(next.Former),
+		"known", next.Known, "all_known", next.AllKnown(), "revision", written)
 	next.Revision = written
-	o.setVoters(voterList{voters: next, token: token, writtenAt: o.Now(), absentSince: list.absentSince})
+	o.setVoters(voterList{voters: next, token: token, writtenAt: o.Now(), silentSince: list.silentSince})
+	o.observeVoters(next)
 	return true
 }
 
@@ -200,41 +218,47 @@
 	o.voters = list
 }
 
-// confirmationExpiry returns how long after the record of a change a host without it may
-// still confirm the freshness of views, if only the hosts for which acknowledged is true are
-// known to have it: 0 if no host may.
-func (o *Overseer) confirmationExpiry(acknowledged func(name string) bool) time.Duration {
+// uncertainty returns what was known at an instant about the voters that may confirm views,
+// except this host and those for which excluded is true. Hosts that have left in order count as such only if the
+// view has all changes up to a revision, so that no later process of theirs is overlooked.
+func (o *Overseer) uncertainty(at time.Time, excluded func(name string) bool, revision int64) (cataloger.Voters, cataloger.Uncertainty) {
+	var ended map[string]string
+	if catalog := o.Catalog(); catalog != nil && catalog.Revision >= revision {
+		ended = catalog.Ended
+	}
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	voters := o.voters.voters
-	o.mu.Unlock()
+	return voters, o.voterHistory.Uncertainty(voters, at, func(name string) bool {
+		_, left := ended[name]
+		return left || name == o.Host.Name || excluded(name)
+	})
+}
+
+// confirmationExpiry returns how long after the record of a change a host without it may
+// still confirm the freshness of views, if only the hosts for which acknowledged is true are
+// known to have it: 0 if no host may. revision is that of the record.
+func (o *Overseer) confirmationExpiry(acknowledged func(name string) bool, revision int64) time.Duration {
+	voters, uncertainty := o.uncertainty(o.Now(), acknowledged, revision)
 	switch {
-	case voters.AllPossible(acknowledged):
+	case voters.AllPossible(uncertainty):
 		return o.FleetExpiry
-	case voters.MajorityPossible(acknowledged), voters.ListMissing(acknowledged):
+	case voters.MajorityPossible(uncertainty), voters.ListMissing(uncertainty):
 		return o.MajorityExpiry
 	default:
 		return 0
 	}
 }
 
-// silentVoters returns the voters beside the members of the fleet that may still use a primary
-// although they do not report. A view of a voter that the store lost MajorityExpiry ago is
-// confirmed only by all voters together, so not without this host if that voter knows it.
-func (o *Overseer) silentVoters(members []Member) []string {
-	known := make(map[string]bool, len(members))
+// unconfirmedVoters returns the present and former voters beside the members of the fleet that
+// may still use a primary although they do not report. The store has lost their keys, so that
+// only other hosts confirm their views, and only before one with a newer list is heard. What
+// became known within MaxViewAge does not count, as a view that was confirmed before is in use.
+func (o *Overseer) unconfirmedVoters(members []Member, revision int64) []string {
+	voters, uncertainty := o.uncertainty(o.Now().Add(-o.MaxViewAge-fenceMargin), func(string) bool { return false }, revision)
+	confirming := voters.Confirming(uncertainty)
 	for _, member := range members {
-		known[member.Name] = true
+		delete(confirming, member.Name)
 	}
-	o.mu.Lock()
-	list := o.voters
-	o.mu.Unlock()
-	var silent []string
-	for name, since := range list.voters.Since {
-		absentSince, absent := list.absentSince[name]
-		expired := absent && o.Now().Sub(absentSince) > o.MajorityExpiry && list.voters.Has(o.Host.Name) && list.voters.Since[o.Host.Name] <= since
-		if !known[name] && !expired {
-			silent = append(silent, name)
-		}
-	}
-	return silent
+	return slices.Sorted(maps.Keys(confirming))
 }
--- a/overseer/voters_test.go
+++ b/overseer/voters_test.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -144,3 +145,162 @@
 	}
 	return members
 }
+
+// TestPlannedChangeIsBegunInTime guards against a primary that is used beyond the time at which
+// it leaves because no majority of the hosts can acknowledge its replacement.
+func TestPlannedChangeIsBegunInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		names := []string{"h1", "h2", "h3", "h4", "h5"}
+		env.fleet(names...)
+		env.update(func() { env.members = membersWithVoters(names[1:], len(names), Observation{}) })
+		env.start()
+		time.Sleep(time.Second)
+		env.update(func() {
+			env.members = membersWithVoters(names[1:], 1, Observation{})
+			for i := range env.members[1:] {
+				env.members[1+i].RecentlyHeard = false
+			}
+			env.silent = map[string]bool{"h3": true, "h4": true, "h5": true}
+			env.endpoints[2].Draining = true
+		})
+		began := time.Now()
+		time.Sleep(maxPlannedDelay - 500*time.Millisecond)
+		if got := env.assignment(); got.Changing {
+			t.Errorf("got assignment %+v, want p while a quorum may return", got)
+		}
+		time.Sleep(time.Second)
+		if got := env.assignment(); !got.Changing {
+			t.Errorf("got assignment %+v after %v, want the change recorded", got, time.Since(began))
+		}
+		time.Sleep(testMajorityExpiry + 5*time.Second)
+		synctest.Wait()
+		got := env.promotions()
+		if len(got) != 1 || got[0].at.Sub(began) < maxPlannedDelay+testMajorityExpiry {
+			t.Errorf("got promotions %+v, want one not before %v", got, maxPlannedDelay+testMajorityExpiry)
+		}
+	})
+}
+
+// TestSilentVotersAreRemoved guards against a list of voters that keeps hosts which are gone, and
+// against one that loses the hosts from which its leader is cut off.
+func TestSilentVotersAreRemoved(t *testing.T) {
+	tests := []struct {
+		name string
+		// silent hosts do not report any more, and ended ones have left in order. The keys of
+		// lapsed ones are gone.
+		silent, ended, lapsed []string
+		voters, former        int
+	}{
+		{name: "all report", voters: 5},
+		{name: "one is silent", silent: []string{"h5"}, voters: 4, former: 1},
+		{name: "one has left in order", silent: []string{"h5"}, ended: []string{"h5"}, voters: 4},
+		{name: "most are silent", silent: []string{"h3", "h4", "h5"}, voters: 5},
+		{name: "most have left in order", silent: []string{"h3", "h4", "h5"}, ended: []string{"h3", "h4", "h5"}, voters: 2},
+		{name: "most are silent, their keys are gone", silent: []string{"h3", "h4", "h5"}, lapsed: []string{"h3", "h4", "h5"}, voters: 2, former: 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t)
+				names := []string{"h1", "h2", "h3", "h4", "h5"}
+				env.fleet(names...)
+				env.update(func() { env.members = membersWithVoters(names[1:], len(names), Observation{}) })
+				env.start()
+				time.Sleep(time.Second)
+				env.update(func() {
+					env.silent, env.ended = make(map[string]bool), make(map[string]string)
+					for _, name := range test.silent {
+						env.silent[name] = true
+					}
+					for _, name := range test.ended {
+						env.ended[name] = ""
+					}
+					for _, name := range append(test.ended, test.lapsed...) {
+						delete(env.hosts, name)
+					}
+				})
+				time.Sleep(2 * voterSilence)
+				got := env.voters()
+				if len(got.Since) != test.voters || len(got.Former) != test.former {
+					t.Errorf("got voters %+v, want %d and %d former ones", got, test.voters, test.former)
+				}
+				env.update(func() {
+					env.silent, env.ended = nil, nil
+					for _, name := range names {
+						env.hosts[name] = cataloger.Host{Name: name}
+					}
+				})
+				time.Sleep(time.Second)
+				if got := env.voters(); len(got.Since) != len(names) || !got.AllKnown() {
+					t.Errorf("got voters %+v after the return of all hosts, want %d", got, len(names))
+				}
+			})
+		})
+	}
+}
+
+// TestVoterHistory guards against a promotion while hosts may count with a list that was
+// replaced a moment ago, or with one that the store has lost.
+func TestVoterHistory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := VoterHistory{MajorityExpiry: 10 * time.Second, FleetExpiry: time.Minute, RecentlyHeard: time.Second}
+	first := cataloger.Voters{}.WithChanges([]string{"a", "b", "c"}, nil, nil)
+	first.Revision = storer.JoinRevision(1, 10)
+	h.Observe(first, now)
+	second := first.WithChanges([]string{"d"}, []string{"a"}, nil)
+	second.Revision = storer.JoinRevision(1, 20)
+	h.Observe(second, now.Add(time.Second))
+	h.RecordReport("b", second.Revision-1, now.Add(time.Second))
+	h.RecordReport("c", second.Revision, now.Add(2*time.Second))
+	tests := []struct {
+		after                 time.Duration
+		byMajority, byAll     int64
+		knownToB, knownToC, d int64
+	}{
+		{after: time.Second, knownToB: 1, knownToC: 1, d: 2},
+		{after: 2 * time.Second, knownToB: 1, knownToC: 2, d: 2},
+		{after: 10 * time.Second, byMajority: 1, knownToB: 1, knownToC: 2, d: 2},
+		{after: 11 * time.Second, byMajority: 2, knownToB: 1, knownToC: 2, d: 2},
+		{after: 61 * time.Second, byMajority: 2, byAll: 2, knownToB: 1, knownToC: 2, d: 2},
+	}
+	for _, test := range tests {
+		u := h.Uncertainty(second, now.Add(test.after), func(string) bool { return false })
+		if u.OldestByMajority != test.byMajority || u.OldestByAll != test.byAll {
+			t.Errorf("after %v: got versions %d by majority and %d by all, want %d and %d", test.after, u.OldestByMajority, u.OldestByAll, test.byMajority, test.byAll)
+		}
+		for name, want := range map[string]int64{"b": test.knownToB, "c": test.knownToC, "d": test.d} {
+			if got, _ := u.MayConfirm(name); got != want {
+				t.Errorf("after %v: got version %d known to %s, want %d", test.after, got, name, want)
+			}
+		}
+	}
+	restored := first
+	restored.Revision = storer.JoinRevision(2, 10)
+	h.Observe(restored, now.Add(2*time.Minute))
+	u := h.Uncertainty(restored, now.Add(2*time.Minute), func(string) bool { return false })
+	if got, _ := u.MayConfirm("c"); got != 1 || u.OldestByMajority != 0 {
+		t.Errorf("got version %d known to c and versions from %d on after a restore, want 1 and 0", got, u.OldestByMajority)
+	}
+}
+
+// TestVotersAreEncoded guards against a list that loses what the next leader has to know, and
+// against a malformed one.
+func TestVotersAreEncoded(t *testing.T) {
+	want := cataloger.Voters{
+		Revision: 7, Version: 5, Since: map[string]int64{"a": 1, "b": 4}, Known: 3, Established: true,
+		Former: []cataloger.FormerVoter{{Host: "c", Since: 1, Until: 5, Known: 2}},
+	}
+	got, ok, err := DecodeVoters(votersKey, encodeVoters(want), 7)
+	if !ok || err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v, %v, want %+v", got, ok, err, want)
+	}
+	for _, text := range []string{
+		`{"version":5,"hosts":{},"known":6}`, `{"version":5,"hosts":{},"former":[{"host":"c","since":1,"until":6}]}`,
+		`{"version":5,"hosts":{},"former":[{"host":"","since":1,"until":2}]}`, `{"version":5,"hosts":{},"former":[{"host":"c","since":2,"until":2}]}`,
+	} {
+		if _, ok, err := DecodeVoters(votersKey, []byte(text), 7); !ok || err == nil {
+			t.Errorf("%s: got no error", text)
+		}
+	}
+}
