Use only views from after a restart while a former process is registered

Cause: the process before the restart acknowledged the change, its key still counted as the registration of the new one, and that took over the view of a host that was not registered at the change.

Change: a process whose host is registered by a former one uses views that the store confirmed since its start, or a majority 1.15 s after it or later. The leader goes on at once only if it has heard every host within a second. A host that restarts in an outage of the store still gets its primaries back, without the store.

--- a/hoster/fleet_model_test.go
+++ b/hoster/fleet_model_test.go
@@ -92,7 +92,7 @@
 }
 
 // fleetModelSeeds is how many random simulations of each size of fleet are run.
-var fleetModelSeeds = flag.Int("fleet-model-seeds", 14, "simulations of each size of TestFormerPrimaryIsNotConfirmedFresh")
+var fleetModelSeeds = flag.Int("fleet-model-seeds", 60, "simulations of each size of TestFormerPrimaryIsNotConfirmedFresh")
 
 const (
 	stepDuration = 50 * time.Millisecond
@@ -345,13 +345,17 @@
 
 // viewAsOf returns as of when the view of a host is confirmed.
 func (h *modelHost) viewAsOf(now time.Time) time.Time {
-	if _, registered := h.mirror.registry[h.name]; !registered {
+	incarnation, registered := h.mirror.registry[h.name]
+	if !registered {
 		return time.Time{}
 	}
 	byHosts := h.majorityReportedAsOf(now)
 	if h.majorityFreshAsOf.After(byHosts) {
 		byHosts = h.majorityFreshAsOf
 	}
+	if incarnation != h.incarnation {
+		return viewOfNewProcess(h.storeReadAt, byHosts, h.startedAt)
+	}
 	if byHosts.After(h.storeReadAt) {
 		return byHosts
 	}
@@ -472,7 +476,8 @@
 		}
 	}
 	for name := range members {
-		if !acknowledged(name) {
+		recent := name == h.name || m.now.Sub(h.heard[name].reportedAt) < director.MaxViewAge
+		if !acknowledged(name) || !recent {
 			return false
 		}
 	}
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -218,10 +218,14 @@
 	if catalog == nil || h.ended.Load() {
 		return time.Time{}
 	}
-	if _, registered := catalog.Hosts[h.Settings.Host]; !registered {
+	own, registered := catalog.Hosts[h.Settings.Host]
+	if !registered {
 		return time.Time{}
 	}
 	byStore := h.primariesCompleteAsOf()
+	if own.Incarnation != h.incarnation {
+		return viewOfNewProcess(byStore, h.majorityCompleteAsOf(), h.started)
+	}
 	if timekeeper.Now().Sub(byStore) < storeFreshAge {
 		return byStore
 	}
@@ -231,6 +235,24 @@
 	return byStore
 }
 
+// newProcessMargin is longer than the age up to which a leader counts the acknowledgement of a
+// host that may have restarted since.
+const newProcessMargin = director.MaxViewAge + 150*time.Millisecond
+
+// viewOfNewProcess returns the instant as of which the view of a process is complete that started
+// at startedAt and whose host is registered by a former process. That one may have acknowledged
+// a change of which the view of another host, which this process has taken over, knows nothing:
+// only what was confirmed after the former process had ended counts.
+func viewOfNewProcess(byStore, byHosts, startedAt time.Time) time.Time {
+	if byStore.Before(startedAt) {
+		byStore = time.Time{}
+	}
+	if byHosts.Sub(startedAt) < newProcessMargin || byHosts.Before(byStore) {
+		return byStore
+	}
+	return byHosts
+}
+
 // assignmentRevision returns the revision of the primary assignment of a service in the mirror,
 // 0 if there is none. viewCompleteAsOf dates the mirror, and the catalog in force is built from
 // it a moment later.
--- a/hoster/peers_test.go
+++ b/hoster/peers_test.go
@@ -84,3 +84,28 @@
 		t.Errorf("revision: got %d, want %d", got, want)
 	}
 }
+
+// TestViewOfNewProcess guards against a restarted host that uses a former primary: it takes over
+// the view of another host from before a change that its former process has acknowledged.
+func TestViewOfNewProcess(t *testing.T) {
+	startedAt := time.Unix(1000, 0)
+	at := func(offset time.Duration) time.Time { return startedAt.Add(offset) }
+	tests := []struct {
+		name                   string
+		byStore, byHosts, want time.Time
+	}{
+		{name: "nothing confirmed"},
+		{name: "read from the store by another host before the start", byStore: at(-time.Millisecond)},
+		{name: "read from the store since", byStore: at(0), want: at(0)},
+		{name: "confirmed by hosts which the former process may have been one of", byHosts: at(newProcessMargin - 1)},
+		{name: "confirmed by hosts since", byStore: at(-time.Minute), byHosts: at(newProcessMargin), want: at(newProcessMargin)},
+		{name: "store is later", byStore: at(time.Minute), byHosts: at(newProcessMargin), want: at(time.Minute)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := viewOfNewProcess(test.byStore, test.byHosts, startedAt); !got.Equal(test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/overseer/primary_change.go
+++ b/overseer/primary_change.go
@@ -262,7 +262,8 @@
 	members := append(c.overseer.Members(), c.overseer.Self())
 	unreleased := c.overseer.unconfirmedVoters(members, c.assignment.Revision)
 	for _, member := range members {
-		if member.ReleasedRevisions[c.service] < c.fenceRevision {
+		// A process that has started since may use a view without the change.
+		if member.ReleasedRevisions[c.service] < c.fenceRevision || !member.RecentlyHeard {
 			unreleased = append(unreleased, member.Name)
 		}
 	}
