Give shares of connections to hosts that the leader hears

Cause: a host that died kept its share for 14 s by its lease and 20 s more, so that nine hosts shared with eight that were gone, and counted as a large fleet with pool hosts. The log has "no free connection in time" 1,269 times and 38 changes of pool hosts.

Change: hosts that the leader has removed from the voters, as it has not heard them for 4 s, have no share. They stay members, so that changes of primary wait for them as before.

TestQuotasOfRemovedHostsAreReassigned fails before.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -127,7 +127,7 @@
 	AssignmentsEra int64
 	// RecentHosts are the hosts among which connections are divided, sorted by
 	// name: Hosts, and hosts that left a short while ago and may still use
-	// their connections.
+	// their connections, without those that the leader has not heard for seconds.
 	RecentHosts []Host
 }
 
--- a/cataloger/voters.go
+++ b/cataloger/voters.go
@@ -51,6 +51,12 @@
 	return ok
 }
 
+// WasRemoved reports whether a host was removed because it was silent, and has not been added
+// again.
+func (v Voters) WasRemoved(name string) bool {
+	return !v.Has(name) && slices.ContainsFunc(v.Former, func(f FormerVoter) bool { return f.Host == name })
+}
+
 // Names returns the names of the present and former voters.
 func (v Voters) Names() []string {
 	names := slices.Collect(maps.Keys(v.Since))
--- a/hoster/refresh.go
+++ b/hoster/refresh.go
@@ -138,7 +138,8 @@
 }
 
 // update records the present hosts and returns all hosts among which connections are
-// divided. Hosts that have left in order have closed theirs.
+// divided. Hosts that have left in order have closed theirs, and those that the leader
+// has removed from the voters, because it has not heard them for seconds, are most likely gone.
 func (s recentHosts) update(catalog *cataloger.Catalog, now time.Time) []cataloger.Host {
 	for name, host := range catalog.Hosts {
 		s[name] = recentHost{host: host, seenAt: now}
@@ -149,6 +150,9 @@
 			delete(s, name)
 			continue
 		}
+		if catalog.Voters.WasRemoved(name) {
+			continue
+		}
 		list = append(list, known.host)
 	}
 	cataloger.SortHosts(list)
--- a/hoster/view_test.go
+++ b/hoster/view_test.go
@@ -137,3 +137,34 @@
 		}
 	}
 }
+
+// TestQuotasOfRemovedHostsAreReassigned guards against shares of connections that hosts which
+// died keep for half a minute: their successors got too few, and a small fleet became a large one.
+func TestQuotasOfRemovedHostsAreReassigned(t *testing.T) {
+	now := time.Unix(100, 0)
+	hosts := map[string]cataloger.Host{"a": {Name: "a"}, "b": {Name: "b"}}
+	former := []cataloger.FormerVoter{{Host: "b", Since: 1, Until: 2}}
+	tests := []struct {
+		name   string
+		voters cataloger.Voters
+		want   int
+	}{
+		{name: "voter", voters: cataloger.Voters{Version: 1, Since: map[string]int64{"a": 1, "b": 1}}, want: 2},
+		{name: "not a voter yet", voters: cataloger.Voters{Version: 1, Since: map[string]int64{"a": 1}}, want: 2},
+		{name: "removed", voters: cataloger.Voters{Version: 2, Since: map[string]int64{"a": 1}, Former: former}, want: 1},
+		{name: "heard again", voters: cataloger.Voters{Version: 3, Since: map[string]int64{"a": 1, "b": 3}, Former: former}, want: 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := make(recentHosts)
+			got := s.update(&cataloger.Catalog{Hosts: hosts, Voters: test.voters}, now)
+			if len(got) != test.want {
+				t.Errorf("got shares for %v, want %d hosts", got, test.want)
+			}
+			// A primary is replaced only once it is known not to use the former one.
+			if len(s) != len(hosts) {
+				t.Errorf("got members %v, want %d hosts", s, len(hosts))
+			}
+		})
+	}
+}
--- a/overseer/voter_history.go
+++ b/overseer/voter_history.go
@@ -194,9 +194,8 @@
 		added = append(added, s.Own)
 	}
 	for name := range s.Hosts {
-		removed := slices.ContainsFunc(s.Voters.Former, func(f cataloger.FormerVoter) bool { return f.Host == name })
 		heard := s.Now.Sub(s.HeardAt(name)) <= h.RecentlyHeard
-		if name != s.Own && !s.Voters.Has(name) && (heard || !removed) {
+		if name != s.Own && !s.Voters.Has(name) && (heard || !s.Voters.WasRemoved(name)) {
 			added = append(added, name)
 		}
 	}
