--- a/overseer/voters.go
+++ b/overseer/voters.go
@@ -219,8 +219,9 @@
 }
 
 // uncertainty returns what was known at an instant about the voters that may confirm views,
-// except this host and those for which excluded is true. Hosts that have left in order count as such only if the
-// view has all changes up to a revision, so that no later process of theirs is overlooked.
+// except this host and those for which excluded is true. Hosts that have left in order count as
+// such only if the view has all changes up to a revision, so that no later process of theirs is
+// overlooked.
 func (o *Overseer) uncertainty(at time.Time, excluded func(name string) bool, revision int64) (cataloger.Voters, cataloger.Uncertainty) {
 	var ended map[string]string
 	if catalog := o.Catalog(); catalog != nil && catalog.Revision >= revision {
