--- a/overseer/voters_test.go
+++ b/overseer/voters_test.go
@@ -304,3 +304,25 @@
 		}
 	}
 }
+
+// TestEndedHostCountsInOutdatedView guards against a promotion while a process that started after
+// the end of a former one, and that the leader's view lacks, may confirm views.
+func TestEndedHostCountsInOutdatedView(t *testing.T) {
+	now := time.Unix(1000, 0)
+	voters := cataloger.Voters{Revision: 5, Version: 2, Since: map[string]int64{"h1": 1, "h2": 1, "h3": 1}, Known: 1, Established: true}
+	catalog := &cataloger.Catalog{Revision: 9, Ended: map[string]string{"h2": "i1", "h3": "i1"}}
+	o := &Overseer{
+		Host: cataloger.Host{Name: "h1"}, Now: func() time.Time { return now }, Catalog: func() *cataloger.Catalog { return catalog },
+		MajorityExpiry: testMajorityExpiry, FleetExpiry: testFleetExpiry, voters: voterList{voters: voters},
+	}
+	acknowledged := func(string) bool { return false }
+	tests := []struct {
+		revision int64
+		want     time.Duration
+	}{{revision: 9}, {revision: 10, want: testMajorityExpiry}}
+	for _, test := range tests {
+		if got := o.confirmationExpiry(acknowledged, test.revision); got != test.want {
+			t.Errorf("change at revision %d: got %v, want %v", test.revision, got, test.want)
+		}
+	}
+}
